Serve one request from end to end through separate processes

Cause: the repository was empty; nothing could be run or measured. Change: decision core (configuration, membership, share ledger, ticket book, fair queue, cell scheduler), HTTP and UDP edges, limpethaven-entry, limpethaven-publish and limpethaven-standin. Tickets are not accepted yet; no automated test yet.

--- /dev/null
+++ b/include/limpethaven/event.h
@@ -0,0 +1,64 @@
+/// @file
+/// Numbered log events. `docs/EVENTS.md` is the catalogue; a test holds both together.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace limpethaven {
+
+/// Number of a log event. Numbers are never reused.
+enum class EventId {
+  kProcessStarted = 100,
+  kProcessReady = 101,
+  kProcessStopping = 102,
+  kProcessStopped = 103,
+  kPauseDetected = 104,
+  kConfigAdopted = 200,
+  kConfigConflict = 201,
+  kConfigSourceLost = 202,
+  kConfigRejected = 203,
+  kMemberAlive = 300,
+  kMemberSuspect = 301,
+  kMemberDead = 302,
+  kMemberLeaving = 303,
+  kPeerMessageRejected = 304,
+  kRequestAccepted = 400,
+  kRequestRefused = 401,
+  kRequestFinished = 402,
+  kRequestCancelled = 403,
+  kRequestResumed = 404,
+  kRouteDecision = 410,
+  kPlacementDecision = 411,
+  kPlacementQueued = 412,
+  kRetry = 420,
+  kStreamEventDropped = 421,
+  kStreamReconnected = 422,
+  kReservationLapsed = 430,
+  kOrphanCancelled = 431,
+  kCancelRetried = 432,
+  kTokensBorrowed = 440,
+  kTokensLent = 441,
+  kTicketMinted = 450,
+  kTicketRun = 451,
+  kKeyWithdrawnMidStream = 460,
+  kEndpointEjected = 470,
+  kEndpointReturned = 471,
+  kOrderSent = 500,
+  kOrderRefused = 501,
+  kOrderConverged = 502,
+  kInternalError = 900,
+};
+
+/// One row of the event table.
+struct EventRow {
+  EventId id;
+  std::string_view name;
+};
+
+/// All events, ascending by number.
+[[nodiscard]] std::span<const EventRow> EventTable() noexcept;
+/// Name of an event, e.g. `route_decision`.
+[[nodiscard]] std::string_view NameOf(EventId id) noexcept;
+
+}  // namespace limpethaven
--- /dev/null
+++ b/include/limpethaven/limpethaven.h
@@ -0,0 +1,27 @@
+/// @file
+/// Umbrella header: includes every public header of the library.
+#pragma once
+
+#include "limpethaven/cell_scheduler.h"
+#include "limpethaven/cells.h"
+#include "limpethaven/clock.h"
+#include "limpethaven/config_codec.h"
+#include "limpethaven/config_file.h"
+#include "limpethaven/config_follower.h"
+#include "limpethaven/config_model.h"
+#include "limpethaven/crypto.h"
+#include "limpethaven/endpoint_health.h"
+#include "limpethaven/error.h"
+#include "limpethaven/event.h"
+#include "limpethaven/fair_queue.h"
+#include "limpethaven/fwd.h"
+#include "limpethaven/interfaces.h"
+#include "limpethaven/membership.h"
+#include "limpethaven/prompt.h"
+#include "limpethaven/rendezvous.h"
+#include "limpethaven/resume_token.h"
+#include "limpethaven/retry_budget.h"
+#include "limpethaven/share_ledger.h"
+#include "limpethaven/stream_guard.h"
+#include "limpethaven/ticket_book.h"
+#include "limpethaven/vm_id.h"
--- /dev/null
+++ b/src/core/config_codec.cc
@@ -0,0 +1,248 @@
+#include "limpethaven/config_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "limpethaven/crypto.h"
+#include "limpethaven/rendezvous.h"
+
+namespace limpethaven {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamSpec, name, rate_tokens_per_s, burst_tokens, weight)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeySpec, sha256, team)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndpointSpec, address, data_centre, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RouteSpec, path, model, prefill_pool, decode_pool, pool,
+                                   repeatable, open, first_token_ms, token_gap_ms, serve_late)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LinkSpec, from, to, mbytes_per_s)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetSpec, share_slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GoalSpec, pool, model, model_version)
+
+NLOHMANN_JSON_SERIALIZE_ENUM(PoolRole, {{PoolRole::kService, "service"},
+                                        {PoolRole::kPrefill, "prefill"},
+                                        {PoolRole::kDecode, "decode"},
+                                        {PoolRole::kMixed, "mixed"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolSpec, name, role, model, memory_pieces, checks_fencing,
+                                   endpoints)
+
+namespace {
+
+using nlohmann::json;
+
+void to_json(json& out, const Entity& entity) { out = json::array({entity.key, entity.value}); }
+
+void from_json(const json& in, Entity& entity) {
+  entity.key = in.at(0).get<std::string>();
+  entity.value = in.at(1).get<std::string>();
+}
+
+json ToJson(const std::vector<Entity>& entities) {
+  json list = json::array();
+  std::ranges::for_each(entities, [&list](const Entity& entity) {
+    json row;
+    to_json(row, entity);
+    list.push_back(std::move(row));
+  });
+  return list;
+}
+
+std::vector<Entity> EntitiesFrom(const json& list) {
+  std::vector<Entity> entities;
+  std::ranges::transform(list, std::back_inserter(entities), [](const json& row) {
+    Entity entity;
+    from_json(row, entity);
+    return entity;
+  });
+  return entities;
+}
+
+json ToJson(const ConfigChange& change) {
+  return {{"version", change.version},
+          {"digest", change.digest},
+          {"upserts", ToJson(change.upserts)},
+          {"removals", change.removals}};
+}
+
+ConfigChange ChangeFrom(const json& in) {
+  return ConfigChange{in.at("version").get<std::uint64_t>(), in.at("digest").get<std::string>(),
+                      EntitiesFrom(in.at("upserts")),
+                      in.at("removals").get<std::vector<std::string>>()};
+}
+
+/// Runs `read` on the parsed text and turns a malformed document into an error.
+template <typename Read>
+auto Decode(std::string_view text, std::string_view what, Read read)
+    -> Result<decltype(read(json()))> {
+  try {
+    return read(json::parse(text));
+  } catch (const json::exception& fault) {
+    return Error::Of(ErrorKind::kConfigInvalid, std::string(what) + ": " + fault.what());
+  }
+}
+
+template <typename T>
+void EncodeTable(std::string_view prefix, const NamedTable<T>& table,
+                 std::vector<Entity>& entities) {
+  std::ranges::transform(table, std::back_inserter(entities), [prefix](const auto& row) {
+    return Entity{std::string(prefix) + row.first, json(row.second).dump()};
+  });
+}
+
+/// Calls `visit(table, name)` with the table that holds entities of this key.
+template <typename Visit>
+bool VisitTable(Configuration& config, std::string_view key, Visit visit) {
+  const auto slash = key.find('/');
+  if (slash == std::string_view::npos) return false;
+  const std::string_view kind = key.substr(0, slash);
+  const std::string name(key.substr(slash + 1));
+  if (kind == "team") visit(config.teams, name);
+  if (kind == "key") visit(config.keys, name);
+  if (kind == "pool") visit(config.pools, name);
+  if (kind == "route") visit(config.routes, name);
+  if (kind == "link") visit(config.links, name);
+  if (kind == "goal") visit(config.goals, name);
+  return true;
+}
+
+std::size_t ChunkOf(std::string_view key) { return StableHash(key) % kChunkCount; }
+
+}  // namespace
+
+EntityTable::EntityTable() : chunks(kChunkCount), digests(kChunkCount) {
+  for (std::size_t index = 0; index < kChunkCount; ++index) this->Rehash(index);
+}
+
+void EntityTable::Apply(const std::vector<Entity>& upserts,
+                        const std::vector<std::string>& removals) {
+  std::set<std::size_t> touched;
+  std::ranges::for_each(upserts, [this, &touched](const Entity& entity) {
+    const std::size_t index = ChunkOf(entity.key);
+    this->chunks[index].insert_or_assign(entity.key, entity.value);
+    touched.insert(index);
+  });
+  std::ranges::for_each(removals, [this, &touched](const std::string& key) {
+    const std::size_t index = ChunkOf(key);
+    this->chunks[index].erase(key);
+    touched.insert(index);
+  });
+  std::ranges::for_each(touched, [this](std::size_t index) { this->Rehash(index); });
+}
+
+std::string EntityTable::Digest() const {
+  std::string all;
+  std::ranges::for_each(this->digests, [&all](const std::string& digest) { all += digest; });
+  return Sha256Hex(all);
+}
+
+const std::vector<std::string>& EntityTable::ChunkDigests() const noexcept {
+  return this->digests;
+}
+
+std::string EntityTable::ChunkText(std::size_t index) const {
+  json list = json::array();
+  std::ranges::for_each(this->chunks[index], [&list](const auto& row) {
+    list.push_back(json::array({row.first, row.second}));
+  });
+  return list.dump();
+}
+
+std::vector<Entity> EntityTable::All() const {
+  std::vector<Entity> entities;
+  std::ranges::for_each(this->chunks, [&entities](const Chunk& chunk) {
+    std::ranges::transform(chunk, std::back_inserter(entities), [](const auto& row) {
+      return Entity{row.first, row.second};
+    });
+  });
+  return entities;
+}
+
+ConfigChange EntityTable::ChangeTo(const EntityTable& next) const {
+  ConfigChange change;
+  change.digest = next.Digest();
+  for (std::size_t index = 0; index < kChunkCount; ++index) {
+    const Chunk& before = this->chunks[index];
+    const Chunk& after = next.chunks[index];
+    std::ranges::for_each(after, [&](const auto& row) {
+      const auto old = before.find(row.first);
+      if (old != before.end() && old->second == row.second) return;
+      change.upserts.push_back(Entity{row.first, row.second});
+    });
+    std::ranges::for_each(before, [&](const auto& row) {
+      if (!after.contains(row.first)) change.removals.push_back(row.first);
+    });
+  }
+  return change;
+}
+
+void EntityTable::Rehash(std::size_t index) {
+  this->digests[index] = Sha256Hex(this->ChunkText(index));
+}
+
+std::vector<Entity> EncodeEntities(const Configuration& config) {
+  std::vector<Entity> entities;
+  entities.push_back(Entity{"fleet", json(config.fleet).dump()});
+  EncodeTable("team/", config.teams, entities);
+  EncodeTable("key/", config.keys, entities);
+  EncodeTable("pool/", config.pools, entities);
+  EncodeTable("route/", config.routes, entities);
+  EncodeTable("link/", config.links, entities);
+  EncodeTable("goal/", config.goals, entities);
+  return entities;
+}
+
+Result<void> ApplyEntity(Configuration& config, const Entity& entity) {
+  const auto value = json::parse(entity.value, nullptr, false);
+  try {
+    if (entity.key == "fleet") {
+      config.fleet = value.get<FleetSpec>();
+      return Success();
+    }
+    VisitTable(config, entity.key, [&value](auto& table, const std::string& name) {
+      using Spec = typename std::decay_t<decltype(table)>::mapped_type;
+      table.insert_or_assign(name, value.template get<Spec>());
+    });
+  } catch (const json::exception& fault) {
+    return Error::Of(ErrorKind::kConfigInvalid, "entity " + entity.key + ": " + fault.what());
+  }
+  return Success();
+}
+
+void RemoveEntity(Configuration& config, std::string_view key) {
+  VisitTable(config, key, [](auto& table, const std::string& name) { table.erase(name); });
+}
+
+std::string EncodeHead(const ConfigHead& head) {
+  json changes = json::array();
+  std::ranges::for_each(head.changes,
+                        [&](const ConfigChange& change) { changes.push_back(ToJson(change)); });
+  return json{{"version", head.version},
+              {"digest", head.digest},
+              {"chunks", head.chunks},
+              {"changes", changes}}
+      .dump();
+}
+
+Result<ConfigHead> DecodeHead(std::string_view text) {
+  return Decode(text, "configuration head", [](const json& in) {
+    ConfigHead head{in.at("version").get<std::uint64_t>(), in.at("digest").get<std::string>(),
+                    in.at("chunks").get<std::vector<std::string>>(), {}};
+    std::ranges::transform(in.at("changes"), std::back_inserter(head.changes), ChangeFrom);
+    return head;
+  });
+}
+
+std::string EncodeChange(const ConfigChange& change) { return ToJson(change).dump(); }
+
+Result<ConfigChange> DecodeChange(std::string_view text) {
+  return Decode(text, "configuration change", ChangeFrom);
+}
+
+std::string EncodeEntityList(const std::vector<Entity>& entities) {
+  return ToJson(entities).dump();
+}
+
+Result<std::vector<Entity>> DecodeEntityList(std::string_view text) {
+  return Decode(text, "configuration entities", EntitiesFrom);
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/core/event.cc
@@ -0,0 +1,60 @@
+#include "limpethaven/event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace limpethaven {
+namespace {
+
+constexpr std::array kEvents = {
+    EventRow{EventId::kProcessStarted, "process_started"},
+    EventRow{EventId::kProcessReady, "process_ready"},
+    EventRow{EventId::kProcessStopping, "process_stopping"},
+    EventRow{EventId::kProcessStopped, "process_stopped"},
+    EventRow{EventId::kPauseDetected, "pause_detected"},
+    EventRow{EventId::kConfigAdopted, "config_adopted"},
+    EventRow{EventId::kConfigConflict, "config_conflict"},
+    EventRow{EventId::kConfigSourceLost, "config_source_lost"},
+    EventRow{EventId::kConfigRejected, "config_rejected"},
+    EventRow{EventId::kMemberAlive, "member_alive"},
+    EventRow{EventId::kMemberSuspect, "member_suspect"},
+    EventRow{EventId::kMemberDead, "member_dead"},
+    EventRow{EventId::kMemberLeaving, "member_leaving"},
+    EventRow{EventId::kPeerMessageRejected, "peer_message_rejected"},
+    EventRow{EventId::kRequestAccepted, "request_accepted"},
+    EventRow{EventId::kRequestRefused, "request_refused"},
+    EventRow{EventId::kRequestFinished, "request_finished"},
+    EventRow{EventId::kRequestCancelled, "request_cancelled"},
+    EventRow{EventId::kRequestResumed, "request_resumed"},
+    EventRow{EventId::kRouteDecision, "route_decision"},
+    EventRow{EventId::kPlacementDecision, "placement_decision"},
+    EventRow{EventId::kPlacementQueued, "placement_queued"},
+    EventRow{EventId::kRetry, "retry"},
+    EventRow{EventId::kStreamEventDropped, "stream_event_dropped"},
+    EventRow{EventId::kStreamReconnected, "stream_reconnected"},
+    EventRow{EventId::kReservationLapsed, "reservation_lapsed"},
+    EventRow{EventId::kOrphanCancelled, "orphan_cancelled"},
+    EventRow{EventId::kCancelRetried, "cancel_retried"},
+    EventRow{EventId::kTokensBorrowed, "tokens_borrowed"},
+    EventRow{EventId::kTokensLent, "tokens_lent"},
+    EventRow{EventId::kTicketMinted, "ticket_minted"},
+    EventRow{EventId::kTicketRun, "ticket_run"},
+    EventRow{EventId::kKeyWithdrawnMidStream, "key_withdrawn_mid_stream"},
+    EventRow{EventId::kEndpointEjected, "endpoint_ejected"},
+    EventRow{EventId::kEndpointReturned, "endpoint_returned"},
+    EventRow{EventId::kOrderSent, "order_sent"},
+    EventRow{EventId::kOrderRefused, "order_refused"},
+    EventRow{EventId::kOrderConverged, "order_converged"},
+    EventRow{EventId::kInternalError, "internal_error"},
+};
+
+}  // namespace
+
+std::span<const EventRow> EventTable() noexcept { return kEvents; }
+
+std::string_view NameOf(EventId id) noexcept {
+  const auto row = std::ranges::find(kEvents, id, &EventRow::id);
+  return row == kEvents.end() ? std::string_view("unknown_event") : row->name;
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,377 @@
+#include "limpethaven/membership.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <ostream>
+
+namespace limpethaven {
+namespace {
+
+constexpr std::array<std::string_view, 5> kStateNames = {"unknown", "alive", "suspect", "dead",
+                                                         "leaving"};
+constexpr DurationMs kForgetDeadMs = 60'000;
+constexpr DurationMs kRelayLifetimeMs = 1000;
+
+/// Order of news about one incarnation and refutation: later states win.
+int RankOf(MemberState state) {
+  switch (state) {
+    case MemberState::kUnknown:
+      return 0;
+    case MemberState::kAlive:
+      return 1;
+    case MemberState::kLeaving:
+      return 2;
+    case MemberState::kSuspect:
+      return 3;
+    case MemberState::kDead:
+      return 4;
+  }
+  return 0;
+}
+
+bool IsNewer(const MemberUpdate& left, const MemberUpdate& right) {
+  const auto key = [](const MemberUpdate& update) {
+    return std::tuple(update.incarnation, update.refutation, RankOf(update.state));
+  };
+  return key(left) > key(right);
+}
+
+bool IsUsable(const Member& member) {
+  return member.news.state == MemberState::kAlive || member.news.state == MemberState::kSuspect;
+}
+
+}  // namespace
+
+std::string_view NameOf(MemberState state) noexcept {
+  return kStateNames[static_cast<std::size_t>(state)];
+}
+
+std::ostream& operator<<(std::ostream& out, const Member& member) {
+  return out << member.news.address << '@' << member.news.incarnation << ' '
+             << NameOf(member.news.state) << (member.listed ? "" : " (not listed)");
+}
+
+Membership::Membership(VmId own, std::string zone, MembershipSettings initial,
+                       std::uint64_t seed)
+    : self(std::move(own)), data_centre(std::move(zone)), settings(initial), random(seed) {}
+
+void Membership::SetListed(const std::vector<ListedVm>& vms, TimeMs now) {
+  std::ranges::for_each(this->members, [](auto& row) { row.second.listed = false; });
+  std::ranges::for_each(vms, [&](const ListedVm& vm) {
+    if (vm.address == this->self.address) return;
+    Member& member = this->members[vm.address];
+    member.listed = true;
+    if (member.news.address.empty()) {
+      member.news.address = vm.address;
+      member.news.data_centre = vm.data_centre;
+      member.since = now;
+    }
+  });
+}
+
+void Membership::SetConfig(std::uint64_t version, std::string_view digest) {
+  this->config_version = version;
+  this->config_digest = std::string(digest.substr(0, 16));
+}
+
+void Membership::Leave() {
+  this->leaving = true;
+  ++this->refutation;
+  this->Spread(this->self.address);
+}
+
+std::vector<OutgoingGossip> Membership::Tick(TimeMs now) {
+  std::vector<OutgoingGossip> out;
+  if (this->ticked && now - this->last_tick > this->settings.pause_ms) {
+    // What happened meanwhile says nothing about the others: give everyone a fresh chance.
+    this->paused = true;
+    this->probes.clear();
+    std::ranges::for_each(this->members, [now](auto& row) { row.second.since = now; });
+  }
+  this->last_tick = now;
+  this->ticked = true;
+  this->ExpireProbe(now, out);
+  this->ExpireSuspects(now);
+  this->ForgetDead(now);
+  if (now >= this->next_probe) {
+    this->next_probe = now + this->settings.probe_period_ms;
+    this->StartProbe(now, out);
+  }
+  return out;
+}
+
+std::vector<OutgoingGossip> Membership::Announce(std::size_t fanout) {
+  std::vector<std::string> targets;
+  std::ranges::for_each(this->members, [&targets](const auto& row) {
+    if (IsUsable(row.second)) targets.push_back(row.first);
+  });
+  std::ranges::shuffle(targets, this->random);
+  targets.resize(std::min(targets.size(), fanout));
+  std::vector<OutgoingGossip> out;
+  std::ranges::transform(targets, std::back_inserter(out), [this](const std::string& target) {
+    return OutgoingGossip{target, this->NewMessage(GossipKind::kPing, target)};
+  });
+  return out;
+}
+
+Result<std::vector<OutgoingGossip>> Membership::Receive(const GossipMessage& message,
+                                                        TimeMs now) {
+  if (message.to_incarnation != 0 && message.to_incarnation != this->self.incarnation) {
+    return Error::Of(ErrorKind::kPeerRejected, "message for another incarnation");
+  }
+  if (message.from.address == this->self.address) {
+    return Error::Of(ErrorKind::kPeerRejected, "message under this process's own address");
+  }
+  const auto known = this->members.find(message.from.address);
+  if (known != this->members.end() &&
+      message.from.incarnation < known->second.news.incarnation) {
+    return Error::Of(ErrorKind::kPeerRejected, "message from an older incarnation");
+  }
+  this->HearFrom(message, now);
+  std::ranges::for_each(message.updates,
+                        [&](const MemberUpdate& update) { this->Merge(update, now); });
+  std::vector<OutgoingGossip> out;
+  switch (message.kind) {
+    case GossipKind::kPing:
+    case GossipKind::kRelayedPing:
+      out.push_back(this->AckOf(message, message.from.address, message.sequence));
+      break;
+    case GossipKind::kPingRequest: {
+      GossipMessage ping = this->NewMessage(GossipKind::kRelayedPing, message.target);
+      this->relays.push_back(
+          Relay{message.from.address, message.sequence, ping.sequence, now});
+      out.push_back(OutgoingGossip{message.target, std::move(ping)});
+      break;
+    }
+    case GossipKind::kAck: {
+      std::erase_if(this->probes, [&](const Probe& probe) {
+        return probe.sequence == message.sequence;
+      });
+      const auto relay =
+          std::ranges::find(this->relays, message.sequence, &Relay::own_sequence);
+      if (relay != this->relays.end()) {
+        out.push_back(this->AckOf(message, relay->requester, relay->requester_sequence));
+        this->relays.erase(relay);
+      }
+      break;
+    }
+  }
+  return out;
+}
+
+bool Membership::TakePause() noexcept {
+  const bool was_paused = this->paused;
+  this->paused = false;
+  return was_paused;
+}
+
+std::vector<MemberChange> Membership::TakeChanges() { return std::exchange(this->changes, {}); }
+
+std::vector<Member> Membership::Members() const {
+  std::vector<Member> rows;
+  rows.reserve(this->members.size());
+  std::ranges::transform(this->members, std::back_inserter(rows),
+                         [](const auto& row) { return row.second; });
+  return rows;
+}
+
+std::vector<std::string> Membership::UsableAddresses() const {
+  return this->UsableAddresses(std::string_view());
+}
+
+std::vector<std::string> Membership::UsableAddresses(std::string_view zone) const {
+  std::vector<std::string> addresses;
+  if (!this->leaving && (zone.empty() || zone == this->data_centre)) {
+    addresses.push_back(this->self.address);
+  }
+  std::ranges::for_each(this->members, [&](const auto& row) {
+    const Member& member = row.second;
+    if (!IsUsable(member) || (!zone.empty() && zone != member.news.data_centre)) return;
+    addresses.push_back(member.news.address);
+  });
+  return addresses;
+}
+
+std::string Membership::DataCentreOf(std::string_view address) const {
+  if (address == this->self.address) return this->data_centre;
+  const auto row = this->members.find(address);
+  return row == this->members.end() ? std::string() : row->second.news.data_centre;
+}
+
+const VmId& Membership::Self() const noexcept { return this->self; }
+
+GossipMessage Membership::NewMessage(GossipKind kind, std::string_view to) {
+  GossipMessage message;
+  message.kind = kind;
+  message.from = this->self;
+  message.from_data_centre = this->data_centre;
+  message.from_refutation = this->refutation;
+  message.from_leaving = this->leaving;
+  message.sequence = this->next_sequence++;
+  message.config_version = this->config_version;
+  message.config_digest = this->config_digest;
+  const auto row = this->members.find(to);
+  if (row != this->members.end()) {
+    message.to_incarnation = row->second.news.incarnation;
+    const MemberState state = row->second.news.state;
+    // A member that others doubt must hear of it to refute it. A dead row may name an
+    // incarnation that is gone, so nothing is demanded of its successor.
+    if (state == MemberState::kDead) message.to_incarnation = 0;
+    if (state == MemberState::kDead || state == MemberState::kSuspect) {
+      message.updates.push_back(row->second.news);
+    }
+  }
+  this->AttachNews(message);
+  return message;
+}
+
+void Membership::AttachNews(GossipMessage& message) {
+  const auto limit = static_cast<std::int64_t>(
+      3.0 * std::ceil(std::log2(static_cast<double>(this->members.size()) + 2.0)));
+  const std::size_t count = std::min(this->news.size(), this->settings.updates_per_message);
+  for (std::size_t index = 0; index < count; ++index) {
+    News item = this->news.front();
+    this->news.pop_front();
+    const auto row = this->members.find(item.address);
+    if (row == this->members.end()) continue;
+    message.updates.push_back(row->second.news);
+    if (++item.transmissions < limit) this->news.push_back(std::move(item));
+  }
+}
+
+void Membership::Spread(const std::string& address) {
+  std::erase_if(this->news, [&](const News& item) { return item.address == address; });
+  this->news.push_front(News{address, 0});
+}
+
+void Membership::Merge(const MemberUpdate& update, TimeMs now) {
+  if (update.address == this->self.address) {
+    this->MergeSelf(update);
+    return;
+  }
+  Member& member = this->members[update.address];
+  if (member.news.address.empty()) {
+    member.news.address = update.address;
+    member.news.data_centre = update.data_centre;
+    member.since = now;
+  }
+  if (!IsNewer(update, member.news)) return;
+  this->SetState(member, update, now);
+}
+
+void Membership::MergeSelf(const MemberUpdate& update) {
+  if (update.incarnation != this->self.incarnation || update.refutation < this->refutation) return;
+  if (update.state != MemberState::kSuspect && update.state != MemberState::kDead) return;
+  this->refutation = update.refutation + 1;
+}
+
+void Membership::SetState(Member& member, const MemberUpdate& update, TimeMs now) {
+  const MemberState before = member.news.state;
+  const bool changed = before != update.state || member.news.incarnation != update.incarnation;
+  member.news = update;
+  if (!changed) return;
+  member.since = now;
+  this->changes.push_back(MemberChange{member, before});
+  this->Spread(member.news.address);
+}
+
+void Membership::HearFrom(const GossipMessage& message, TimeMs now) {
+  const MemberUpdate update{message.from.address, message.from_data_centre,
+                            message.from.incarnation, message.from_refutation,
+                            message.from_leaving ? MemberState::kLeaving : MemberState::kAlive};
+  this->Merge(update, now);
+  this->members[message.from.address].config_version = message.config_version;
+}
+
+void Membership::ExpireProbe(TimeMs now, std::vector<OutgoingGossip>& out) {
+  std::vector<std::string> failed;
+  for (Probe& probe : this->probes) {
+    const DurationMs age = now - probe.sent_at;
+    if (age >= this->settings.probe_period_ms) {
+      failed.push_back(probe.address);
+    } else if (age >= this->settings.ack_timeout_ms && !probe.indirect_sent) {
+      probe.indirect_sent = true;
+      std::vector<std::string> helpers;
+      std::ranges::for_each(this->members, [&](const auto& row) {
+        if (IsUsable(row.second) && row.first != probe.address) helpers.push_back(row.first);
+      });
+      std::ranges::shuffle(helpers, this->random);
+      helpers.resize(std::min<std::size_t>(
+          helpers.size(), static_cast<std::size_t>(this->settings.indirect_probes)));
+      std::ranges::for_each(helpers, [&](const std::string& helper) {
+        GossipMessage request = this->NewMessage(GossipKind::kPingRequest, helper);
+        request.sequence = probe.sequence;
+        request.target = probe.address;
+        out.push_back(OutgoingGossip{helper, std::move(request)});
+      });
+    }
+  }
+  std::erase_if(this->probes, [&](const Probe& probe) {
+    return now - probe.sent_at >= this->settings.probe_period_ms;
+  });
+  std::erase_if(this->relays,
+                [now](const Relay& relay) { return now - relay.sent_at >= kRelayLifetimeMs; });
+  std::ranges::for_each(failed, [&](const std::string& address) {
+    const auto row = this->members.find(address);
+    if (row == this->members.end()) return;
+    const MemberState state = row->second.news.state;
+    if (state != MemberState::kAlive && state != MemberState::kLeaving) return;
+    MemberUpdate update = row->second.news;
+    update.state = MemberState::kSuspect;
+    this->SetState(row->second, update, now);
+  });
+}
+
+void Membership::ExpireSuspects(TimeMs now) {
+  std::ranges::for_each(this->members, [&](auto& row) {
+    Member& member = row.second;
+    if (member.news.state != MemberState::kSuspect) return;
+    if (now - member.since < this->settings.suspicion_ms) return;
+    MemberUpdate update = member.news;
+    update.state = MemberState::kDead;
+    this->SetState(member, update, now);
+  });
+}
+
+void Membership::ForgetDead(TimeMs now) {
+  std::erase_if(this->members, [now](const auto& row) {
+    const Member& member = row.second;
+    const bool gone = member.news.state == MemberState::kDead ||
+                      member.news.state == MemberState::kUnknown;
+    return gone && !member.listed && now - member.since >= kForgetDeadMs;
+  });
+}
+
+void Membership::StartProbe(TimeMs now, std::vector<OutgoingGossip>& out) {
+  const std::string target = this->NextTarget();
+  if (target.empty()) return;
+  GossipMessage ping = this->NewMessage(GossipKind::kPing, target);
+  this->probes.push_back(Probe{target, ping.sequence, now, false});
+  out.push_back(OutgoingGossip{target, std::move(ping)});
+}
+
+std::string Membership::NextTarget() {
+  // Walks through a shuffled list, so that every member is probed once a round.
+  if (this->probe_order.empty()) {
+    std::ranges::transform(this->members, std::back_inserter(this->probe_order),
+                           [](const auto& row) { return row.first; });
+    std::ranges::shuffle(this->probe_order, this->random);
+  }
+  while (!this->probe_order.empty()) {
+    std::string target = std::move(this->probe_order.back());
+    this->probe_order.pop_back();
+    if (this->members.contains(target)) return target;
+  }
+  return {};
+}
+
+OutgoingGossip Membership::AckOf(const GossipMessage& message, std::string_view to,
+                                 std::uint64_t sequence) {
+  GossipMessage ack = this->NewMessage(GossipKind::kAck, to);
+  ack.sequence = sequence;
+  if (to == message.from.address) ack.to_incarnation = message.from.incarnation;
+  return OutgoingGossip{std::string(to), std::move(ack)};
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/core/stream_guard.cc
@@ -0,0 +1,32 @@
+#include "limpethaven/stream_guard.h"
+
+namespace limpethaven {
+
+StreamGuard::StreamGuard(std::string request, std::string nonce, std::int64_t offset)
+    : request_id(std::move(request)), attempt(std::move(nonce)), next_offset(offset) {}
+
+EventVerdict StreamGuard::Judge(const StreamEvent& event) {
+  if (event.request_id != this->request_id || event.attempt != this->attempt) {
+    ++this->dropped;
+    return EventVerdict::kForeign;
+  }
+  if (event.offset < this->next_offset || (event.count == 0 && !event.last)) {
+    ++this->dropped;
+    return EventVerdict::kRepeat;
+  }
+  if (event.offset > this->next_offset) {
+    ++this->dropped;
+    return EventVerdict::kGap;
+  }
+  this->next_offset += event.count;
+  this->whole = event.last;
+  return EventVerdict::kDeliver;
+}
+
+std::int64_t StreamGuard::NextOffset() const noexcept { return this->next_offset; }
+
+bool StreamGuard::Whole() const noexcept { return this->whole; }
+
+std::int64_t StreamGuard::Dropped() const noexcept { return this->dropped; }
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/edge/http_client.cc
@@ -0,0 +1,93 @@
+#include "edge/http_client.h"
+
+#include <charconv>
+#include <chrono>
+
+namespace limpethaven {
+namespace {
+
+constexpr DurationMs kConnectTimeoutMs = 500;
+constexpr std::size_t kMaxIdlePerAddress = 64;
+
+void SetTimeouts(httplib::Client& client, DurationMs timeout_ms) {
+  const std::chrono::milliseconds timeout(timeout_ms);
+  client.set_connection_timeout(std::chrono::milliseconds(std::min(timeout_ms, kConnectTimeoutMs)));
+  client.set_read_timeout(timeout);
+  client.set_write_timeout(timeout);
+}
+
+}  // namespace
+
+std::unique_ptr<httplib::Client> NewHttpClient(std::string_view address, DurationMs timeout_ms) {
+  const auto colon = address.rfind(':');
+  int port = 0;
+  if (colon != std::string_view::npos) {
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+  }
+  auto client = std::make_unique<httplib::Client>(std::string(address.substr(0, colon)), port);
+  client->set_tcp_nodelay(true);
+  client->set_keep_alive(false);
+  client->set_follow_location(false);
+  SetTimeouts(*client, timeout_ms);
+  return client;
+}
+
+Error HttpFailure(std::string_view address, httplib::Error error) {
+  const bool connected = error != httplib::Error::Connection &&
+                         error != httplib::Error::ConnectionTimeout &&
+                         error != httplib::Error::BindIPAddress;
+  return Error::Of(ErrorKind::kEndpointFailed,
+                   std::string(address) + ": " + httplib::to_string(error))
+      .WithRan(connected ? Ran::kUnknown : Ran::kNo);
+}
+
+Result<httplib::Response> HttpPool::Send(std::string_view address, httplib::Request request,
+                                         DurationMs timeout_ms) {
+  const std::string key(address);
+  ClientPtr client = this->Take(key);
+  SetTimeouts(*client, timeout_ms);
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  if (!client->send(request, response, error)) return HttpFailure(address, error);
+  this->Return(key, std::move(client));
+  return response;
+}
+
+HttpPool::ClientPtr HttpPool::Take(const std::string& address) {
+  {
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->idle.find(address);
+    if (found != this->idle.end() && !found->second.empty()) {
+      ClientPtr client = std::move(found->second.back());
+      found->second.pop_back();
+      return client;
+    }
+  }
+  ClientPtr client = NewHttpClient(address, kConnectTimeoutMs);
+  client->set_keep_alive(true);
+  return client;
+}
+
+void HttpPool::Return(const std::string& address, ClientPtr client) {
+  const std::lock_guard lock(this->mutex);
+  auto& clients = this->idle[address];
+  if (clients.size() < kMaxIdlePerAddress) clients.push_back(std::move(client));
+}
+
+httplib::Request GetRequest(std::string path) {
+  httplib::Request request;
+  request.method = "GET";
+  request.path = std::move(path);
+  return request;
+}
+
+httplib::Request PostRequest(std::string path, std::string body) {
+  httplib::Request request;
+  request.method = "POST";
+  request.path = std::move(path);
+  request.body = std::move(body);
+  request.set_header("Content-Type", "application/json");
+  return request;
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/edge/http_server.h
@@ -0,0 +1,59 @@
+/// @file
+/// HTTP servers with every limit and timeout set in one place.
+#pragma once
+
+#include <httplib.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "limpethaven/error.h"
+
+namespace limpethaven {
+
+/// Settings of one listening address.
+struct HttpServerSettings {
+  std::string address;
+  int port = 0;                        ///< 0 takes any free port.
+  std::size_t max_connections = 1200;  ///< Connections served at once.
+  std::size_t max_body_bytes = 4'000'000;
+  int read_timeout_s = 10;  ///< Longest wait for the next bytes of a request.
+  int write_timeout_s = 5;  ///< Longest wait for a caller that does not read.
+  std::string tls_certificate_file;    ///< PEM chain; empty for plain HTTP.
+  std::string tls_key_file;
+};
+
+/// Presents the certificate that the files hold now; read again when they change.
+class TlsFiles;
+
+/// A server with its thread. Add routes to `Routes()` before `Start`.
+class HttpServer {
+ public:
+  explicit HttpServer(HttpServerSettings settings);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  [[nodiscard]] httplib::Server& Routes() noexcept;
+  /// Binds and serves on a thread of its own. Fails when the port is taken.
+  [[nodiscard]] Result<void> Start();
+  /// Port that is bound; 0 before `Start`.
+  [[nodiscard]] int Port() const noexcept;
+  /// Takes no more connections, and waits for the open ones.
+  void Stop();
+
+ private:
+  HttpServerSettings settings;
+  std::unique_ptr<TlsFiles> tls;
+  std::unique_ptr<httplib::Server> server;
+  std::thread thread;
+  int bound_port = 0;
+  int listen_socket = -1;
+};
+
+/// Writes a refusal: status from the error table, JSON body, `Retry-After` when it has advice.
+void WriteRefusal(httplib::Response& response, const Error& error);
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/standin/seen_log.h
@@ -0,0 +1,38 @@
+/// @file
+/// Remembers every byte that a stand-in received, so that tests can look for what must not be.
+#pragma once
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace limpethaven {
+
+/// Text of all requests received, up to a bound.
+class SeenLog {
+ public:
+  void Add(const httplib::Request& request) {
+    const std::lock_guard lock(this->mutex);
+    if (this->text.size() > kMaxBytes) return;
+    this->text.append(request.method).append(" ").append(request.target).append("\n");
+    std::ranges::for_each(request.headers, [this](const auto& header) {
+      this->text.append(header.first).append(": ").append(header.second).append("\n");
+    });
+    this->text.append(request.body).append("\n");
+  }
+
+  [[nodiscard]] bool Contains(std::string_view needle) const {
+    const std::lock_guard lock(this->mutex);
+    return this->text.find(needle) != std::string::npos;
+  }
+
+ private:
+  static constexpr std::size_t kMaxBytes = 64'000'000;
+  mutable std::mutex mutex;
+  std::string text;
+};
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/tools/publish_main.cc
@@ -0,0 +1,163 @@
+/// @file
+/// `limpethaven-publish`: collects service files into one checked, versioned configuration.
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "edge/flags.h"
+#include "limpethaven/config_codec.h"
+#include "limpethaven/config_file.h"
+#include "limpethaven/config_follower.h"
+
+namespace limpethaven {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view kServiceFileName = "limpethaven.toml";
+
+struct PublishSettings {
+  std::vector<std::string> sources;
+  std::string output;
+  bool check = false;
+};
+
+std::string ReadFile(const fs::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+}
+
+/// Writes next to the target and renames, so that readers never see half a file.
+void WriteFileAtomically(const fs::path& path, const std::string& text) {
+  const fs::path part = path.string() + ".part";
+  {
+    std::ofstream out(part, std::ios::binary | std::ios::trunc);
+    out << text;
+  }
+  fs::rename(part, path);
+}
+
+/// Service files named directly or found below a folder, in order of path.
+std::vector<ServiceFile> Collect(const std::vector<std::string>& sources) {
+  std::vector<fs::path> paths;
+  std::ranges::for_each(sources, [&paths](const std::string& source) {
+    if (!fs::is_directory(source)) {
+      paths.emplace_back(source);
+      return;
+    }
+    for (const auto& entry : fs::recursive_directory_iterator(source)) {
+      if (entry.path().filename() == kServiceFileName) paths.push_back(entry.path());
+    }
+  });
+  std::ranges::sort(paths);
+  std::vector<ServiceFile> files;
+  std::ranges::transform(paths, std::back_inserter(files), [](const fs::path& path) {
+    return ServiceFile{path.string(), ReadFile(path)};
+  });
+  return files;
+}
+
+/// What was published before, read back and verified.
+Result<EntityTable> ReadTable(const fs::path& output, const ConfigHead& head) {
+  EntityTable table;
+  for (const std::string& digest : head.chunks) {
+    BOOST_OUTCOME_TRY(entities,
+                DecodeEntityList(ReadFile(output / ("chunk-" + digest + ".json"))));
+    table.Apply(entities, {});
+  }
+  if (table.Digest() != head.digest) {
+    return Error::Of(ErrorKind::kConfigInvalid, "the published chunks do not fit their head");
+  }
+  return table;
+}
+
+Result<std::string> Publish(const Configuration& config, const fs::path& output) {
+  ConfigHead head;
+  EntityTable before;
+  if (fs::exists(output / "head.json")) {
+    BOOST_OUTCOME_TRY(previous, DecodeHead(ReadFile(output / "head.json")));
+    head = previous;
+    BOOST_OUTCOME_TRY(table, ReadTable(output, head));
+    before = table;
+  }
+  EntityTable next;
+  next.Apply(EncodeEntities(config), {});
+  ConfigChange change = before.ChangeTo(next);
+  if (head.version > 0 && change.upserts.empty() && change.removals.empty()) {
+    return "version " + std::to_string(head.version) + " unchanged";
+  }
+  for (std::size_t index = 0; index < kChunkCount; ++index) {
+    const std::string text = next.ChunkText(index);
+    if (text.size() > kMaxValueBytes) {
+      return Error::Of(ErrorKind::kConfigInvalid,
+                       "chunk " + std::to_string(index) + " has " + std::to_string(text.size()) +
+                           " bytes, expected at most " + std::to_string(kMaxValueBytes));
+    }
+    WriteFileAtomically(output / ("chunk-" + next.ChunkDigests()[index] + ".json"), text);
+  }
+  head.version += 1;
+  head.digest = next.Digest();
+  head.chunks = next.ChunkDigests();
+  change.version = head.version;
+  const std::string summary = "version " + std::to_string(head.version) + ": " +
+                              std::to_string(change.upserts.size()) + " changed, " +
+                              std::to_string(change.removals.size()) + " removed";
+  head.changes.push_back(std::move(change));
+  if (head.changes.size() > kHeadChanges) head.changes.erase(head.changes.begin());
+  std::string text = EncodeHead(head);
+  // A change too large for the head is read from the chunks instead.
+  while (text.size() > kMaxValueBytes / 4 && !head.changes.empty()) {
+    head.changes.erase(head.changes.begin());
+    text = EncodeHead(head);
+  }
+  WriteFileAtomically(output / "head.json", text);
+  return summary;
+}
+
+int Run(const PublishSettings& settings) {
+  const ParsedFiles parsed = ParseServiceFiles(Collect(settings.sources));
+  std::ranges::for_each(parsed.faults,
+                        [](const FileFault& fault) { std::cerr << fault << '\n'; });
+  if (!parsed.faults.empty()) {
+    std::cerr << parsed.faults.size() << " faults, nothing was written\n";
+    return 1;
+  }
+  if (settings.check) {
+    std::cout << "no faults\n";
+    return 0;
+  }
+  fs::create_directories(settings.output);
+  const auto published = Publish(parsed.config, settings.output);
+  if (!published) {
+    std::cerr << "limpethaven-publish: " << published.error() << '\n';
+    return 1;
+  }
+  std::cout << published.value() << '\n';
+  return 0;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Collects service files into one published configuration", "limpethaven-publish");
+  PublishSettings settings;
+  app.add_option("sources", settings.sources,
+                 "Service files, or folders that hold files named limpethaven.toml")
+      ->required()
+      ->check(CLI::ExistingPath);
+  AddFlag(app, "--output", settings.output, "Folder for the published values");
+  app.add_flag("--check", settings.check, "Only check the files; write nothing");
+  const FlagOutcome outcome = ParseFlags(app, argc, argv);
+  if (!outcome.run) return outcome.exit_code;
+  if (settings.output.empty() && !settings.check) {
+    std::cerr << "limpethaven-publish: --output: expected a folder, or --check\n";
+    return 2;
+  }
+  return Run(settings);
+}
+
+}  // namespace
+}  // namespace limpethaven
+
+int main(int argc, char** argv) { return limpethaven::Main(argc, argv); }
