Hold a fleet's spending to rate and burst through restarts of lenders

The restarted lender started empty but forgot the tokens in flight and earned its cap again. Change: a new row earns nothing until transfers of an earlier process can no longer be spent.

--- a/include/limpethaven/share_ledger.h
+++ b/include/limpethaven/share_ledger.h
@@ -2,7 +2,8 @@
 /// One process's share of every team's rate and burst, with borrowing between processes.
 ///
 /// The fleet's rate and burst are cut into a published number of slots. Each process accrues
-/// rate / slots, holds at most burst / slots, and starts empty. Tokens move between processes by
+/// rate / slots, holds at most burst / slots, and starts empty, earning nothing until transfers of
+/// an earlier process on the same slot have expired. Tokens move between processes by
 /// transfers that the lender subtracts before sending; a transfer in flight still counts against
 /// the lender's cap until it is confirmed or expires. Unused tokens of a finished request come
 /// back only as far as a bucket charged with the true cost would still hold them. Together this
@@ -66,7 +67,8 @@
  public:
   explicit ShareLedger(ShareSettings settings = {});
 
-  /// Takes rates, bursts and slots from a configuration. New teams start empty.
+  /// Takes rates, bursts and slots from a configuration. New teams start empty and earn nothing
+  /// for `transfer_ttl_ms`.
   void Configure(const Configuration& config, TimeMs now);
   /// Charges `tokens` for a request, spending own tokens and `received` transfers. Transfers
   /// past their deadline or seen before add nothing. When the sum falls short, what was received
--- a/src/core/share_ledger.cc
+++ b/src/core/share_ledger.cc
@@ -23,7 +23,10 @@
   std::erase_if(this->rows, [&](const auto& row) { return !config.teams.contains(row.first); });
   std::ranges::for_each(config.teams, [&](const auto& entry) {
     const TeamSpec& team = entry.second;
-    Row& row = this->rows.try_emplace(team.name, Row{.accrued_at = now}).first->second;
+    // An earlier process on this slot may have lent tokens that are still in flight: nothing is
+    // earned until every such transfer has expired.
+    const TimeMs first_accrual = now + this->settings.transfer_ttl_ms;
+    Row& row = this->rows.try_emplace(team.name, Row{.accrued_at = first_accrual}).first->second;
     row.rate_per_s = team.rate_tokens_per_s;
     row.burst = team.burst_tokens * kMilli;
     row.cap = row.burst / this->slots;
