--- a/src/core/share_ledger.cc
+++ b/src/core/share_ledger.cc
@@ -94,6 +94,8 @@
 }
 
 void ShareLedger::Confirm(std::string_view transfer_id, TimeMs now) {
+  // Expiry first: it may drop the very entry that is confirmed.
+  this->ExpireTransfers(now);
   const auto transfer = this->lent.find(std::string(transfer_id));
   if (transfer == this->lent.end()) return;
   Row* row = this->Find(transfer->second.team, now);
--- a/tests/share_ledger_test.cc
+++ b/tests/share_ledger_test.cc
@@ -101,6 +101,15 @@
   REQUIRE(restarted.View("north", later).available == 0);
 }
 
+TEST_CASE("share ledger releases a transfer once when it is confirmed as it expires") {
+  // Found by the seeded schedules: expiry ran inside Confirm and both took the transfer off.
+  ShareLedger lender;
+  lender.Configure(OneTeam(8000, 4000, 2), 0);
+  REQUIRE(lender.Lend("north", "t1", 1500, 10'000) == 1500);
+  lender.Confirm("t1", 11'500);
+  REQUIRE(lender.View("north", 20'000) == ShareView{2000, 2000, 0, 0});
+}
+
 TEST_CASE("share bound check finds a history that breaks it") {
   REQUIRE_FALSE(CheckShareBound({{0, 4000}, {1000, 1000}}, 1000, 4000).has_value());
   REQUIRE(CheckShareBound({{0, 4000}, {999, 1000}}, 1000, 4000).has_value());
