--- /dev/null
+++ b/src/load/caller.cc
@@ -0,0 +1,213 @@
+#include "load/caller.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <thread>
+
+#include "edge/engine_messages.h"
+#include "edge/http_client.h"
+#include "edge/sse.h"
+#include "limpethaven/crypto.h"
+#include "limpethaven/prompt.h"
+
+namespace limpethaven {
+namespace {
+
+using nlohmann::json;
+
+constexpr DurationMs kSilenceMs = 3000;
+constexpr DurationMs kAddressTimeoutMs = 500;
+constexpr std::int64_t kMaxConnections = 12;
+constexpr std::chrono::milliseconds kRetryPause(100);
+
+}  // namespace
+
+/// What a caller holds of one stream across connections.
+struct Caller::StreamState {
+  std::string last_id;
+  std::string text;
+  std::int64_t tokens = 0;
+  bool done = false;
+  std::optional<Error> error;
+  TimeMs last_token_at = 0;
+  double max_gap_ms = 0;
+  std::function<void()> on_first;
+};
+
+Caller::Caller(std::vector<std::string> seed_addresses, HistoryWriter& history_writer)
+    : seeds(std::move(seed_addresses)), history(history_writer) {}
+
+void Caller::Complete(const LoadRequest& request) {
+  HistoryEvent sent;
+  sent.tokens = CountTokens(request.prompt);
+  sent.max_tokens = request.max_tokens;
+  this->Record(HistoryKind::kSent, request, sent);
+  StreamState state;
+  state.on_first = [&] { this->Record(HistoryKind::kFirstToken, request, {}); };
+  for (std::int64_t connection = 0; connection < kMaxConnections; ++connection) {
+    const StreamEnd end = this->Connect(request, state);
+    HistoryEvent event;
+    event.max_tokens = request.max_tokens;
+    event.tokens = state.tokens;
+    event.max_gap_ms = state.max_gap_ms;
+    if (end == StreamEnd::kWhole) {
+      event.digest = Sha256Hex(state.text);
+      return this->Record(HistoryKind::kWhole, request, event);
+    }
+    if (end == StreamEnd::kRefused) {
+      // A VM that is just starting or stopping says that another one should be asked.
+      const ErrorKind kind = state.error->kind;
+      if (kind == ErrorKind::kNotReady || kind == ErrorKind::kLeaving) {
+        state.error.reset();
+        std::this_thread::sleep_for(kRetryPause);
+        continue;
+      }
+      event.error = std::string(RowOf(kind).name);
+      event.ran = std::string(NameOf(state.error->ran));
+      event.detail = state.error->message;
+      return this->Record(HistoryKind::kRefused, request, event);
+    }
+    if (!state.last_id.empty()) this->Record(HistoryKind::kResumed, request, {});
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  this->Record(HistoryKind::kLost, request, {});
+}
+
+void Caller::CallOnceTwice(const LoadRequest& request, const std::string& path) {
+  HistoryEvent sent;
+  sent.once = true;
+  this->Record(HistoryKind::kSent, request, sent);
+  const auto refuse = [&](const Error& error) {
+    HistoryEvent event;
+    event.once = true;
+    event.error = std::string(RowOf(error.kind).name);
+    event.ran = std::string(NameOf(error.ran));
+    this->Record(HistoryKind::kRefused, request, event);
+  };
+  HttpPool pool;
+  httplib::Request mint = PostRequest("/v1/tickets", "");
+  mint.set_header("Authorization", "Bearer " + request.key);
+  const auto minted = pool.Send(this->NextAddress(), mint, kSilenceMs);
+  if (!minted) return refuse(minted.error().WithRan(Ran::kNo));
+  if (const auto error = ErrorFromJsonBody(minted.value().body)) return refuse(*error);
+  const std::string ticket = json::parse(minted.value().body)["ticket"].get<std::string>();
+  const auto send = [&](const std::string& address) {
+    HttpPool own;
+    httplib::Request call = PostRequest(path, request.id);
+    call.set_header("Authorization", "Bearer " + request.key);
+    call.set_header("Limpethaven-Ticket", ticket);
+    const auto answer = own.Send(address, call, kSilenceMs);
+    if (!answer) return refuse(answer.error().WithRan(Ran::kUnknown));
+    if (const auto error = ErrorFromJsonBody(answer.value().body)) return refuse(*error);
+    HistoryEvent event;
+    event.once = true;
+    this->Record(HistoryKind::kWhole, request, event);
+  };
+  const std::array<std::string, 2> targets = {this->NextAddress(), this->NextAddress()};
+  std::thread second([&] { send(targets[1]); });
+  send(targets[0]);
+  second.join();
+}
+
+std::string Caller::NextAddress() {
+  this->Refresh();
+  const std::lock_guard lock(this->mutex);
+  const auto& from = this->addresses.empty() ? this->seeds : this->addresses;
+  return from[this->next++ % from.size()];
+}
+
+void Caller::Refresh() {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->clock.Now() < this->valid_until) return;
+    // Only one thread asks; the others go on with what they have.
+    this->valid_until = this->clock.Now() + kAddressTimeoutMs;
+  }
+  for (const std::string& seed : this->seeds) {
+    const auto client = NewHttpClient(seed, kAddressTimeoutMs);
+    const auto response = client->Get("/v1/addresses");
+    if (!response || response->status != 200) continue;
+    const json answer = json::parse(response->body, nullptr, false);
+    if (!answer.is_object() || answer["addresses"].empty()) continue;
+    std::vector<std::string> fresh;
+    for (const json& row : answer["addresses"]) {
+      fresh.push_back(row["address"].get<std::string>());
+    }
+    const std::lock_guard lock(this->mutex);
+    this->addresses = std::move(fresh);
+    this->valid_until = this->clock.Now() + answer["ttl_ms"].get<DurationMs>();
+    return;
+  }
+}
+
+Caller::StreamEnd Caller::Connect(const LoadRequest& request, StreamState& state) {
+  const std::string address = this->NextAddress();
+  const auto client = NewHttpClient(address, kSilenceMs);
+  const json body = {{"model", request.model},
+                     {"prompt", request.prompt},
+                     {"max_tokens", request.max_tokens},
+                     {"stream", true}};
+  httplib::Request http = PostRequest("/v1/completions", body.dump());
+  http.set_header("Authorization", "Bearer " + request.key);
+  http.set_header("Request-Id", request.id);
+  if (!state.last_id.empty()) http.set_header("Last-Event-ID", state.last_id);
+  SseParser parser;
+  std::string refusal;
+  int status = 0;
+  http.response_handler = [&status](const httplib::Response& response) {
+    status = response.status;
+    return true;
+  };
+  http.content_receiver = [&](const char* data, std::size_t length, std::uint64_t,
+                              std::uint64_t) {
+    if (status != 200) {
+      refusal.append(data, length);
+      return true;
+    }
+    for (const SseEvent& event : parser.Feed(std::string_view(data, length))) {
+      if (event.name == "error") {
+        state.error = ErrorFromJsonBody(event.data);
+      } else if (event.data == "[DONE]") {
+        state.done = true;
+      } else {
+        if (!event.id.empty()) state.last_id = event.id;
+        const json chunk = json::parse(event.data, nullptr, false);
+        const std::string text = chunk["choices"][0]["text"].get<std::string>();
+        if (text.empty()) continue;
+        const TimeMs now = this->clock.Now();
+        if (state.text.empty()) {
+          state.on_first();
+        } else {
+          state.max_gap_ms =
+              std::max(state.max_gap_ms, static_cast<double>(now - state.last_token_at));
+        }
+        state.last_token_at = now;
+        state.text += text;
+        ++state.tokens;
+      }
+    }
+    return true;
+  };
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  const bool complete = client->send(http, response, error);
+  if (state.done) return StreamEnd::kWhole;
+  if (status != 0 && status != 200) state.error = ErrorFromJsonBody(refusal);
+  if (state.error) return StreamEnd::kRefused;
+  {
+    // Whatever went wrong there, the next connection goes elsewhere.
+    const std::lock_guard lock(this->mutex);
+    std::erase(this->addresses, address);
+  }
+  return complete || status != 0 ? StreamEnd::kBroken : StreamEnd::kUnreachable;
+}
+
+void Caller::Record(HistoryKind kind, const LoadRequest& request, HistoryEvent event) {
+  event.kind = kind;
+  event.request = request.id;
+  event.team = request.team;
+  this->history.Write(std::move(event));
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/load/main.cc
@@ -0,0 +1,231 @@
+/// @file
+/// `limpethaven-load`: load from a seed, a recorded history, its check and its report.
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include "edge/engine_messages.h"
+#include "edge/flags.h"
+#include "edge/http_client.h"
+#include "load/caller.h"
+#include "load/history_check.h"
+#include "load/report.h"
+#include "load/trace.h"
+
+namespace limpethaven {
+namespace {
+
+struct RunSettings {
+  TraceSettings trace;
+  std::vector<std::string> targets;
+  std::vector<std::string> teams;
+  std::vector<std::string> services;
+  std::string model;
+  std::string history;
+  std::string once_path;
+  std::int64_t once_calls = 0;
+  bool progress = false;
+};
+
+struct FileSettings {
+  std::vector<std::string> histories;
+  std::string output;
+  LatencyTargets targets;
+};
+
+/// Teams with their keys from `LIMPETHAVEN_KEYS`, written `team=key[=share],...`.
+Result<std::vector<TeamLoad>> ReadTeams(const std::vector<std::string>& wanted) {
+  const char* text = std::getenv("LIMPETHAVEN_KEYS");
+  std::istringstream rows(text == nullptr ? "" : text);
+  std::vector<TeamLoad> teams;
+  std::string row;
+  while (std::getline(rows, row, ',')) {
+    std::istringstream fields(row);
+    TeamLoad team;
+    std::string share;
+    std::getline(fields, team.team, '=');
+    std::getline(fields, team.key, '=');
+    if (std::getline(fields, share)) team.share = std::atof(share.c_str());
+    const bool listed = wanted.empty() || std::ranges::find(wanted, team.team) != wanted.end();
+    if (listed && !team.key.empty() && team.share > 0) teams.push_back(team);
+  }
+  if (teams.empty()) {
+    return Error::Of(ErrorKind::kBadRequest,
+                     "LIMPETHAVEN_KEYS: expected team=key or team=key=share, comma separated");
+  }
+  return teams;
+}
+
+void RecordRuns(const std::vector<std::string>& services, HistoryWriter& history) {
+  HttpPool pool;
+  std::ranges::for_each(services, [&](const std::string& service) {
+    const auto response = pool.Send(service, GetRequest("/runs"), 1000);
+    if (!response) return;
+    const auto runs = nlohmann::json::parse(response.value().body, nullptr, false);
+    for (const auto& [request, count] : runs.items()) {
+      HistoryEvent event;
+      event.kind = HistoryKind::kEndpointRan;
+      event.request = request;
+      event.count = count.get<std::int64_t>();
+      history.Write(event);
+    }
+  });
+}
+
+int Run(const RunSettings& settings) {
+  const auto teams = ReadTeams(settings.teams);
+  if (!teams) {
+    std::cerr << "limpethaven-load: " << teams.error().message << '\n';
+    return 2;
+  }
+  HistoryWriter history(settings.history, "load");
+  Caller caller(settings.targets, history);
+  const std::vector<Arrival> arrivals = MakeTrace(settings.trace, teams.value());
+  const SystemClock clock;
+  const TimeMs start = clock.Now();
+  std::vector<std::thread> threads;
+  std::int64_t once_left = settings.once_calls;
+  std::ranges::for_each(arrivals, [&](const Arrival& arrival) {
+    const TimeMs now = clock.Now() - start;
+    if (arrival.at_ms > now) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(arrival.at_ms - now));
+    }
+    const TeamLoad& team = teams.value()[arrival.team];
+    const LoadRequest request{arrival.id,   team.team,      team.key, settings.model,
+                              arrival.prompt, arrival.max_tokens};
+    threads.emplace_back([&caller, request] { caller.Complete(request); });
+    if (once_left > 0) {
+      --once_left;
+      LoadRequest once = request;
+      once.id += "-once";
+      threads.emplace_back([&caller, once, path = settings.once_path] {
+        caller.CallOnceTwice(once, path);
+      });
+    }
+    if (settings.progress) {
+      std::cerr << "\rsent " << threads.size() << " of "
+                << arrivals.size() + static_cast<std::size_t>(settings.once_calls) << std::flush;
+    }
+  });
+  std::ranges::for_each(threads, &std::thread::join);
+  if (settings.progress) std::cerr << '\n';
+  RecordRuns(settings.services, history);
+  return 0;
+}
+
+Result<std::vector<HistoryEvent>> ReadAll(const std::vector<std::string>& paths) {
+  std::vector<HistoryEvent> events;
+  for (const std::string& path : paths) {
+    BOOST_OUTCOME_TRY(part, ReadHistory(path));
+    std::ranges::copy(part, std::back_inserter(events));
+  }
+  return events;
+}
+
+int Check(const FileSettings& settings) {
+  const auto events = ReadAll(settings.histories);
+  if (!events) {
+    std::cerr << "limpethaven-load: " << events.error().message << '\n';
+    return 2;
+  }
+  const HistoryVerdict verdict = CheckHistory(events.value());
+  std::cout << verdict;
+  return verdict.violations.empty() ? 0 : 1;
+}
+
+int Report(const FileSettings& settings) {
+  const auto events = ReadAll(settings.histories);
+  if (!events) {
+    std::cerr << "limpethaven-load: " << events.error().message << '\n';
+    return 2;
+  }
+  std::cout << MeasureHistory(events.value(), settings.targets);
+  if (settings.output.empty()) return 0;
+  std::ofstream(settings.output)
+      << RenderReport(events.value(), settings.targets, settings.histories.front());
+  return 0;
+}
+
+/// Adds an event that the load itself cannot see, such as a fault that a script induced.
+int Mark(const std::string& path, const std::string& fault, const std::string& withdrawn_team) {
+  HistoryWriter history(path, "operator");
+  HistoryEvent event;
+  event.kind = withdrawn_team.empty() ? HistoryKind::kFault : HistoryKind::kWithdrawn;
+  event.team = withdrawn_team;
+  event.detail = fault;
+  history.Write(event);
+  return 0;
+}
+
+void AddTraceFlags(CLI::App& app, RunSettings& settings) {
+  TraceSettings& trace = settings.trace;
+  AddFlag(app, "--seed", trace.seed, "Seed of the trace");
+  AddFlag(app, "--id-prefix", trace.id_prefix, "Start of every request id");
+  AddRangedFlag<std::int64_t>(app, "--requests", trace.requests, 1, 1'000'000, "requests",
+                              "Requests to send");
+  AddRangedFlag(app, "--rate", trace.rate_per_s, 0.1, 10'000.0, "requests/s", "Arrival rate");
+  AddRangedFlag<Tokens>(app, "--prompt-min", trace.prompt_tokens_min, 1, 100'000, "tokens",
+                        "Shortest prompt");
+  AddRangedFlag<Tokens>(app, "--prompt-max", trace.prompt_tokens_max, 1, 100'000, "tokens",
+                        "Longest prompt");
+  AddRangedFlag<Tokens>(app, "--answer-min", trace.max_tokens_min, 1, 100'000, "tokens",
+                        "Smallest max_tokens");
+  AddRangedFlag<Tokens>(app, "--answer-max", trace.max_tokens_max, 1, 100'000, "tokens",
+                        "Largest max_tokens");
+  AddRangedFlag(app, "--follow-up", trace.follow_up, 0.0, 1.0, "part",
+                "Requests that extend an earlier prompt");
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Load, history check and reports", "limpethaven-load");
+  app.require_subcommand(1);
+
+  RunSettings run;
+  CLI::App* run_command = app.add_subcommand("run", "Send requests and record a history");
+  AddTraceFlags(*run_command, run);
+  AddFlag(*run_command, "--targets", run.targets, "IP:port of some entry VMs, comma separated")
+      ->delimiter(',')
+      ->required();
+  AddFlag(*run_command, "--teams", run.teams, "Only these teams of LIMPETHAVEN_KEYS")
+      ->delimiter(',');
+  AddFlag(*run_command, "--model", run.model, "Model to ask")->required();
+  AddFlag(*run_command, "--history", run.history, "File to add the history to")->required();
+  AddFlag(*run_command, "--once-path", run.once_path, "Service route that runs at most once");
+  AddRangedFlag<std::int64_t>(*run_command, "--once-calls", run.once_calls, 0, 100'000, "calls",
+                              "Ticketed calls, each sent to two VMs");
+  AddFlag(*run_command, "--services", run.services, "Service stand-ins to ask for their runs")
+      ->delimiter(',');
+  run_command->add_flag("--progress", run.progress, "Show a progress line");
+
+  FileSettings files;
+  CLI::App* check_command = app.add_subcommand("check", "Check histories");
+  check_command->add_option("histories", files.histories, "History files")->required();
+
+  CLI::App* report_command = app.add_subcommand("report", "Print figures and write a page");
+  report_command->add_option("histories", files.histories, "History files")->required();
+  AddFlag(*report_command, "--output", files.output, "HTML file to write");
+
+  std::string mark_history;
+  std::string mark_fault;
+  std::string mark_team;
+  CLI::App* mark_command = app.add_subcommand("mark", "Add a fault or a withdrawal to a history");
+  AddFlag(*mark_command, "--history", mark_history, "History file")->required();
+  AddFlag(*mark_command, "--fault", mark_fault, "Name of the fault");
+  AddFlag(*mark_command, "--withdrawn", mark_team, "Team whose key was withdrawn");
+
+  const FlagOutcome outcome = ParseFlags(app, argc, argv);
+  if (!outcome.run) return outcome.exit_code;
+  if (run_command->parsed()) return Run(run);
+  if (check_command->parsed()) return Check(files);
+  if (mark_command->parsed()) return Mark(mark_history, mark_fault, mark_team);
+  return Report(files);
+}
+
+}  // namespace
+}  // namespace limpethaven
+
+int main(int argc, char** argv) { return limpethaven::Main(argc, argv); }
