--- /dev/null
+++ b/bench/cell_bench.cc
@@ -0,0 +1,170 @@
+/// @file
+/// Cost of placement decisions, by the size of the cell, the queue and the fleet.
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+
+#include "limpethaven/cell_scheduler.h"
+#include "limpethaven/cells.h"
+#include "limpethaven/rendezvous.h"
+#include "memory.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr std::int64_t kPieces = 64;
+constexpr std::int64_t kTeams = 40;
+
+std::vector<CellEngine> Engines(std::int64_t count) {
+  std::vector<CellEngine> engines;
+  for (std::int64_t index = 0; index < count; ++index) {
+    engines.push_back(CellEngine{"10.0.0." + std::to_string(index) + ":9000", "centre",
+                                 index % 4 == 0 ? PoolRole::kPrefill : PoolRole::kDecode, kPieces,
+                                 false});
+  }
+  return engines;
+}
+
+PlacementRequest Request(std::int64_t number) {
+  PlacementRequest request;
+  request.request_id = "r" + std::to_string(number);
+  request.team = "team-" + std::to_string(number % kTeams);
+  request.prompt_tokens = 500 + number % 3000;
+  request.max_tokens = 300;
+  request.budget_ms = 100'000;
+  for (std::int64_t block = 0; block < request.prompt_tokens / kTokensPerPiece; ++block) {
+    request.prefix.push_back(static_cast<std::uint64_t>(number % 64 * 1000 + block));
+  }
+  return request;
+}
+
+/// One request in, one out, with the queue kept full: submit, end the oldest, tick. Decisions are
+/// timed one by one for their distribution.
+void CellDecision(benchmark::State& state) {
+  const std::int64_t engines = state.range(0);
+  const std::int64_t queue = state.range(1);
+  // Leases that outlast the run: renewals are measured on their own.
+  CellScheduler scheduler("model/0", "owner", CellSettings{.lease_ms = 100'000'000});
+  scheduler.Configure(Engines(engines), 0);
+  TimeMs now = 1;
+  std::int64_t number = 0;
+  std::vector<std::string> placed;
+  std::size_t oldest = 0;
+  const auto tick = [&] {
+    for (const CellCommand& command : scheduler.Tick(now)) {
+      if (const auto* place = std::get_if<PlaceCommand>(&command)) {
+        placed.push_back(place->placement.reservation);
+      }
+    }
+  };
+  while (scheduler.QueueLength() < static_cast<std::size_t>(queue)) {
+    scheduler.Submit(Request(number++), now);
+    now += 5;
+    tick();
+  }
+  std::vector<double> samples_us;
+  for (auto _ : state) {
+    const auto start = std::chrono::steady_clock::now();
+    scheduler.Submit(Request(number++), now);
+    scheduler.PrefillDone(placed[oldest], 20, now);
+    scheduler.Finish(placed[oldest++], now);
+    tick();
+    const std::chrono::duration<double, std::micro> took =
+        std::chrono::steady_clock::now() - start;
+    samples_us.push_back(took.count());
+    now += 5;
+    if (oldest + 1 >= placed.size()) state.SkipWithError("nothing was placed");
+  }
+  std::ranges::sort(samples_us);
+  const auto at = [&](double part) {
+    return samples_us[static_cast<std::size_t>(part * static_cast<double>(samples_us.size() - 1))];
+  };
+  state.counters["engines"] = static_cast<double>(engines);
+  state.counters["queue"] = static_cast<double>(queue);
+  state.counters["p50_us"] = at(0.5);
+  state.counters["p99_us"] = at(0.99);
+}
+BENCHMARK(CellDecision)
+    ->Args({8, 500})
+    ->Args({16, 500})
+    ->Args({32, 500})
+    ->Args({64, 500})
+    ->Args({64, 4000})
+    ->Args({128, 500})
+    ->Iterations(3000);
+
+/// Choosing the cell and its owner, by the number of workers in the fleet.
+void CellChoice(benchmark::State& state) {
+  const std::int64_t workers = state.range(0);
+  Configuration config;
+  config.pools.emplace("p", PoolSpec{"p", PoolRole::kMixed, "m", kPieces, false, {}});
+  for (std::int64_t worker = 0; worker < workers; ++worker) {
+    config.pools.at("p").endpoints.push_back(
+        EndpointSpec{"10.0.0.1:" + std::to_string(worker), "centre", false});
+  }
+  config.routes.emplace("r", RouteSpec{"/v1/completions", "m", "p", "p", "", true, false, 920, 48});
+  const std::vector<CellSpec> cells = BuildCells(config, 64);
+  const std::size_t members = static_cast<std::size_t>(state.range(1));
+  std::vector<std::string> vms;
+  for (std::size_t member = 0; member < members; ++member) {
+    vms.push_back("10.1.0." + std::to_string(member));
+  }
+  std::uint64_t prefix = 0;
+  for (auto _ : state) {
+    const auto order = CellOrder(cells, "m", ++prefix);
+    benchmark::DoNotOptimize(RendezvousOrder("cell/" + order.front(), vms));
+  }
+  state.counters["workers"] = static_cast<double>(workers);
+  state.counters["members_of_data_centre"] = static_cast<double>(members);
+}
+BENCHMARK(CellChoice)->Args({200, 8})->Args({800, 46})->Args({3300, 46})->Args({3300, 460});
+
+/// Renewal of leases in one batch.
+void CellRenew(benchmark::State& state) {
+  CellScheduler scheduler("model/0", "owner");
+  scheduler.Configure(Engines(64), 0);
+  std::vector<CellScheduler::Renewal> renewals;
+  for (std::int64_t index = 0; index < state.range(0); ++index) {
+    renewals.push_back({"x-" + std::to_string(index), "r" + std::to_string(index),
+                        "10.0.0.1:9000", 1});
+  }
+  TimeMs now = 0;
+  for (auto _ : state) scheduler.Renew(renewals, now += 700);
+  state.counters["reservations"] = static_cast<double>(state.range(0));
+}
+BENCHMARK(CellRenew)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
+
+/// Tick with nothing to decide: leases looked through.
+void CellIdleTick(benchmark::State& state) {
+  CellScheduler scheduler("model/0", "owner");
+  scheduler.Configure(Engines(64), 0);
+  std::vector<CellScheduler::Renewal> renewals;
+  for (std::int64_t index = 0; index < state.range(0); ++index) {
+    renewals.push_back({"x-" + std::to_string(index), "r" + std::to_string(index),
+                        "10.0.0.1:9000", 1});
+  }
+  scheduler.Renew(renewals, 0);
+  for (auto _ : state) benchmark::DoNotOptimize(scheduler.Tick(1));
+  state.counters["reservations"] = static_cast<double>(state.range(0));
+}
+BENCHMARK(CellIdleTick)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
+
+void CellMemory(benchmark::State& state) {
+  double held = 0;
+  for (auto _ : state) {
+    const double before = bench::HeapBytes();
+    CellScheduler scheduler("model/0", "owner");
+    scheduler.Configure(Engines(64), 0);
+    for (std::int64_t number = 0; number < state.range(0); ++number) {
+      scheduler.Submit(Request(number), 0);
+    }
+    held = bench::HeapBytes() - before;
+  }
+  state.counters["queued"] = static_cast<double>(state.range(0));
+  state.counters["bytes_held"] = held;
+}
+BENCHMARK(CellMemory)->Arg(0)->Arg(500)->Arg(4000)->Iterations(1);
+
+}  // namespace
+}  // namespace limpethaven
--- /dev/null
+++ b/bench/config_bench.cc
@@ -0,0 +1,93 @@
+/// @file
+/// Cost of following the configuration, by its size.
+#include <benchmark/benchmark.h>
+
+#include "limpethaven/config_codec.h"
+#include "limpethaven/config_follower.h"
+#include "limpethaven/crypto.h"
+#include "memory.h"
+
+namespace limpethaven {
+namespace {
+
+/// Teams, keys and workers in the proportions of the size designed for: 1,600 : 20,000 : 3,300.
+Configuration MakeConfiguration(std::int64_t keys) {
+  Configuration config;
+  const std::int64_t teams = std::max<std::int64_t>(1, keys * 1600 / 20'000);
+  const std::int64_t workers = std::max<std::int64_t>(2, keys * 3300 / 20'000);
+  for (std::int64_t team = 0; team < teams; ++team) {
+    const std::string name = "team-" + std::to_string(team);
+    config.teams.emplace(name, TeamSpec{name, 10'000, 60'000, 1});
+  }
+  for (std::int64_t key = 0; key < keys; ++key) {
+    const std::string digest = Sha256Hex("key-" + std::to_string(key));
+    config.keys.emplace(digest, KeySpec{digest, "team-" + std::to_string(key % teams)});
+  }
+  for (std::int64_t pool = 0; pool < 8; ++pool) {
+    const std::string name = "pool-" + std::to_string(pool);
+    PoolSpec spec{name, pool % 2 == 0 ? PoolRole::kPrefill : PoolRole::kDecode,
+                  "model-" + std::to_string(pool / 2), 64, true, {}};
+    for (std::int64_t worker = pool; worker < workers; worker += 8) {
+      spec.endpoints.push_back(EndpointSpec{
+          "10.0." + std::to_string(worker / 250) + "." + std::to_string(worker % 250) + ":9000",
+          "centre-" + std::to_string(worker % 10), false});
+    }
+    config.pools.emplace(name, spec);
+  }
+  return config;
+}
+
+std::uint64_t Load(ConfigFollower& follower, const Configuration& config) {
+  const std::vector<Entity> entities = EncodeEntities(config);
+  EntityTable table;
+  table.Apply(entities, {});
+  static_cast<void>(follower.ApplyWhole(1, table.Digest(), entities));
+  return follower.Snapshot()->version;
+}
+
+/// One key withdrawn and granted again, as one published change each.
+void ConfigApplyChange(benchmark::State& state) {
+  ConfigFollower follower;
+  std::uint64_t version = Load(follower, MakeConfiguration(state.range(0)));
+  EntityTable table;
+  table.Apply(follower.Entities(), {});
+  const std::string digest = Sha256Hex("key-0");
+  const Entity entity{"key/" + digest, R"({"sha256":")" + digest + R"(","team":"team-0"})"};
+  double bytes = 0;
+  for (auto _ : state) {
+    state.PauseTiming();
+    ConfigChange change;
+    change.version = ++version;
+    if (version % 2 == 0) {
+      change.removals.push_back(entity.key);
+    } else {
+      change.upserts.push_back(entity);
+    }
+    table.Apply(change.upserts, change.removals);
+    change.digest = table.Digest();
+    bytes = static_cast<double>(EncodeChange(change).size());
+    state.ResumeTiming();
+    const auto outcome = follower.ApplyChanges({change});
+    if (!outcome) state.SkipWithError(outcome.error().message.c_str());
+  }
+  state.counters["keys"] = static_cast<double>(state.range(0));
+  state.counters["bytes_per_change"] = bytes;
+}
+BENCHMARK(ConfigApplyChange)->Arg(200)->Arg(2000)->Arg(20'000)->Unit(benchmark::kMicrosecond);
+
+/// Heap of a follower, and of the moment in which it adopts a change.
+void ConfigMemory(benchmark::State& state) {
+  double held = 0;
+  for (auto _ : state) {
+    const double before = bench::HeapBytes();
+    ConfigFollower follower;
+    Load(follower, MakeConfiguration(state.range(0)));
+    held = bench::HeapBytes() - before;
+  }
+  state.counters["keys"] = static_cast<double>(state.range(0));
+  state.counters["bytes_held"] = held;
+}
+BENCHMARK(ConfigMemory)->Arg(200)->Arg(2000)->Arg(20'000)->Iterations(1)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace limpethaven
