--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -112,8 +112,8 @@
   }
   std::uint64_t prefix = 0;
   for (auto _ : state) {
-    const auto order = CellOrder(cells, "m", ++prefix);
-    benchmark::DoNotOptimize(RendezvousOrder("cell/" + order.front(), vms));
+    const auto order = CellOrder(cells, "m", ++prefix, 2);
+    benchmark::DoNotOptimize(RendezvousTop("cell/" + order.front(), vms, 3));
   }
   state.counters["workers"] = static_cast<double>(workers);
   state.counters["members_of_data_centre"] = static_cast<double>(members);
--- a/include/limpethaven/rendezvous.h
+++ b/include/limpethaven/rendezvous.h
@@ -18,4 +18,9 @@
 [[nodiscard]] std::vector<std::string> RendezvousOrder(std::string_view key,
                                                        std::span<const std::string> candidates);
 
+/// The first `count` of `RendezvousOrder`, without ordering or copying the rest.
+[[nodiscard]] std::vector<std::string> RendezvousTop(std::string_view key,
+                                                     std::span<const std::string> candidates,
+                                                     std::size_t count);
+
 }  // namespace limpethaven
--- a/src/core/cells.cc
+++ b/src/core/cells.cc
@@ -62,12 +62,12 @@
 }
 
 std::vector<std::string> CellOrder(std::span<const CellSpec> cells, std::string_view model,
-                                   std::uint64_t prefix_hash) {
+                                   std::uint64_t prefix_hash, std::size_t count) {
   std::vector<std::string> names;
   std::ranges::for_each(cells, [&](const CellSpec& cell) {
     if (cell.model == model) names.push_back(cell.name);
   });
-  return RendezvousOrder(std::to_string(prefix_hash), names);
+  return RendezvousTop(std::to_string(prefix_hash), names, count);
 }
 
 }  // namespace limpethaven
--- a/src/core/rendezvous.cc
+++ b/src/core/rendezvous.cc
@@ -1,7 +1,6 @@
 #include "limpethaven/rendezvous.h"
 
 #include <algorithm>
-#include <compare>
 #include <numeric>
 
 namespace limpethaven {
@@ -20,9 +19,8 @@
 }
 
 struct Scored {
-  std::uint64_t score;
-  std::string candidate;
-  friend auto operator<=>(const Scored&, const Scored&) = default;
+  std::uint64_t score = 0;
+  std::size_t index = 0;
 };
 
 }  // namespace
@@ -37,17 +35,25 @@
 
 std::vector<std::string> RendezvousOrder(std::string_view key,
                                          std::span<const std::string> candidates) {
+  return RendezvousTop(key, candidates, candidates.size());
+}
+
+std::vector<std::string> RendezvousTop(std::string_view key,
+                                       std::span<const std::string> candidates,
+                                       std::size_t count) {
   const std::uint64_t key_hash = StableHash(key);
-  std::vector<Scored> scored;
-  scored.reserve(candidates.size());
-  std::ranges::transform(candidates, std::back_inserter(scored),
-                         [key_hash](const std::string& candidate) {
-                           return Scored{Mix(key_hash ^ StableHash(candidate)), candidate};
-                         });
-  std::ranges::sort(scored, std::greater<>());
+  std::vector<Scored> scored(candidates.size());
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    scored[index] = Scored{Mix(key_hash ^ StableHash(candidates[index])), index};
+  }
+  const auto last = scored.begin() + static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
+  std::ranges::partial_sort(scored, last, [&](const Scored& left, const Scored& right) {
+    if (left.score != right.score) return left.score > right.score;
+    return candidates[left.index] > candidates[right.index];
+  });
   std::vector<std::string> order;
-  order.reserve(scored.size());
-  std::ranges::transform(scored, std::back_inserter(order), &Scored::candidate);
+  std::transform(scored.begin(), last, std::back_inserter(order),
+                 [&](const Scored& row) { return candidates[row.index]; });
   return order;
 }
 
--- a/src/entry/cell_service.cc
+++ b/src/entry/cell_service.cc
@@ -154,7 +154,8 @@
 }
 
 std::vector<std::string> CellService::OwnerOrder(const CellSpec& cell) const {
-  return RendezvousOrder("cell/" + cell.name, this->gossip.UsableNear(cell.data_centre));
+  return RendezvousTop("cell/" + cell.name, this->gossip.UsableNear(cell.data_centre),
+                       kOwnersTried);
 }
 
 std::optional<CellSpec> CellService::FindCell(std::string_view name) const {
@@ -166,8 +167,7 @@
 
 std::vector<CellSpec> CellService::CellsFor(std::string_view model, std::uint64_t prefix) const {
   const std::lock_guard lock(this->mutex);
-  std::vector<std::string> names = CellOrder(this->cells, model, prefix);
-  names.resize(std::min(names.size(), kCellsTried));
+  const std::vector<std::string> names = CellOrder(this->cells, model, prefix, kCellsTried);
   std::vector<CellSpec> order;
   std::ranges::transform(names, std::back_inserter(order), [this](const std::string& name) {
     return *std::ranges::find(this->cells, name, &CellSpec::name);
@@ -177,8 +177,7 @@
 
 Result<Placement> CellService::PlaceAtOwner(const CellSpec& cell,
                                             const PlacementRequest& request) {
-  std::vector<std::string> owners = this->OwnerOrder(cell);
-  owners.resize(std::min(owners.size(), kOwnersTried));
+  const std::vector<std::string> owners = this->OwnerOrder(cell);
   Error last = Error::Of(ErrorKind::kNoEndpoint, "no VM can schedule cell " + cell.name);
   for (const std::string& owner : owners) {
     if (owner == this->gossip.Self().address) return this->PlaceHere(cell, request);
