Decide placements in a few microseconds

Cause: one decision in a full 64-engine cell took 25.0 us on average, p99 42.5 us. Engines were looked up in a tree with a health look-up by text for each scan, candidates were chosen twice, and every tick walked all reservations and all ended ones. Ruled out: the fair queue (4,000 queued cost the same as 500). Change: engines in a table, usability refreshed once a tick, the choice made while judging is the one placed, leases in a heap that renewals need not touch.

--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -1,10 +1,13 @@
 #include "limpethaven/cell_scheduler.h"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <map>
 #include <optional>
 #include <ostream>
+#include <queue>
+#include <unordered_set>
 
 namespace limpethaven {
 namespace {
@@ -13,7 +16,7 @@
 constexpr DurationMs kGiveUpCancelMs = 60'000;
 constexpr double kLearningRate = 0.2;
 constexpr Tokens kMinTokensToLearn = 100;
-constexpr double kMsPerS = 1000.0;
+constexpr std::size_t kNoEngine = std::numeric_limits<std::size_t>::max();
 
 std::int64_t PiecesOf(Tokens tokens) { return (tokens + kTokensPerPiece - 1) / kTokensPerPiece; }
 
@@ -54,6 +57,7 @@
 struct EngineRow {
   CellEngine spec;
   bool configured = true;
+  bool usable = true;  ///< As of the last refresh: configured, staying and healthy.
   std::int64_t reserved = 0;
   std::int64_t foreign = 0;  ///< Pieces reported as held for others than this scheduler.
   std::int64_t prefills = 0;
@@ -86,7 +90,6 @@
   std::string prefill;
   std::int64_t pieces = 0;
   TimeMs expires_at = 0;
-  DurationMs estimated_prefill_ms = 0;
   Tokens uncached_tokens = 0;
   bool prefilling = false;
 };
@@ -99,12 +102,25 @@
   TimeMs next_at = 0;
 };
 
-struct PrefillChoice {
-  EngineRow* engine = nullptr;
-  std::string runner_up;
+/// A reservation and a time.
+struct Due {
+  TimeMs at = 0;
+  std::string id;
+  friend auto operator<=>(const Due&, const Due&) = default;
+};
+
+/// Where one request would go now.
+struct Choice {
+  std::size_t decode = kNoEngine;
+  std::size_t prefill = kNoEngine;
+  std::size_t runner_up = kNoEngine;
   Tokens cached_tokens = 0;
   DurationMs prefill_ms = 0;
   double cost_ms = 0;
+
+  [[nodiscard]] bool Complete() const {
+    return this->decode != kNoEngine && this->prefill != kNoEngine;
+  }
 };
 
 bool IsExcluded(const PlacementRequest& request, const std::string& address) {
@@ -122,21 +138,21 @@
   std::string owner;
   CellSettings settings;
   std::uint64_t next_reservation = 1;
-  std::map<std::string, EngineRow, std::less<>> engines;
+  std::vector<EngineRow> engines;
+  std::unordered_map<std::string, std::size_t> engine_index;
   std::unordered_map<std::string, WaitingRow> waiting;
   FairQueue queue;
   std::map<std::string, ReservationRow, std::less<>> reservations;
   std::unordered_map<std::string, std::string> reservation_of;  ///< By request.
   std::map<std::string, CancelRow, std::less<>> cancels;        ///< By reservation.
-  std::unordered_map<std::string, TimeMs> finished;             ///< Reservations ended lately.
+  std::unordered_set<std::string> finished;                     ///< Reservations ended lately.
+  std::deque<Due> finished_order;                               ///< By the time they ended.
+  /// When to look at a reservation's lease. A renewal leaves its old entry, which is put off
+  /// when its time comes.
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> expiries;
   EndpointHealth health;
   std::vector<CellCommand> commands;
 
-  [[nodiscard]] bool Usable(const EngineRow& engine, TimeMs now) const {
-    return engine.configured && !engine.spec.leaving &&
-           this->health.Usable(engine.spec.address, now);
-  }
-
   void Refuse(const std::string& request_id, ErrorKind kind, std::string message) {
     this->waiting.erase(request_id);
     this->commands.emplace_back(RefuseCommand{request_id, Error::Of(kind, std::move(message))});
@@ -145,75 +161,95 @@
   // -- engines --------------------------------------------------------------------------------
 
   EngineRow* FindEngine(std::string_view address) {
-    const auto row = this->engines.find(address);
-    return row == this->engines.end() ? nullptr : &row->second;
+    const auto row = this->engine_index.find(std::string(address));
+    return row == this->engine_index.end() ? nullptr : &this->engines[row->second];
+  }
+
+  void ReindexEngines() {
+    this->engine_index.clear();
+    for (std::size_t index = 0; index < this->engines.size(); ++index) {
+      this->engine_index.emplace(this->engines[index].spec.address, index);
+    }
+  }
+
+  void RefreshUsable(TimeMs now) {
+    std::ranges::for_each(this->engines, [&](EngineRow& engine) {
+      engine.usable = engine.configured && !engine.spec.leaving &&
+                      this->health.Usable(engine.spec.address, now);
+    });
   }
 
   /// Decode engine with the most free memory that holds `pieces` more.
-  EngineRow* ChooseDecode(const PlacementRequest& request, std::int64_t pieces, TimeMs now) {
-    EngineRow* best = nullptr;
-    for (auto& [address, engine] : this->engines) {
-      if (!engine.Decodes() || engine.Free() < pieces) continue;
-      if (best != nullptr && engine.Free() <= best->Free()) continue;
-      if (!this->Usable(engine, now) || IsExcluded(request, address)) continue;
-      best = &engine;
+  [[nodiscard]] std::size_t ChooseDecode(const PlacementRequest& request,
+                                         std::int64_t pieces) const {
+    std::size_t best = kNoEngine;
+    std::int64_t best_free = pieces - 1;
+    for (std::size_t index = 0; index < this->engines.size(); ++index) {
+      const EngineRow& engine = this->engines[index];
+      if (!engine.usable || !engine.Decodes() || engine.Free() <= best_free) continue;
+      if (IsExcluded(request, engine.spec.address)) continue;
+      best = index;
+      best_free = engine.Free();
     }
     return best;
   }
 
-  /// Prefill engine with the least sum of queued work, own work and KV transfer.
-  PrefillChoice ChoosePrefill(const PlacementRequest& request, TimeMs now) {
-    PrefillChoice best;
+  /// Prefill engine with the least sum of queued work and own work, which cached blocks shorten.
+  void ChoosePrefill(const PlacementRequest& request, TimeMs now, Choice& choice) const {
     double second_ms = std::numeric_limits<double>::max();
-    for (auto& [address, engine] : this->engines) {
-      if (!engine.Prefills() || engine.Backlog(now) > this->settings.max_prefill_backlog_ms) {
-        continue;
-      }
-      if (!this->Usable(engine, now) || IsExcluded(request, address)) continue;
+    choice.cost_ms = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < this->engines.size(); ++index) {
+      const EngineRow& engine = this->engines[index];
+      const DurationMs backlog_ms = engine.Backlog(now);
+      if (!engine.usable || !engine.Prefills()) continue;
+      if (backlog_ms > this->settings.max_prefill_backlog_ms) continue;
+      if (IsExcluded(request, engine.spec.address)) continue;
       const Tokens cached = std::min<Tokens>(
           static_cast<Tokens>(engine.cache.Match(request.prefix)) * kTokensPerPiece,
           std::max<Tokens>(0, request.prompt_tokens - 1));
       const double own_ms =
           engine.prefill_ms_per_token * static_cast<double>(request.prompt_tokens - cached);
-      const double cost_ms = own_ms + static_cast<double>(engine.Backlog(now));
-      if (best.engine == nullptr || cost_ms < best.cost_ms) {
-        if (best.engine != nullptr) best.runner_up = best.engine->spec.address;
-        second_ms = best.cost_ms;
-        best.engine = &engine;
-        best.cached_tokens = cached;
-        best.prefill_ms = static_cast<DurationMs>(own_ms) + 1;
-        best.cost_ms = cost_ms;
-      } else if (best.runner_up.empty() || cost_ms < second_ms) {
-        best.runner_up = address;
+      const double cost_ms = own_ms + static_cast<double>(backlog_ms);
+      if (cost_ms < choice.cost_ms) {
+        choice.runner_up = choice.prefill;
+        second_ms = choice.cost_ms;
+        choice.prefill = index;
+        choice.cached_tokens = cached;
+        choice.prefill_ms = static_cast<DurationMs>(own_ms) + 1;
+        choice.cost_ms = cost_ms;
+      } else if (cost_ms < second_ms) {
+        choice.runner_up = index;
         second_ms = cost_ms;
       }
     }
-    return best;
+  }
+
+  [[nodiscard]] Choice Choose(const PlacementRequest& request, TimeMs now) const {
+    Choice choice;
+    choice.decode =
+        this->ChooseDecode(request, PiecesOf(request.prompt_tokens + request.max_tokens));
+    if (choice.decode != kNoEngine) this->ChoosePrefill(request, now, choice);
+    return choice;
   }
 
   [[nodiscard]] bool AnyPrefillRoom(TimeMs now) const {
-    return std::ranges::any_of(this->engines, [&](const auto& row) {
-      const EngineRow& engine = row.second;
-      return engine.Prefills() && this->Usable(engine, now) &&
+    return std::ranges::any_of(this->engines, [&](const EngineRow& engine) {
+      return engine.usable && engine.Prefills() &&
              engine.Backlog(now) <= this->settings.max_prefill_backlog_ms;
     });
   }
 
-  [[nodiscard]] std::int64_t LargestFree(TimeMs now) const {
+  [[nodiscard]] std::int64_t LargestFree() const {
     std::int64_t largest = 0;
-    std::ranges::for_each(this->engines, [&](const auto& row) {
-      const EngineRow& engine = row.second;
-      if (engine.Decodes() && this->Usable(engine, now)) {
-        largest = std::max(largest, engine.Free());
-      }
+    std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
+      if (engine.usable && engine.Decodes()) largest = std::max(largest, engine.Free());
     });
     return largest;
   }
 
   [[nodiscard]] std::int64_t LargestEngine() const {
     std::int64_t largest = 0;
-    std::ranges::for_each(this->engines, [&](const auto& row) {
-      const EngineRow& engine = row.second;
+    std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
       if (engine.configured && engine.Decodes()) largest = std::max(largest, engine.spec.pieces);
     });
     return largest;
@@ -222,9 +258,9 @@
   [[nodiscard]] double MeanPrefillMsPerToken() const {
     double sum = 0;
     std::int64_t count = 0;
-    std::ranges::for_each(this->engines, [&](const auto& row) {
-      if (!row.second.Prefills()) return;
-      sum += row.second.prefill_ms_per_token;
+    std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
+      if (!engine.Prefills()) return;
+      sum += engine.prefill_ms_per_token;
       ++count;
     });
     return count == 0 ? this->settings.prefill_ms_per_token : sum / static_cast<double>(count);
@@ -235,6 +271,7 @@
   void Reserve(const std::string& id, ReservationRow row) {
     if (EngineRow* engine = this->FindEngine(row.decode)) engine->reserved += row.pieces;
     this->reservation_of.insert_or_assign(row.request_id, id);
+    this->expiries.push(Due{row.expires_at, id});
     this->reservations.insert_or_assign(id, std::move(row));
   }
 
@@ -248,7 +285,8 @@
       this->reservation_of.erase(current);
     }
     this->EndPrefill(row, now);
-    this->finished.insert_or_assign(found->first, now);
+    this->finished.insert(found->first);
+    this->finished_order.push_back(Due{now, found->first});
     this->reservations.erase(found);
     return row;
   }
@@ -270,14 +308,18 @@
   // -- systems: each runs once a tick ---------------------------------------------------------
 
   void ExpireReservations(TimeMs now) {
-    std::vector<std::string> lapsed;
-    std::ranges::for_each(this->reservations, [&](const auto& row) {
-      if (now >= row.second.expires_at) lapsed.push_back(row.first);
-    });
-    std::ranges::for_each(lapsed, [&](const std::string& id) {
-      const auto row = this->TakeReservation(id, now);
-      if (row) this->Cancel(id, row->decode, row->request_id, false, now);
-    });
+    while (!this->expiries.empty() && this->expiries.top().at <= now) {
+      const Due due = this->expiries.top();
+      this->expiries.pop();
+      const auto found = this->reservations.find(due.id);
+      if (found == this->reservations.end()) continue;
+      if (found->second.expires_at > now) {
+        this->expiries.push(Due{found->second.expires_at, due.id});
+        continue;
+      }
+      const auto row = this->TakeReservation(due.id, now);
+      this->Cancel(due.id, row->decode, row->request_id, false, now);
+    }
   }
 
   void RefuseLate(TimeMs now) {
@@ -289,54 +331,58 @@
   }
 
   void Admit(TimeMs now) {
+    if (this->queue.Size() == 0) return;
+    this->RefreshUsable(now);
     while (this->queue.Size() > 0 && this->AnyPrefillRoom(now)) {
-      const std::int64_t largest_free = this->LargestFree(now);
+      const std::int64_t largest_free = this->LargestFree();
       if (largest_free <= 0) return;
+      Choice choice;
       const auto item = this->queue.PopFirst([&](const QueueItem& candidate) {
-        const PlacementRequest& request = this->waiting.at(candidate.id).request;
-        const std::int64_t pieces = PiecesOf(request.prompt_tokens + request.max_tokens);
-        return pieces <= largest_free &&
-               this->ChooseDecode(request, pieces, now) != nullptr &&
-               this->ChoosePrefill(request, now).engine != nullptr;
+        // The cost of an item is its tokens, so most heads are judged without a look-up.
+        if (PiecesOf(candidate.cost) > largest_free) return false;
+        choice = this->Choose(this->waiting.at(candidate.id).request, now);
+        return choice.Complete();
       });
       if (!item) return;
-      this->Place(item->id, now);
+      this->Place(item->id, choice, now);
     }
   }
 
-  void Place(const std::string& request_id, TimeMs now) {
+  void Place(const std::string& request_id, const Choice& choice, TimeMs now) {
     const auto found = this->waiting.find(request_id);
     const WaitingRow row = std::move(found->second);
     this->waiting.erase(found);
     const PlacementRequest& request = row.request;
     const std::int64_t pieces = PiecesOf(request.prompt_tokens + request.max_tokens);
-    EngineRow* decode = this->ChooseDecode(request, pieces, now);
-    const PrefillChoice prefill = this->ChoosePrefill(request, now);
+    EngineRow& decode = this->engines[choice.decode];
+    EngineRow& prefill = this->engines[choice.prefill];
     const std::string id = this->owner + "-" + std::to_string(this->next_reservation++);
 
-    ReservationRow reservation{request_id, decode->spec.address, prefill.engine->spec.address,
-                               pieces, now + this->settings.lease_ms, prefill.prefill_ms,
-                               request.prompt_tokens - prefill.cached_tokens, true};
-    this->Reserve(id, std::move(reservation));
-    this->health.OnChosen(decode->spec.address, now);
-    this->health.OnChosen(prefill.engine->spec.address, now);
-    prefill.engine->busy_until = std::max(now, prefill.engine->busy_until) + prefill.prefill_ms;
-    ++prefill.engine->prefills;
-    std::ranges::for_each(request.prefix, [&](std::uint64_t block) {
-      prefill.engine->cache.Add(block);
-    });
-
-    Placement placement{id, prefill.engine->spec.address, decode->spec.address,
-                        prefill.runner_up, pieces, prefill.cached_tokens,
-                        now - row.submitted_at, this->settings.lease_ms, {}};
+    Placement placement{id, prefill.spec.address, decode.spec.address, {}, pieces,
+                        choice.cached_tokens, now - row.submitted_at, this->settings.lease_ms,
+                        {}};
+    if (choice.runner_up != kNoEngine) {
+      placement.runner_up = this->engines[choice.runner_up].spec.address;
+    }
     placement.reason = "least prefill cost " +
-                       std::to_string(static_cast<DurationMs>(prefill.cost_ms)) + " ms with " +
-                       std::to_string(prefill.cached_tokens) + " cached tokens; most free memory " +
-                       std::to_string(decode->Free() + pieces) + " pieces";
+                       std::to_string(static_cast<DurationMs>(choice.cost_ms)) + " ms with " +
+                       std::to_string(choice.cached_tokens) +
+                       " cached tokens; most free memory " + std::to_string(decode.Free()) +
+                       " pieces";
+    this->Reserve(id, ReservationRow{request_id, decode.spec.address, prefill.spec.address, pieces,
+                                     now + this->settings.lease_ms,
+                                     request.prompt_tokens - choice.cached_tokens, true});
+    this->health.OnChosen(decode.spec.address, now);
+    this->health.OnChosen(prefill.spec.address, now);
+    prefill.busy_until = std::max(now, prefill.busy_until) + choice.prefill_ms;
+    ++prefill.prefills;
+    std::ranges::for_each(request.prefix,
+                          [&prefill](std::uint64_t block) { prefill.cache.Add(block); });
     this->commands.emplace_back(PlaceCommand{request_id, std::move(placement)});
   }
 
   void SendCancels(TimeMs now) {
+    if (this->cancels.empty()) return;
     std::erase_if(this->cancels, [now](const auto& row) {
       return now - row.second.first_at >= kGiveUpCancelMs;
     });
@@ -350,9 +396,11 @@
   }
 
   void ForgetFinished(TimeMs now) {
-    std::erase_if(this->finished, [now](const auto& row) {
-      return now - row.second >= kRememberFinishedMs;
-    });
+    while (!this->finished_order.empty() &&
+           now - this->finished_order.front().at >= kRememberFinishedMs) {
+      this->finished.erase(this->finished_order.front().id);
+      this->finished_order.pop_front();
+    }
   }
 };
 
@@ -369,19 +417,24 @@
 
 void CellScheduler::Configure(const std::vector<CellEngine>& engines, TimeMs now) {
   Tables& state = *this->tables;
-  std::ranges::for_each(state.engines, [](auto& row) { row.second.configured = false; });
+  std::ranges::for_each(state.engines, [](EngineRow& row) { row.configured = false; });
   std::ranges::for_each(engines, [&](const CellEngine& spec) {
-    const auto [row, inserted] = state.engines.try_emplace(
-        spec.address, EngineRow{.cache = PrefixCacheView(state.settings.cache_blocks)});
-    row->second.spec = spec;
-    row->second.configured = true;
-    if (!inserted) return;
-    row->second.busy_until = now;
-    row->second.prefill_ms_per_token = state.settings.prefill_ms_per_token;
+    if (EngineRow* known = state.FindEngine(spec.address)) {
+      known->spec = spec;
+      known->configured = true;
+      return;
+    }
+    EngineRow row{.spec = spec, .cache = PrefixCacheView(state.settings.cache_blocks)};
+    row.busy_until = now;
+    row.prefill_ms_per_token = state.settings.prefill_ms_per_token;
+    state.engine_index.emplace(spec.address, state.engines.size());
+    state.engines.push_back(std::move(row));
   });
-  std::erase_if(state.engines, [](const auto& row) {
-    return !row.second.configured && row.second.reserved == 0 && row.second.prefills == 0;
+  std::erase_if(state.engines, [](const EngineRow& row) {
+    return !row.configured && row.reserved == 0 && row.prefills == 0;
   });
+  state.ReindexEngines();
+  state.RefreshUsable(now);
 }
 
 void CellScheduler::Submit(PlacementRequest request, TimeMs now) {
@@ -435,7 +488,7 @@
     if (state.finished.contains(renewal.reservation)) return;
     state.Reserve(renewal.reservation,
                   ReservationRow{renewal.request_id, renewal.engine, "", renewal.pieces,
-                                 now + state.settings.lease_ms, 0, 0, false});
+                                 now + state.settings.lease_ms, 0, false});
   });
 }
 
@@ -502,20 +555,22 @@
 std::vector<CellCommand> CellScheduler::Tick(TimeMs now) {
   Tables& state = *this->tables;
   state.ExpireReservations(now);
+  state.ForgetFinished(now);
   state.RefuseLate(now);
   state.Admit(now);
   state.SendCancels(now);
-  state.ForgetFinished(now);
   return std::exchange(state.commands, {});
 }
 
 std::vector<EngineView> CellScheduler::Engines(TimeMs now) const {
   std::vector<EngineView> views;
-  std::ranges::transform(this->tables->engines, std::back_inserter(views), [&](const auto& row) {
-    const EngineRow& engine = row.second;
-    return EngineView{row.first, engine.spec.role, engine.spec.pieces,
-                      engine.reserved, engine.Backlog(now), this->tables->Usable(engine, now)};
-  });
+  this->tables->RefreshUsable(now);
+  std::ranges::transform(this->tables->engines, std::back_inserter(views),
+                         [now](const EngineRow& engine) {
+                           return EngineView{engine.spec.address, engine.spec.role,
+                                             engine.spec.pieces, engine.reserved,
+                                             engine.Backlog(now), engine.usable};
+                         });
   return views;
 }
 
