--- a/include/limpethaven/endpoint_health.h
+++ b/include/limpethaven/endpoint_health.h
@@ -13,7 +13,7 @@
 
 /// Settings of endpoint ejection.
 struct HealthSettings {
-  double eject_at = 3.0;            ///< Decayed failures that eject.
+  double eject_at = 2.5;            ///< Decayed failures that eject: three in quick succession.
   DurationMs half_life_ms = 5000;   ///< Failures halve in this time.
   DurationMs eject_ms = 1000;       ///< First ejection; doubles with each one in a row.
   DurationMs max_eject_ms = 30'000;
--- /dev/null
+++ b/tests/parts_test.cc
@@ -0,0 +1,250 @@
+/// @file
+/// Smaller parts: fair queue, stream guard, resume tokens, health, budgets, crypto, SSE, tables.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "edge/sse.h"
+#include "entry/completion_request.h"
+#include "limpethaven/limpethaven.h"
+#include "load/history_check.h"
+#include "standin/engine_standin.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr const char* kSecret = "a-secret-for-tests";
+
+TEST_CASE("fair queue orders a team by deadline and gives up items past their latest start") {
+  FairQueue queue;
+  queue.Push(QueueItem{"b", "north", 1, 10, 200, 150});
+  queue.Push(QueueItem{"a", "north", 1, 10, 100, 50});
+  REQUIRE(queue.QueuedTokens() == 20);
+  REQUIRE(queue.PopLate(51).at(0).id == "a");
+  REQUIRE(queue.PopFirst([](const QueueItem&) { return true; })->id == "b");
+  REQUIRE(queue.Size() == 0);
+}
+
+TEST_CASE("fair queue lets small items pass a large one only so often") {
+  FairQueue queue(3);
+  queue.Push(QueueItem{"large", "a", 1, 1000, 1, 1'000'000});
+  for (int index = 0; index < 10; ++index) {
+    queue.Push(QueueItem{"s" + std::to_string(index), "b", 1, 1, index, 1'000'000});
+  }
+  const auto small_only = [](const QueueItem& item) { return item.cost < 10; };
+  int passed = 0;
+  while (queue.PopFirst(small_only)) ++passed;
+  REQUIRE(passed == 3);
+  REQUIRE(queue.PopFirst([](const QueueItem&) { return true; })->id == "large");
+}
+
+TEST_CASE("stream guard drops crossed, late and repeated events and finds gaps") {
+  StreamGuard guard("r1", "a1", 0);
+  REQUIRE(guard.Judge({"r1", "a1", 0, 2, "x y", false, false, 1}) == EventVerdict::kDeliver);
+  REQUIRE(guard.Judge({"r2", "a1", 2, 1, "z", false, false, 1}) == EventVerdict::kForeign);
+  REQUIRE(guard.Judge({"r1", "a0", 2, 1, "z", false, false, 1}) == EventVerdict::kForeign);
+  REQUIRE(guard.Judge({"r1", "a1", 1, 1, "y", false, false, 1}) == EventVerdict::kRepeat);
+  REQUIRE(guard.Judge({"r1", "a1", 3, 1, "w", false, false, 1}) == EventVerdict::kGap);
+  REQUIRE_FALSE(guard.Whole());
+  REQUIRE(guard.Judge({"r1", "a1", 2, 0, "", true, false, 1}) == EventVerdict::kDeliver);
+  REQUIRE(guard.Whole());
+  REQUIRE(guard.NextOffset() == 2);
+  REQUIRE(guard.Dropped() == 4);
+}
+
+TEST_CASE("resume ids come back and refuse changes") {
+  const ResumeToken token{"r1", "a1", "north", "m", "10.0.0.1:9", "m/0", "a1", 3, 17};
+  const std::string id = EncodeResumeId(EncodeResumeBase(kSecret, token), 17);
+  REQUIRE(DecodeResumeId(kSecret, id) == token);
+  REQUIRE_FALSE(DecodeResumeId("another-secret-text", id));
+  REQUIRE_FALSE(DecodeResumeId(kSecret, "17"));
+  REQUIRE_FALSE(DecodeResumeId(kSecret, "-1~" + id.substr(3)));
+  // A ticket is signed with the same secret, but is no resume id.
+  REQUIRE_FALSE(DecodeResumeId(kSecret, "0~" + EncodeTicket(kSecret, Ticket{"n", "t", {}})));
+  REQUIRE_FALSE(DecodeTicket(kSecret, id.substr(3)));
+}
+
+TEST_CASE("endpoint health ejects after repeated failures and probes before it trusts again") {
+  EndpointHealth health;
+  REQUIRE_FALSE(health.OnFailure("a", 0));
+  REQUIRE_FALSE(health.OnFailure("a", 1));
+  REQUIRE(health.OnFailure("a", 2));
+  REQUIRE_FALSE(health.Usable("a", 500));
+  REQUIRE(health.Usable("a", 1002));
+  health.OnChosen("a", 1002);
+  REQUIRE_FALSE(health.Usable("a", 1003));
+  REQUIRE(health.OnFailure("a", 2100));
+  REQUIRE_FALSE(health.Usable("a", 3500));
+  REQUIRE(health.Usable("a", 4100));
+  REQUIRE(health.OnSuccess("a", 4200));
+  REQUIRE(health.Usable("a", 4200));
+}
+
+TEST_CASE("endpoint health forgets old failures") {
+  EndpointHealth health;
+  for (TimeMs now = 0; now < 600'000; now += 20'000) REQUIRE_FALSE(health.OnFailure("a", now));
+}
+
+TEST_CASE("retry budget bounds retries to a part of the requests") {
+  RetryBudget budget(RetrySettings{0.1, 5.0});
+  int retries = 0;
+  for (int request = 0; request < 1000; ++request) {
+    budget.OnRequest();
+    if (budget.TryRetry()) ++retries;
+  }
+  REQUIRE(retries >= 100);
+  REQUIRE(retries <= 105);
+}
+
+TEST_CASE("crypto matches published vectors and brings bytes back") {
+  REQUIRE(Sha256Hex("abc") ==
+          "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  REQUIRE(HmacSha256Hex("Jefe", "what do ya want for nothing?") ==
+          "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  for (std::size_t length = 0; length < 40; ++length) {
+    std::string bytes(length, '\0');
+    for (std::size_t index = 0; index < length; ++index) {
+      bytes[index] = static_cast<char>(index * 37);
+    }
+    REQUIRE(Base64UrlDecode(Base64UrlEncode(bytes)) == bytes);
+  }
+  REQUIRE(Base64UrlDecode("ab=").empty());
+}
+
+TEST_CASE("rendezvous moves only what its lost member held") {
+  std::vector<std::string> vms;
+  for (int vm = 0; vm < 8; ++vm) vms.push_back("10.0.0." + std::to_string(vm));
+  std::vector<std::string> fewer(vms.begin(), vms.end() - 1);
+  int moved = 0;
+  for (int key = 0; key < 1000; ++key) {
+    const std::string name = "cell/" + std::to_string(key);
+    const std::string before = RendezvousTop(name, vms, 1).front();
+    const std::string after = RendezvousTop(name, fewer, 1).front();
+    REQUIRE(before == RendezvousOrder(name, vms).front());
+    if (before == vms.back()) {
+      ++moved;
+    } else {
+      REQUIRE(before == after);
+    }
+  }
+  REQUIRE(moved > 80);
+  REQUIRE(moved < 180);
+}
+
+TEST_CASE("SSE parser reads events whose bytes arrive in any pieces") {
+  const std::string text = FormatSse({"1", "", "one"}) + ": note\n\n" +
+                           FormatSse({"", "error", "two"}) + "data: a\ndata: b\r\n\r\n";
+  for (std::size_t piece = 1; piece < text.size(); ++piece) {
+    SseParser parser;
+    std::vector<SseEvent> events;
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+      for (auto& event : parser.Feed(std::string_view(text).substr(at, piece))) {
+        events.push_back(event);
+      }
+    }
+    REQUIRE(events == std::vector<SseEvent>{{"1", "", "one"}, {"", "error", "two"},
+                                            {"", "", "a\nb"}});
+  }
+  SseParser endless;
+  static_cast<void>(endless.Feed("data: " + std::string(SseParser::kMaxEventBytes + 1, 'x')));
+  REQUIRE(endless.Failed());
+}
+
+TEST_CASE("completion bodies are checked field by field") {
+  REQUIRE(ParseCompletionRequest(R"({"model":"m","prompt":"p","max_tokens":5,"stream":true})")
+              .value() == CompletionRequest{"m", "p", 5, true});
+  REQUIRE(ParseCompletionRequest(R"({"model":"m","messages":[{"role":"user","content":"hi"}]})")
+              .value()
+              .prompt == "user: hi\n");
+  for (const char* body :
+       {"", "[]", "{}", R"({"model":1,"prompt":"p"})", R"({"model":"m","prompt":""})",
+        R"({"model":"m","prompt":"p","max_tokens":0})",
+        R"({"model":"m","prompt":"p","max_tokens":1e9})",
+        R"({"model":"m","messages":[{"role":"user"}]})",
+        R"({"model":"m","prompt":"p","stream":"yes"})"}) {
+    const auto parsed = ParseCompletionRequest(body);
+    INFO(body);
+    REQUIRE_FALSE(parsed);
+    REQUIRE(parsed.error().message.find("expected") != std::string::npos);
+  }
+}
+
+TEST_CASE("error table has one row for each kind, in order, and bodies come back") {
+  for (std::size_t index = 0; index < ErrorTable().size(); ++index) {
+    const ErrorRow& row = ErrorTable()[index];
+    REQUIRE(static_cast<std::size_t>(row.kind) == index);
+    REQUIRE(ErrorKindFromName(row.name) == row.kind);
+    const Error error = Error::Of(row.kind, "text").WithRan(Ran::kUnknown);
+    REQUIRE(ErrorFromJsonBody(ToJsonBody(error)) == error);
+  }
+  REQUIRE(ErrorTable().back().kind == ErrorKind::kInternal);
+}
+
+TEST_CASE("event catalogue in the docs and the code hold the same events") {
+  std::ifstream in(std::string(LIMPETHAVEN_SOURCE_DIR) + "/docs/EVENTS.md");
+  std::vector<std::string> documented;
+  std::string line;
+  while (std::getline(in, line)) {
+    if (!line.starts_with("| ") || line.size() < 4 || std::isdigit(line[2]) == 0) continue;
+    documented.push_back(line.substr(2, line.find(" |", line.find(" | ") + 3) - 2));
+  }
+  std::vector<std::string> coded;
+  for (const EventRow& row : EventTable()) {
+    coded.push_back(std::to_string(static_cast<int>(row.id)) + " | " + std::string(row.name));
+  }
+  REQUIRE(documented == coded);
+}
+
+HistoryEvent Event(HistoryKind kind, const std::string& request, TimeMs at = 0) {
+  HistoryEvent event;
+  event.kind = kind;
+  event.request = request;
+  event.team = "north";
+  event.at_ms = at;
+  event.max_tokens = 10;
+  if (kind == HistoryKind::kWhole) event.digest = Sha256Hex(AnswerText(request, 10));
+  return event;
+}
+
+TEST_CASE("history checker accepts a good history and finds each broken promise") {
+  const HistoryEvent sent = Event(HistoryKind::kSent, "r1");
+  const HistoryEvent whole = Event(HistoryKind::kWhole, "r1");
+  HistoryEvent refused = Event(HistoryKind::kRefused, "r1");
+  refused.error = "team_limit";
+  refused.ran = "no";
+  HistoryEvent ran = Event(HistoryKind::kEndpointRan, "r1");
+  ran.count = 1;
+  HistoryEvent once = sent;
+  once.once = true;
+  HistoryEvent ran_twice = ran;
+  ran_twice.count = 2;
+  HistoryEvent foreign = whole;
+  foreign.digest = Sha256Hex("another answer");
+  const auto violations = [](const std::vector<HistoryEvent>& events) {
+    return CheckHistory(events).violations.size();
+  };
+  REQUIRE(violations({sent, whole}) == 0);
+  REQUIRE(violations({sent, refused}) == 0);
+  REQUIRE(violations({sent}) == 1);
+  REQUIRE(violations({sent, whole, whole}) == 1);
+  REQUIRE(violations({sent, foreign}) == 1);
+  REQUIRE(violations({sent, refused, ran}) == 1);
+  REQUIRE(violations({once, refused, ran}) == 1);
+  REQUIRE(violations({once, ran_twice, Event(HistoryKind::kCancelled, "r1")}) == 1);
+  const HistoryEvent withdrawn = Event(HistoryKind::kWithdrawn, "", 1000);
+  REQUIRE(violations({sent, withdrawn, Event(HistoryKind::kWhole, "r1", 6000)}) == 0);
+  REQUIRE(violations({sent, withdrawn, Event(HistoryKind::kWhole, "r1", 6001)}) == 1);
+}
+
+TEST_CASE("history events come back from their lines") {
+  HistoryEvent event = Event(HistoryKind::kWhole, "r1", 5);
+  event.detail = "quoted \"text\"\n";
+  event.max_gap_ms = 1.5;
+  REQUIRE(DecodeHistoryEvent(EncodeHistoryEvent(event)).value() == event);
+  REQUIRE_FALSE(DecodeHistoryEvent("{}"));
+  REQUIRE_FALSE(DecodeHistoryEvent(R"({"kind":"unheard of"})"));
+}
+
+}  // namespace
+}  // namespace limpethaven
