Prove the path under failures with whole fleets on loopback

Cause: the promises were only proved part by part. Found: stopping a process took up to 10 s, since nothing ended the watch it was waiting in; an entry that was stopped before its streams were resumed therefore lost them. A watch can now be cancelled. Ruled out: the resume path (the same test passed with the entry left running).

--- a/include/limpethaven/interfaces.h
+++ b/include/limpethaven/interfaces.h
@@ -180,6 +180,8 @@
   /// The head once its version exceeds `known_version`; empty when `wait_ms` passes first.
   [[nodiscard]] virtual Result<std::optional<ConfigHead>> WatchHead(std::uint64_t known_version,
                                                                     DurationMs wait_ms) = 0;
+  /// Ends a `WatchHead` that waits in another thread.
+  virtual void CancelWatch() = 0;
   /// Entities of the chunk with this digest.
   [[nodiscard]] virtual Result<std::vector<Entity>> ReadChunk(std::string_view digest) = 0;
 };
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -15,6 +15,7 @@
 
   [[nodiscard]] Result<std::optional<ConfigHead>> WatchHead(std::uint64_t known_version,
                                                             DurationMs wait_ms) override;
+  void CancelWatch() override;
   [[nodiscard]] Result<std::vector<Entity>> ReadChunk(std::string_view digest) override;
   [[nodiscard]] Result<std::vector<ListedVm>> Read() override;
 
@@ -23,6 +24,7 @@
 
   std::string address;
   HttpPool pool;
+  std::unique_ptr<httplib::Client> watch_client;  ///< Kept apart, so that a watch can be ended.
 };
 
 }  // namespace limpethaven
--- a/src/entry/config_service.cc
+++ b/src/entry/config_service.cc
@@ -9,7 +9,7 @@
 namespace limpethaven {
 namespace {
 
-constexpr DurationMs kWatchMs = 10'000;
+constexpr DurationMs kWatchMs = 5000;
 constexpr std::chrono::milliseconds kRetryPause(500);
 constexpr DurationMs kPullPeriodMs = 1000;
 constexpr DurationMs kPullTimeoutMs = 2000;
@@ -35,7 +35,12 @@
 }
 
 void ConfigService::Stop() {
-  this->stopping = true;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->stop_wake.notify_all();
+  this->source.CancelWatch();
   this->puller.Stop();
   if (this->watcher.joinable()) this->watcher.join();
 }
@@ -69,6 +74,31 @@
   }
 }
 
+template <typename Apply>
+bool ConfigService::Adopt(std::string_view from, Apply apply) {
+  const std::lock_guard adopting(this->adoption);
+  std::shared_ptr<const Configuration> adopted;
+  {
+    const std::lock_guard lock(this->mutex);
+    const std::uint64_t before = this->follower.Snapshot()->version;
+    const Result<void> outcome = apply(this->follower);
+    adopted = this->follower.Snapshot();
+    if (!outcome && before == adopted->version) {
+      // Another source was quicker, or the offer does not fit: what is held stays.
+      LogWarning(EventId::kConfigRejected, {{"from", std::string(from)},
+                                            LogField::Of("why", outcome.error()),
+                                            LogField::Of("kept", before)});
+      return false;
+    }
+    if (adopted->version == before) return true;
+  }
+  LogEvent(EventId::kConfigAdopted, {{"from", std::string(from)},
+                                     LogField::Of("version", adopted->version),
+                                     {"digest", adopted->digest.substr(0, 16)}});
+  this->on_config(*adopted);
+  return true;
+}
+
 bool ConfigService::PullFrom(const std::string& address) {
   const std::uint64_t have = this->Snapshot()->version;
   const auto text = this->peers.Call(address, "/peer/v1/config", WriteJson(ConfigPullBody{have}),
@@ -105,22 +135,36 @@
   return WriteJson(answer);
 }
 
+bool ConfigService::Offer(const std::vector<ConfigChange>& changes) {
+  return this->Adopt("operator", [&changes](ConfigFollower& target) {
+    return target.ApplyChanges(changes);
+  });
+}
+
 bool ConfigService::SourceAnswered() const noexcept { return this->source_answered; }
 
 void ConfigService::WatchSource() {
-  while (!this->stopping) {
+  bool running = true;
+  while (running) {
     const DurationMs wait_ms = this->source_answered ? kWatchMs : 0;
     const auto head = this->source.WatchHead(this->Snapshot()->version, wait_ms);
     if (head) {
       if (head.value()) this->AdoptHead(*head.value());
       this->source_answered = true;
+      const std::lock_guard lock(this->mutex);
+      running = !this->stopping;
       continue;
     }
-    LogWarning(EventId::kConfigSourceLost, {LogField::Of("why", head.error())});
-    std::this_thread::sleep_for(kRetryPause);
+    running = this->PauseBeforeRetry();
+    if (running) LogWarning(EventId::kConfigSourceLost, {LogField::Of("why", head.error())});
   }
 }
 
+bool ConfigService::PauseBeforeRetry() {
+  std::unique_lock lock(this->mutex);
+  return !this->stop_wake.wait_for(lock, kRetryPause, [this] { return this->stopping; });
+}
+
 void ConfigService::AdoptHead(const ConfigHead& head) {
   const std::uint64_t have = this->Snapshot()->version;
   const bool covered = have > 0 && !head.changes.empty() &&
@@ -133,7 +177,7 @@
   const auto entities = this->ReadChunks(head);
   if (!entities) {
     LogWarning(EventId::kConfigRejected, {LogField::Of("why", entities.error())});
-    std::this_thread::sleep_for(kRetryPause);
+    this->PauseBeforeRetry();
     return;
   }
   this->Adopt("platform", [&](ConfigFollower& target) {
@@ -154,29 +198,4 @@
   return entities;
 }
 
-template <typename Apply>
-bool ConfigService::Adopt(std::string_view from, Apply apply) {
-  const std::lock_guard adopting(this->adoption);
-  std::shared_ptr<const Configuration> adopted;
-  {
-    const std::lock_guard lock(this->mutex);
-    const std::uint64_t before = this->follower.Snapshot()->version;
-    const Result<void> outcome = apply(this->follower);
-    adopted = this->follower.Snapshot();
-    if (!outcome && before == adopted->version) {
-      // Another source was quicker, or the offer does not fit: what is held stays.
-      LogWarning(EventId::kConfigRejected, {{"from", std::string(from)},
-                                            LogField::Of("why", outcome.error()),
-                                            LogField::Of("kept", before)});
-      return false;
-    }
-    if (adopted->version == before) return true;
-  }
-  LogEvent(EventId::kConfigAdopted, {{"from", std::string(from)},
-                                     LogField::Of("version", adopted->version),
-                                     {"digest", adopted->digest.substr(0, 16)}});
-  this->on_config(*adopted);
-  return true;
-}
-
 }  // namespace limpethaven
--- a/src/entry/config_service.h
+++ b/src/entry/config_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -33,6 +34,8 @@
   void OnPeerVersion(std::string_view address, std::uint64_t version, std::string_view digest);
   /// Asks a peer now, whatever version it has. @returns whether it answered.
   bool PullFrom(const std::string& address);
+  /// Takes in changes that an operator hands over while the platform is down.
+  bool Offer(const std::vector<ConfigChange>& changes);
   /// Answers a peer's pull.
   [[nodiscard]] Result<std::string> AnswerPull(const std::string& body) const;
   /// Whether the platform has answered at least once.
@@ -40,6 +43,8 @@
 
  private:
   void WatchSource();
+  /// Waits before another try. @returns false once stopping.
+  bool PauseBeforeRetry();
   void AdoptHead(const ConfigHead& head);
   [[nodiscard]] Result<std::vector<Entity>> ReadChunks(const ConfigHead& head);
   /// Applies under the lock, then reports.
@@ -54,7 +59,8 @@
   ConfigFollower follower;
   std::string pull_from;
   std::atomic<bool> source_answered = false;
-  std::atomic<bool> stopping = false;
+  std::condition_variable stop_wake;
+  bool stopping = false;
   Periodic puller;
   std::thread watcher;
 };
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -100,6 +100,12 @@
   this->progress.notify_all();
 }
 
+void EngineStandin::DropStreams() {
+  const std::lock_guard lock(this->mutex);
+  this->dropped_before = this->next_stream;
+  this->progress.notify_all();
+}
+
 std::int64_t EngineStandin::PiecesUsed() const {
   const std::lock_guard lock(this->mutex);
   return this->PiecesUsedLocked();
@@ -334,7 +340,7 @@
             return this->stopping || stream->cancelled || stream->attachment != attachment ||
                    stream->produced > offset || stream->finished_at != 0;
           });
-          if (this->stopping || stream->cancelled) break;
+          if (this->stopping || stream->cancelled || number < this->dropped_before) break;
           if (stream->attachment != attachment) {
             const StreamEvent end{stream->request_id, stream->attempt, offset, 0, "", false, true,
                                   attachment};
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -63,6 +63,8 @@
   [[nodiscard]] std::string Address() const;
 
   void SetFault(EngineFault fault);
+  /// Closes every open stream, as when the machines at the other end are gone.
+  void DropStreams();
   /// Pieces of memory held now.
   [[nodiscard]] std::int64_t PiecesUsed() const;
   /// Attempts started under a request id.
@@ -126,6 +128,7 @@
   std::deque<std::uint64_t> cache;  ///< Most recently used last.
   std::deque<CacheEvent> events;
   std::int64_t next_event = 1;
+  std::int64_t dropped_before = 0;  ///< Streams opened before this number are closed.
   std::int64_t silent_before = 0;  ///< Streams opened before this number stay silent.
   std::int64_t next_stream = 1;
   std::deque<std::pair<TimeMs, EngineLoad>> reports;
--- /dev/null
+++ b/tests/fleet_fixture.cc
@@ -0,0 +1,308 @@
+#include "fleet_fixture.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "edge/http_client.h"
+#include "edge/sse.h"
+#include "limpethaven/crypto.h"
+
+namespace limpethaven::testing {
+namespace {
+
+constexpr DurationMs kReadyMs = 5000;
+constexpr DurationMs kCallMs = 10'000;
+constexpr int kPort = 18'180;
+constexpr int kPeerPort = 18'181;
+
+/// Fixtures follow each other in one process; each takes loopback addresses of its own.
+std::string NextAddress() {
+  static int next = 0;
+  const int number = ++next;
+  return "127.0." + std::to_string(10 + number / 250) + "." + std::to_string(number % 250 + 1);
+}
+
+void WriteFile(const std::filesystem::path& path, const std::string& text) {
+  const std::filesystem::path part = path.string() + ".part";
+  std::ofstream(part, std::ios::binary) << text;
+  std::filesystem::rename(part, path);
+}
+
+void ReadRefusal(const std::string& body, CallerAnswer& answer) {
+  answer.body = body;
+  if (const auto error = ErrorFromJsonBody(body)) {
+    answer.error_kind = std::string(RowOf(error->kind).name);
+    answer.ran = std::string(NameOf(error->ran));
+  }
+}
+
+}  // namespace
+
+FleetFixture::FleetFixture(FleetSettings fleet_settings) : settings(fleet_settings) {
+  static int next = 0;
+  this->directory = std::filesystem::temp_directory_path() /
+                    ("limpethaven-test-" + std::to_string(::getpid()) + "-" +
+                     std::to_string(++next));
+  std::filesystem::create_directories(this->directory);
+  const auto start_engine = [this](const std::string& role) {
+    EngineStandinSettings engine;
+    engine.role = role;
+    engine.pieces = this->settings.pieces;
+    engine.step_ms = this->settings.step_ms;
+    auto standin = std::make_unique<EngineStandin>(engine);
+    static_cast<void>(standin->Start());
+    return standin;
+  };
+  for (int index = 0; index < 2; ++index) this->prefills.push_back(start_engine("prefill"));
+  for (std::size_t index = 0; index < this->settings.decoders; ++index) {
+    this->decodes.push_back(start_engine("decode"));
+  }
+  this->service = std::make_unique<ServiceStandin>();
+  static_cast<void>(this->service->Start());
+  this->entries.resize(this->settings.entries);
+  nlohmann::json vms = nlohmann::json::array();
+  for (EntryUnderTest& entry : this->entries) {
+    EntrySettings own;
+    own.address = NextAddress();
+    own.port = kPort;
+    own.peer_port = kPeerPort;
+    own.data_centre = "zone";
+    own.fleet_secret = "a-secret-for-tests";
+    own.address_ttl_ms = 200;
+    own.drain_limit_ms = 10'000;
+    vms.push_back({{"address", own.address}, {"data_centre", "zone"}, {"leaving", false}});
+    own.platform = "filled in below";
+    entry.node = std::make_unique<EntryNode>(own);
+  }
+  WriteFile(this->directory / "vms.json", vms.dump());
+  this->config = this->BaseConfiguration();
+  this->Publish([](Configuration&) {});
+  PlatformStandinSettings platform_settings;
+  platform_settings.directory = this->directory.string();
+  this->platform = std::make_unique<PlatformStandin>(platform_settings);
+  static_cast<void>(this->platform->Start());
+  for (std::size_t index = 0; index < this->entries.size(); ++index) this->StartEntry(index);
+  static_cast<void>(this->WaitForVersion(kReadyMs));
+  if (!this->settings.wait_for_shares) return;
+  // Shares earn nothing in their first second, and peers must have found each other.
+  static_cast<void>(WaitFor(
+      [this] {
+        return std::ranges::all_of(this->entries, [this](const EntryUnderTest& entry) {
+          return entry.node->gossip->Usable().size() == this->entries.size() &&
+                 entry.node->shares->View("north").available > 100;
+        });
+      },
+      kReadyMs));
+}
+
+FleetFixture::~FleetFixture() {
+  for (std::size_t index = 0; index < this->entries.size(); ++index) this->KillEntry(index);
+  this->platform->Stop();
+  this->service->Stop();
+  this->prefills.clear();
+  this->decodes.clear();
+  std::filesystem::remove_all(this->directory);
+}
+
+void FleetFixture::Publish(const std::function<void(Configuration&)>& change) {
+  EntityTable before;
+  if (this->head.version > 0) before.Apply(EncodeEntities(this->config), {});
+  change(this->config);
+  EntityTable after;
+  after.Apply(EncodeEntities(this->config), {});
+  ConfigChange published = before.ChangeTo(after);
+  published.version = ++this->head.version;
+  this->head.digest = after.Digest();
+  this->head.chunks = after.ChunkDigests();
+  this->head.changes = {published};
+  for (std::size_t index = 0; index < kChunkCount; ++index) {
+    WriteFile(this->directory / ("chunk-" + after.ChunkDigests()[index] + ".json"),
+              after.ChunkText(index));
+  }
+  WriteFile(this->directory / "head.json", EncodeHead(this->head));
+}
+
+const std::vector<ConfigChange>& FleetFixture::LatestChanges() const {
+  return this->head.changes;
+}
+
+bool FleetFixture::WaitForVersion(DurationMs limit_ms) {
+  return WaitFor(
+      [this] {
+        return std::ranges::all_of(this->entries, [this](const EntryUnderTest& entry) {
+          return !entry.node || entry.node->config->Snapshot()->version == this->head.version;
+        });
+      },
+      limit_ms);
+}
+
+bool FleetFixture::WaitFor(const std::function<bool()>& condition, DurationMs limit_ms) {
+  const SystemClock clock;
+  const TimeMs give_up_at = clock.Now() + limit_ms;
+  while (!condition()) {
+    if (clock.Now() >= give_up_at) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+std::string FleetFixture::AddressOf(std::size_t entry) const {
+  return this->entries[entry].node->settings.address + ":" + std::to_string(kPort);
+}
+
+CallerAnswer FleetFixture::Complete(std::size_t entry, const std::string& key,
+                                    const std::string& request_id, Tokens max_tokens,
+                                    std::int64_t stop_after, const std::string& last_id) const {
+  const nlohmann::json body = {{"model", kModel},
+                               {"prompt", "a prompt of some words"},
+                               {"max_tokens", max_tokens},
+                               {"stream", true}};
+  httplib::Request request = PostRequest("/v1/completions", body.dump());
+  request.set_header("Authorization", "Bearer " + key);
+  request.set_header("Request-Id", request_id);
+  if (!last_id.empty()) request.set_header("Last-Event-ID", last_id);
+  CallerAnswer answer;
+  SseParser parser;
+  std::int64_t tokens = 0;
+  request.response_handler = [&answer](const httplib::Response& response) {
+    answer.status = response.status;
+    return true;
+  };
+  request.content_receiver = [&](const char* data, std::size_t length, std::uint64_t,
+                                 std::uint64_t) {
+    if (answer.status != 200) {
+      ReadRefusal(answer.body + std::string(data, length), answer);
+      return true;
+    }
+    for (const SseEvent& event : parser.Feed(std::string_view(data, length))) {
+      if (event.name == "error") {
+        ReadRefusal(event.data, answer);
+      } else if (event.data == "[DONE]") {
+        answer.done = true;
+      } else {
+        if (stop_after >= 0 && tokens >= stop_after) return false;
+        if (!event.id.empty()) answer.last_id = event.id;
+        const auto chunk = nlohmann::json::parse(event.data);
+        const auto text = chunk["choices"][0]["text"].get<std::string>();
+        answer.text += text;
+        tokens += std::ranges::count(text, ' ');
+      }
+    }
+    return stop_after < 0 || tokens < stop_after;
+  };
+  const auto client = NewHttpClient(this->AddressOf(entry), kCallMs);
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  client->send(request, response, error);
+  return answer;
+}
+
+std::string FleetFixture::MintTicket(std::size_t entry, const std::string& key) const {
+  httplib::Request request = PostRequest("/v1/tickets", "");
+  request.set_header("Authorization", "Bearer " + key);
+  const auto client = NewHttpClient(this->AddressOf(entry), kCallMs);
+  const auto response = client->send(request);
+  if (!response || response->status != 200) return {};
+  return nlohmann::json::parse(response->body)["ticket"].get<std::string>();
+}
+
+CallerAnswer FleetFixture::CallService(std::size_t entry, const std::string& key,
+                                       const std::string& path, const std::string& body,
+                                       const std::string& ticket) const {
+  httplib::Request request = PostRequest(path, body);
+  if (!key.empty()) request.set_header("Authorization", "Bearer " + key);
+  if (!ticket.empty()) request.set_header("Limpethaven-Ticket", ticket);
+  const auto client = NewHttpClient(this->AddressOf(entry), kCallMs);
+  const auto response = client->send(request);
+  CallerAnswer answer;
+  if (!response) return answer;
+  answer.status = response->status;
+  ReadRefusal(response->body, answer);
+  return answer;
+}
+
+void FleetFixture::KillEntry(std::size_t entry) {
+  EntryUnderTest& killed = this->entries[entry];
+  if (!killed.node) return;
+  killed.callers->Stop();
+  killed.node->Stop();
+  killed.callers.reset();
+  killed.api.reset();
+  killed.node.reset();
+}
+
+std::int64_t FleetFixture::PiecesHeld() const {
+  std::int64_t held = 0;
+  for (const auto& engine : this->decodes) held += engine->PiecesUsed();
+  return held;
+}
+
+bool FleetFixture::AnyEndpointSaw(std::string_view text) const {
+  const auto saw = [text](const auto& endpoint) { return endpoint->Seen().Contains(text); };
+  return std::ranges::any_of(this->prefills, saw) || std::ranges::any_of(this->decodes, saw) ||
+         this->service->Seen().Contains(text);
+}
+
+void FleetFixture::StartEntry(std::size_t index) {
+  EntryUnderTest& entry = this->entries[index];
+  EntrySettings own = entry.node->settings;
+  own.platform = this->platform->Address();
+  entry.node = std::make_unique<EntryNode>(own);
+  static_cast<void>(entry.node->Start(0));
+  entry.api = std::make_unique<CallerApi>(*entry.node);
+  entry.callers = std::make_unique<HttpServer>(
+      HttpServerSettings{.address = own.address, .port = kPort});
+  entry.api->AddRoutes(entry.callers->Routes());
+  static_cast<void>(entry.callers->Start());
+}
+
+Configuration FleetFixture::BaseConfiguration() const {
+  Configuration base;
+  base.fleet.share_slots = static_cast<std::int64_t>(this->settings.entries);
+  const auto add_team = [&](const std::string& name, const std::string& key) {
+    base.teams.emplace(name, TeamSpec{name, this->settings.rate, this->settings.burst, 1});
+    const std::string digest = Sha256Hex(key);
+    base.keys.emplace(digest, KeySpec{digest, name});
+  };
+  add_team("north", kNorthKey);
+  add_team("south", kSouthKey);
+  const auto add_pool = [&](const std::string& name, PoolRole role, const auto& engines) {
+    PoolSpec pool{name, role, kModel, this->settings.pieces, true, {}};
+    for (const auto& engine : engines) {
+      pool.endpoints.push_back(EndpointSpec{engine->Address(), "zone", false});
+    }
+    base.pools.emplace(name, pool);
+  };
+  add_pool("prefill", PoolRole::kPrefill, this->prefills);
+  add_pool("decode", PoolRole::kDecode, this->decodes);
+  base.pools.emplace("ledger",
+                     PoolSpec{"ledger", PoolRole::kService, "", 0, false,
+                              {EndpointSpec{this->service->Address(), "zone", false}}});
+  RouteSpec completions;
+  completions.path = "/v1/completions";
+  completions.model = kModel;
+  completions.prefill_pool = "prefill";
+  completions.decode_pool = "decode";
+  completions.first_token_ms = 2000;
+  completions.token_gap_ms = 48;
+  base.routes.emplace(completions.path + "#" + completions.model, completions);
+  RouteSpec read;
+  read.path = "/s/ledger/read";
+  read.pool = "ledger";
+  base.routes.emplace(read.path, read);
+  RouteSpec open = read;
+  open.path = "/s/ledger/open";
+  open.open = true;
+  base.routes.emplace(open.path, open);
+  RouteSpec transfer = read;
+  transfer.path = "/s/ledger/transfer";
+  transfer.repeatable = false;
+  base.routes.emplace(transfer.path, transfer);
+  return base;
+}
+
+}  // namespace limpethaven::testing
