--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -1,6 +1,7 @@
 /// @file
-/// Prints the tables of docs/CAPACITY.md from the benchmarks' JSON: each series at its measured
-/// sizes, the fitted line, and its value at the size designed for.
+/// Prints the tables of docs/CAPACITY.md from the benchmarks' JSON: each series
+/// at its measured sizes, the fitted line, and its value at the size designed
+/// for.
 
 #include <algorithm>
 #include <fstream>
@@ -23,7 +24,7 @@
   std::string y;          ///< Counter, or `real_time`.
   std::string unit;
   double design_size = 0;
-  double scale = 1;       ///< Multiplies y into the unit.
+  double scale = 1;  ///< Multiplies y into the unit.
 };
 
 struct Point {
@@ -41,7 +42,9 @@
   std::vector<Point> points;
   for (const json& row : benchmarks) {
     const std::string name = row.at("name").get<std::string>();
-    if (!name.starts_with(series.benchmark) || !row.contains(series.y)) continue;
+    if (!name.starts_with(series.benchmark) || !row.contains(series.y)) {
+      continue;
+    }
     points.push_back(Point{row.at(series.x).get<double>(),
                            row.at(series.y).get<double>() * series.scale});
   }
@@ -80,37 +83,50 @@
     std::cout << Number(point.x) << ": " << Number(point.y) << "; ";
   });
   const Line line = Fit(points);
-  const auto measured = std::ranges::find(points, series.design_size, &Point::x);
+  const auto measured =
+      std::ranges::find(points, series.design_size, &Point::x);
   const bool is_measured = measured != points.end();
   const double at_design =
       is_measured ? measured->y : line.base + line.slope * series.design_size;
-  std::cout << "| " << Number(line.base) << " + " << Number(line.slope) << " x | "
-            << Number(series.design_size) << ": " << Number(at_design)
+  std::cout << "| " << Number(line.base) << " + " << Number(line.slope)
+            << " x | " << Number(series.design_size) << ": "
+            << Number(at_design)
             << (is_measured ? " measured" : " from the fit") << " |\n";
 }
 
 const std::vector<Series> kSeries = {
-    {"membership, processor", "MembershipSteady", "members", "core_percent", "% of a core", 460},
-    {"membership, network", "MembershipSteady", "members", "bytes_per_daemon_s", "B/s", 460},
-    {"membership, all see a death", "MembershipDetection", "members", "all_see_ms", "ms", 460},
-    {"membership, worst of those", "MembershipDetection", "members", "all_see_worst_ms", "ms", 460},
-    {"membership, false suspicions in 40 s at 0.1% loss", "MembershipSteady", "members",
-     "false_suspicions", "count", 460},
-    {"configuration, apply one change", "ConfigApplyChange", "keys", "real_time", "us", 20'000},
-    {"configuration, one change on the wire", "ConfigApplyChange", "keys", "bytes_per_change", "B",
-     20'000},
-    {"configuration, heap", "ConfigMemory", "keys", "bytes_held", "MB", 20'000, 1e-6},
-    {"shares, charge and settle", "ShareChargeSettle", "teams", "real_time", "ns", 1600},
+    {"membership, processor", "MembershipSteady", "members", "core_percent",
+     "% of a core", 460},
+    {"membership, network", "MembershipSteady", "members", "bytes_per_daemon_s",
+     "B/s", 460},
+    {"membership, all see a death", "MembershipDetection", "members",
+     "all_see_ms", "ms", 460},
+    {"membership, worst of those", "MembershipDetection", "members",
+     "all_see_worst_ms", "ms", 460},
+    {"membership, false suspicions in 40 s at 0.1% loss", "MembershipSteady",
+     "members", "false_suspicions", "count", 460},
+    {"configuration, apply one change", "ConfigApplyChange", "keys",
+     "real_time", "us", 20'000},
+    {"configuration, one change on the wire", "ConfigApplyChange", "keys",
+     "bytes_per_change", "B", 20'000},
+    {"configuration, heap", "ConfigMemory", "keys", "bytes_held", "MB", 20'000,
+     1e-6},
+    {"shares, charge and settle", "ShareChargeSettle", "teams", "real_time",
+     "ns", 1600},
     {"shares, lend and confirm", "ShareLend", "teams", "real_time", "ns", 1600},
     {"shares, heap", "ShareMemory", "teams", "bytes_held", "MB", 1600, 1e-6},
     {"cell, one decision p50", "CellDecision", "engines", "p50_us", "us", 64},
     {"cell, one decision p99", "CellDecision", "engines", "p99_us", "us", 64},
-    {"cell, renew a batch", "CellRenew", "reservations", "real_time", "us", 1000},
-    {"cell, heap by queued requests", "CellMemory", "queued", "bytes_held", "MB", 4000, 1e-6},
-    {"cell and owner of a request", "CellChoice", "workers", "real_time", "ns", 3300},
-    {"prefix blocks of a prompt", "RequestPrefixBlocks", "prompt_tokens", "real_time", "us",
-     30'000},
-    {"tickets, heap", "RequestTicketMemory", "tickets", "bytes_held", "MB", 10'000, 1e-6}};
+    {"cell, renew a batch", "CellRenew", "reservations", "real_time", "us",
+     1000},
+    {"cell, heap by queued requests", "CellMemory", "queued", "bytes_held",
+     "MB", 4000, 1e-6},
+    {"cell and owner of a request", "CellChoice", "workers", "real_time", "ns",
+     3300},
+    {"prefix blocks of a prompt", "RequestPrefixBlocks", "prompt_tokens",
+     "real_time", "us", 30'000},
+    {"tickets, heap", "RequestTicketMemory", "tickets", "bytes_held", "MB",
+     10'000, 1e-6}};
 
 }  // namespace
 
@@ -122,11 +138,14 @@
   std::ifstream in(argv[1]);
   const json document = json::parse(in, nullptr, false);
   if (!document.is_object()) {
-    std::cerr << "limpethaven_capacity: " << argv[1] << " is not a benchmark file\n";
+    std::cerr << "limpethaven_capacity: " << argv[1]
+              << " is not a benchmark file\n";
     return 2;
   }
   std::cout << "| series | size: value | fit | at the size designed for |\n"
                "| --- | --- | --- | --- |\n";
-  for (const Series& series : kSeries) Print(series, PointsOf(document.at("benchmarks"), series));
+  for (const Series& series : kSeries) {
+    Print(series, PointsOf(document.at("benchmarks"), series));
+  }
   return 0;
 }
--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -1,5 +1,6 @@
 /// @file
-/// Cost of placement decisions, by the size of the cell, the queue and the fleet.
+/// Cost of placement decisions, by the size of the cell, the queue and the
+/// fleet.
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
@@ -19,9 +20,10 @@
 std::vector<CellEngine> Engines(std::int64_t count) {
   std::vector<CellEngine> engines;
   for (std::int64_t index = 0; index < count; ++index) {
-    engines.push_back(CellEngine{"10.0.0." + std::to_string(index) + ":9000", "centre",
-                                 index % 4 == 0 ? PoolRole::kPrefill : PoolRole::kDecode, kPieces,
-                                 false});
+    engines.push_back(
+        CellEngine{"10.0.0." + std::to_string(index) + ":9000", "centre",
+                   index % 4 == 0 ? PoolRole::kPrefill : PoolRole::kDecode,
+                   kPieces, false});
   }
   return engines;
 }
@@ -33,19 +35,22 @@
   request.prompt_tokens = 500 + number % 3000;
   request.max_tokens = 300;
   request.budget_ms = 100'000;
-  for (std::int64_t block = 0; block < request.prompt_tokens / kTokensPerPiece; ++block) {
-    request.prefix.push_back(static_cast<std::uint64_t>(number % 64 * 1000 + block));
+  for (std::int64_t block = 0; block < request.prompt_tokens / kTokensPerPiece;
+       ++block) {
+    request.prefix.push_back(
+        static_cast<std::uint64_t>(number % 64 * 1000 + block));
   }
   return request;
 }
 
-/// One request in, one out, with the queue kept full: submit, end the oldest, tick. Decisions are
-/// timed one by one for their distribution.
+/// One request in, one out, with the queue kept full: submit, end the oldest,
+/// tick. Decisions are timed one by one for their distribution.
 void CellDecision(benchmark::State& state) {
   const std::int64_t engines = state.range(0);
   const std::int64_t queue = state.range(1);
   // Leases that outlast the run: renewals are measured on their own.
-  CellScheduler scheduler("model/0", "owner", CellSettings{.lease_ms = 100'000'000});
+  CellScheduler scheduler("model/0", "owner",
+                          CellSettings{.lease_ms = 100'000'000});
   scheduler.Configure(Engines(engines), 0);
   TimeMs now = 1;
   std::int64_t number = 0;
@@ -78,7 +83,8 @@
   }
   std::ranges::sort(samples_us);
   const auto at = [&](double part) {
-    return samples_us[static_cast<std::size_t>(part * static_cast<double>(samples_us.size() - 1))];
+    return samples_us[static_cast<std::size_t>(
+        part * static_cast<double>(samples_us.size() - 1))];
   };
   state.counters["engines"] = static_cast<double>(engines);
   state.counters["queue"] = static_cast<double>(queue);
@@ -98,12 +104,14 @@
 void CellChoice(benchmark::State& state) {
   const std::int64_t workers = state.range(0);
   Configuration config;
-  config.pools.emplace("p", PoolSpec{"p", PoolRole::kMixed, "m", kPieces, false, {}});
+  config.pools.emplace(
+      "p", PoolSpec{"p", PoolRole::kMixed, "m", kPieces, false, {}});
   for (std::int64_t worker = 0; worker < workers; ++worker) {
     config.pools.at("p").endpoints.push_back(
         EndpointSpec{"10.0.0.1:" + std::to_string(worker), "centre", false});
   }
-  config.routes.emplace("r", RouteSpec{"/v1/completions", "m", "p", "p", "", true, false, 920, 48});
+  config.routes.emplace("r", RouteSpec{"/v1/completions", "m", "p", "p", "",
+                                       true, false, 920, 48});
   const std::vector<CellSpec> cells = BuildCells(config, 64);
   const std::size_t members = static_cast<std::size_t>(state.range(1));
   std::vector<std::string> vms;
@@ -118,7 +126,11 @@
   state.counters["workers"] = static_cast<double>(workers);
   state.counters["members_of_data_centre"] = static_cast<double>(members);
 }
-BENCHMARK(CellChoice)->Args({200, 8})->Args({800, 46})->Args({3300, 46})->Args({3300, 460});
+BENCHMARK(CellChoice)
+    ->Args({200, 8})
+    ->Args({800, 46})
+    ->Args({3300, 46})
+    ->Args({3300, 460});
 
 /// Renewal of leases in one batch.
 void CellRenew(benchmark::State& state) {
@@ -126,14 +138,15 @@
   scheduler.Configure(Engines(64), 0);
   std::vector<CellScheduler::Renewal> renewals;
   for (std::int64_t index = 0; index < state.range(0); ++index) {
-    renewals.push_back({"x-" + std::to_string(index), "r" + std::to_string(index),
-                        "10.0.0.1:9000", 1});
+    renewals.push_back({"x-" + std::to_string(index),
+                        "r" + std::to_string(index), "10.0.0.1:9000", 1});
   }
   TimeMs now = 0;
   for (auto _ : state) scheduler.Renew(renewals, now += 700);
   state.counters["reservations"] = static_cast<double>(state.range(0));
 }
-BENCHMARK(CellRenew)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(CellRenew)->Arg(100)->Arg(1000)->Arg(4000)->Unit(
+    benchmark::kMicrosecond);
 
 /// Tick with nothing to decide: leases looked through.
 void CellIdleTick(benchmark::State& state) {
@@ -141,14 +154,18 @@
   scheduler.Configure(Engines(64), 0);
   std::vector<CellScheduler::Renewal> renewals;
   for (std::int64_t index = 0; index < state.range(0); ++index) {
-    renewals.push_back({"x-" + std::to_string(index), "r" + std::to_string(index),
-                        "10.0.0.1:9000", 1});
+    renewals.push_back({"x-" + std::to_string(index),
+                        "r" + std::to_string(index), "10.0.0.1:9000", 1});
   }
   scheduler.Renew(renewals, 0);
   for (auto _ : state) benchmark::DoNotOptimize(scheduler.Tick(1));
   state.counters["reservations"] = static_cast<double>(state.range(0));
 }
-BENCHMARK(CellIdleTick)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(CellIdleTick)
+    ->Arg(100)
+    ->Arg(1000)
+    ->Arg(4000)
+    ->Unit(benchmark::kMicrosecond);
 
 void CellMemory(benchmark::State& state) {
   double held = 0;
--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -10,7 +10,8 @@
 namespace limpethaven {
 namespace {
 
-/// Teams, keys and workers in the proportions of the size designed for: 1,600 : 20,000 : 3,300.
+/// Teams, keys and workers in the proportions of the size designed for: 1,600 :
+/// 20,000 : 3,300.
 Configuration MakeConfiguration(std::int64_t keys) {
   Configuration config;
   const std::int64_t teams = std::max<std::int64_t>(1, keys * 1600 / 20'000);
@@ -21,16 +22,22 @@
   }
   for (std::int64_t key = 0; key < keys; ++key) {
     const std::string digest = Sha256Hex("key-" + std::to_string(key));
-    config.keys.emplace(digest, KeySpec{digest, "team-" + std::to_string(key % teams)});
+    config.keys.emplace(digest,
+                        KeySpec{digest, "team-" + std::to_string(key % teams)});
   }
   for (std::int64_t pool = 0; pool < 8; ++pool) {
     const std::string name = "pool-" + std::to_string(pool);
-    PoolSpec spec{name, pool % 2 == 0 ? PoolRole::kPrefill : PoolRole::kDecode,
-                  "model-" + std::to_string(pool / 2), 64, true, {}};
+    PoolSpec spec{name,
+                  pool % 2 == 0 ? PoolRole::kPrefill : PoolRole::kDecode,
+                  "model-" + std::to_string(pool / 2),
+                  64,
+                  true,
+                  {}};
     for (std::int64_t worker = pool; worker < workers; worker += 8) {
-      spec.endpoints.push_back(EndpointSpec{
-          "10.0." + std::to_string(worker / 250) + "." + std::to_string(worker % 250) + ":9000",
-          "centre-" + std::to_string(worker % 10), false});
+      spec.endpoints.push_back(
+          EndpointSpec{"10.0." + std::to_string(worker / 250) + "." +
+                           std::to_string(worker % 250) + ":9000",
+                       "centre-" + std::to_string(worker % 10), false});
     }
     config.pools.emplace(name, spec);
   }
@@ -52,7 +59,8 @@
   EntityTable table;
   table.Apply(follower.Entities(), {});
   const std::string digest = Sha256Hex("key-0");
-  const Entity entity{"key/" + digest, R"({"sha256":")" + digest + R"(","team":"team-0"})"};
+  const Entity entity{"key/" + digest,
+                      R"({"sha256":")" + digest + R"(","team":"team-0"})"};
   double bytes = 0;
   for (auto _ : state) {
     state.PauseTiming();
@@ -73,7 +81,11 @@
   state.counters["keys"] = static_cast<double>(state.range(0));
   state.counters["bytes_per_change"] = bytes;
 }
-BENCHMARK(ConfigApplyChange)->Arg(200)->Arg(2000)->Arg(20'000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(ConfigApplyChange)
+    ->Arg(200)
+    ->Arg(2000)
+    ->Arg(20'000)
+    ->Unit(benchmark::kMicrosecond);
 
 /// Heap of a follower, and of the moment in which it adopts a change.
 void ConfigMemory(benchmark::State& state) {
@@ -87,7 +99,12 @@
   state.counters["keys"] = static_cast<double>(state.range(0));
   state.counters["bytes_held"] = held;
 }
-BENCHMARK(ConfigMemory)->Arg(200)->Arg(2000)->Arg(20'000)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(ConfigMemory)
+    ->Arg(200)
+    ->Arg(2000)
+    ->Arg(20'000)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace limpethaven
--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -1,5 +1,6 @@
 /// @file
-/// Cost of membership per daemon, and its detection times, by the size of the fleet.
+/// Cost of membership per daemon, and its detection times, by the size of the
+/// fleet.
 #include <benchmark/benchmark.h>
 
 #include <cmath>
@@ -16,7 +17,8 @@
 constexpr DurationMs kMeasuredMs = 30'000;
 constexpr double kMeasuredS = 30.0;
 
-/// Time is processor time of the whole simulated fleet over `kMeasuredMs`, codec included.
+/// Time is processor time of the whole simulated fleet over `kMeasuredMs`,
+/// codec included.
 void MembershipSteady(benchmark::State& state) {
   const auto members = static_cast<std::size_t>(state.range(0));
   double bytes = 0;
@@ -39,17 +41,24 @@
     suspicions += static_cast<double>(fleet.FalseSuspicions());
     state.ResumeTiming();
   }
-  const double daemon_seconds =
-      static_cast<double>(members) * kMeasuredS * static_cast<double>(state.iterations());
+  const double daemon_seconds = static_cast<double>(members) * kMeasuredS *
+                                static_cast<double>(state.iterations());
   state.counters["members"] = static_cast<double>(members);
   state.counters["bytes_per_daemon_s"] = bytes / daemon_seconds;
   state.counters["messages_per_daemon_s"] = messages / daemon_seconds;
   state.counters["core_percent"] = 100.0 * cpu_s / daemon_seconds;
-  state.counters["false_suspicions"] = suspicions / static_cast<double>(state.iterations());
+  state.counters["false_suspicions"] =
+      suspicions / static_cast<double>(state.iterations());
 }
-BENCHMARK(MembershipSteady)->Arg(8)->Arg(64)->Arg(460)->Iterations(2)->Unit(benchmark::kMillisecond);
+BENCHMARK(MembershipSteady)
+    ->Arg(8)
+    ->Arg(64)
+    ->Arg(460)
+    ->Iterations(2)
+    ->Unit(benchmark::kMillisecond);
 
-/// Time from a kill until the first and until every other process sees the member dead.
+/// Time from a kill until the first and until every other process sees the
+/// member dead.
 void MembershipDetection(benchmark::State& state) {
   const auto members = static_cast<std::size_t>(state.range(0));
   double first_ms = 0;
@@ -77,8 +86,15 @@
   state.counters["all_see_ms"] = all_ms / runs;
   state.counters["all_see_worst_ms"] = worst_ms;
 }
-BENCHMARK(MembershipDetection)->Arg(8)->Arg(64)->Iterations(20)->Unit(benchmark::kMillisecond);
-BENCHMARK(MembershipDetection)->Arg(460)->Iterations(3)->Unit(benchmark::kMillisecond);
+BENCHMARK(MembershipDetection)
+    ->Arg(8)
+    ->Arg(64)
+    ->Iterations(20)
+    ->Unit(benchmark::kMillisecond);
+BENCHMARK(MembershipDetection)
+    ->Arg(460)
+    ->Iterations(3)
+    ->Unit(benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace limpethaven
--- a/bench/request_bench.cc
+++ b/bench/request_bench.cc
@@ -15,14 +15,21 @@
 constexpr const char* kSecret = "a-secret-for-benchmarks";
 
 void RequestPrefixBlocks(benchmark::State& state) {
-  const std::string prompt(static_cast<std::size_t>(state.range(0)) * kBytesPerToken, 'x');
+  const std::string prompt(
+      static_cast<std::size_t>(state.range(0)) * kBytesPerToken, 'x');
   for (auto _ : state) benchmark::DoNotOptimize(PrefixBlocks(prompt));
   state.counters["prompt_tokens"] = static_cast<double>(state.range(0));
 }
-BENCHMARK(RequestPrefixBlocks)->Arg(1000)->Arg(10'000)->Arg(30'000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(RequestPrefixBlocks)
+    ->Arg(1000)
+    ->Arg(10'000)
+    ->Arg(30'000)
+    ->Unit(benchmark::kMicrosecond);
 
 void RequestKeyDigest(benchmark::State& state) {
-  for (auto _ : state) benchmark::DoNotOptimize(Sha256Hex("a-key-of-usual-length-0001"));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(Sha256Hex("a-key-of-usual-length-0001"));
+  }
 }
 BENCHMARK(RequestKeyDigest);
 
@@ -57,7 +64,8 @@
 BENCHMARK(RequestTicketMemory)->Arg(1000)->Arg(10'000)->Iterations(1);
 
 void RequestStreamEvent(benchmark::State& state) {
-  const ResumeToken token{"r-1", "owner-1", "north", "m", "10.0.0.1:9000", "m/0", "owner-1", 2, 0};
+  const ResumeToken token{"r-1", "owner-1", "north", "m", "10.0.0.1:9000",
+                          "m/0", "owner-1", 2,       0};
   const std::string base = EncodeResumeBase(kSecret, token);
   StreamGuard guard("r-1", "owner-1", 0);
   StreamEvent event{"r-1", "owner-1", 0, 1, " word", false, false, 1};
@@ -65,7 +73,8 @@
     benchmark::DoNotOptimize(guard.Judge(event));
     benchmark::DoNotOptimize(EncodeResumeId(base, ++event.offset));
   }
-  state.counters["id_bytes"] = static_cast<double>(EncodeResumeId(base, 1000).size());
+  state.counters["id_bytes"] =
+      static_cast<double>(EncodeResumeId(base, 1000).size());
 }
 BENCHMARK(RequestStreamEvent);
 
--- a/bench/share_bench.cc
+++ b/bench/share_bench.cc
@@ -31,13 +31,13 @@
     return "team-" + std::to_string(index % state.range(0));
   };
   for (; number < kOpen; ++number) {
-    static_cast<void>(
-        ledger.TryCharge(team_of(number), std::to_string(number), 500, {}, now));
+    static_cast<void>(ledger.TryCharge(team_of(number), std::to_string(number),
+                                       500, {}, now));
   }
   for (auto _ : state) {
     ++now;
-    static_cast<void>(
-        ledger.TryCharge(team_of(number), std::to_string(number), 500, {}, now));
+    static_cast<void>(ledger.TryCharge(team_of(number), std::to_string(number),
+                                       500, {}, now));
     ledger.Settle(std::to_string(number - kOpen), 400, now);
     ++number;
   }
--- /dev/null
+++ b/fuzz/gossip.cc
@@ -0,0 +1,23 @@
+/// @file
+/// Fuzzes gossip: bytes as they come, and bytes behind a valid tag.
+#include <cstdint>
+#include <string>
+
+#include "limpethaven/crypto.h"
+#include "limpethaven/membership.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  constexpr const char* kSecret = "a-secret-for-fuzzing";
+  const std::string bytes(reinterpret_cast<const char*>(data), size);
+  static_cast<void>(limpethaven::DecodeGossip(kSecret, bytes));
+  const std::string tagged =
+      limpethaven::HmacSha256(kSecret, bytes).substr(0, 16) + bytes;
+  const auto message = limpethaven::DecodeGossip(kSecret, tagged);
+  if (!message) return 0;
+  limpethaven::Membership membership(limpethaven::VmId{"10.0.0.1", 1}, "zone",
+                                     {}, 1);
+  static_cast<void>(membership.Receive(message.value(), 0));
+  static_cast<void>(membership.Tick(0));
+  return 0;
+}
--- a/include/limpethaven/cells.h
+++ b/include/limpethaven/cells.h
@@ -27,10 +27,11 @@
 [[nodiscard]] std::vector<CellSpec> BuildCells(const Configuration& config,
                                                std::size_t max_engines);
 
-/// The first `count` cells of a model in order of preference for a prompt with this leading block. Prompts that
-/// share a prefix go to the same cell first, so that its caches serve them.
-[[nodiscard]] std::vector<std::string> CellOrder(std::span<const CellSpec> cells,
-                                                 std::string_view model,
-                                                 std::uint64_t prefix_hash, std::size_t count);
+/// The first `count` cells of a model in order of preference for a prompt with
+/// this leading block. Prompts that share a prefix go to the same cell first,
+/// so that its caches serve them.
+[[nodiscard]] std::vector<std::string> CellOrder(
+    std::span<const CellSpec> cells, std::string_view model,
+    std::uint64_t prefix_hash, std::size_t count);
 
 }  // namespace limpethaven
--- a/include/limpethaven/clock.h
+++ b/include/limpethaven/clock.h
@@ -6,7 +6,8 @@
 
 namespace limpethaven {
 
-/// A point on a monotonic clock, in milliseconds. Only differences have meaning.
+/// A point on a monotonic clock, in milliseconds. Only differences have
+/// meaning.
 using TimeMs = std::int64_t;
 /// A length of time in milliseconds.
 using DurationMs = std::int64_t;
--- a/include/limpethaven/config_codec.h
+++ b/include/limpethaven/config_codec.h
@@ -1,9 +1,10 @@
 /// @file
 /// The configuration as it is published: entities in chunks below a small head.
 ///
-/// An entity is a key such as `team/north` with canonical JSON. Entities fall into chunks by a
-/// hash of their key, so that a change touches one chunk. The digest of a version covers the
-/// digests of its chunks; a follower that applies a change recomputes only the touched chunks.
+/// An entity is a key such as `team/north` with canonical JSON. Entities fall
+/// into chunks by a hash of their key, so that a change touches one chunk. The
+/// digest of a version covers the digests of its chunks; a follower that
+/// applies a change recomputes only the touched chunks.
 #pragma once
 
 #include <cstdint>
@@ -24,7 +25,8 @@
 /// Changes that the head carries for followers that are a little behind.
 inline constexpr std::size_t kHeadChanges = 16;
 
-/// One entity: `team/NAME`, `key/DIGEST`, `pool/NAME`, `route/PATH`, `link/A>B`, `fleet`.
+/// One entity: `team/NAME`, `key/DIGEST`, `pool/NAME`, `route/PATH`,
+/// `link/A>B`, `fleet`.
 struct Entity {
   std::string key;
   std::string value;  ///< Canonical JSON: keys sorted, no spaces.
@@ -44,7 +46,8 @@
 struct ConfigHead {
   std::uint64_t version = 0;
   std::string digest;
-  std::vector<std::string> chunks;    ///< Digest of each chunk; its value is named after it.
+  std::vector<std::string>
+      chunks;  ///< Digest of each chunk; its value is named after it.
   std::vector<ConfigChange> changes;  ///< The latest changes, oldest first.
   friend auto operator<=>(const ConfigHead&, const ConfigHead&) = default;
 };
@@ -54,8 +57,10 @@
  public:
   EntityTable();
 
-  /// Adds or replaces entities and removes keys; recomputes the touched chunk digests.
-  void Apply(const std::vector<Entity>& upserts, const std::vector<std::string>& removals);
+  /// Adds or replaces entities and removes keys; recomputes the touched chunk
+  /// digests.
+  void Apply(const std::vector<Entity>& upserts,
+             const std::vector<std::string>& removals);
   /// Digest over all chunk digests.
   [[nodiscard]] std::string Digest() const;
   /// Digest of each chunk.
@@ -77,9 +82,10 @@
 
 /// Entities of a configuration.
 [[nodiscard]] std::vector<Entity> EncodeEntities(const Configuration& config);
-/// Applies one entity to `config`. An unknown kind of entity is ignored, so that older daemons
-/// read newer configurations.
-[[nodiscard]] Result<void> ApplyEntity(Configuration& config, const Entity& entity);
+/// Applies one entity to `config`. An unknown kind of entity is ignored, so
+/// that older daemons read newer configurations.
+[[nodiscard]] Result<void> ApplyEntity(Configuration& config,
+                                       const Entity& entity);
 /// Removes the entity with this key from `config`.
 void RemoveEntity(Configuration& config, std::string_view key);
 
@@ -89,6 +95,7 @@
 [[nodiscard]] Result<ConfigChange> DecodeChange(std::string_view text);
 /// Text of entities: a JSON array of `[key, value]`.
 [[nodiscard]] std::string EncodeEntityList(const std::vector<Entity>& entities);
-[[nodiscard]] Result<std::vector<Entity>> DecodeEntityList(std::string_view text);
+[[nodiscard]] Result<std::vector<Entity>> DecodeEntityList(
+    std::string_view text);
 
 }  // namespace limpethaven
--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -46,17 +46,21 @@
 struct PoolSpec {
   std::string name;
   PoolRole role = PoolRole::kService;
-  std::string model;               ///< Empty for services.
-  std::int64_t memory_pieces = 0;  ///< Pieces of `kTokensPerPiece` tokens on each engine.
-  bool checks_fencing = false;     ///< Whether the endpoints refuse old fencing numbers.
+  std::string model;  ///< Empty for services.
+  std::int64_t memory_pieces =
+      0;  ///< Pieces of `kTokensPerPiece` tokens on each engine.
+  bool checks_fencing =
+      false;  ///< Whether the endpoints refuse old fencing numbers.
   std::vector<EndpointSpec> endpoints;
   friend auto operator<=>(const PoolSpec&, const PoolSpec&) = default;
 };
 
-/// A route: either a model behind prefill and decode pools, or a path of a plain service.
+/// A route: either a model behind prefill and decode pools, or a path of a
+/// plain service.
 struct RouteSpec {
-  std::string path;          ///< `/v1/completions` or `/s/SERVICE/...`; a service path is a prefix.
-  std::string model;         ///< Model name; empty for services.
+  std::string path;   ///< `/v1/completions` or `/s/SERVICE/...`; a service path
+                      ///< is a prefix.
+  std::string model;  ///< Model name; empty for services.
   std::string prefill_pool;  ///< Empty for services.
   std::string decode_pool;   ///< Empty for services.
   std::string pool;          ///< Service pool; empty for models.
@@ -64,7 +68,8 @@
   bool open = false;         ///< True: no key needed.
   DurationMs first_token_ms = 0;
   DurationMs token_gap_ms = 0;
-  bool serve_late = false;  ///< True: requests past their first-token target are still served.
+  bool serve_late = false;  ///< True: requests past their first-token target
+                            ///< are still served.
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
 };
 
@@ -78,7 +83,8 @@
 
 /// Settings that hold for the whole fleet.
 struct FleetSpec {
-  std::int64_t share_slots = 8;  ///< Most entry processes that can be alive at once.
+  std::int64_t share_slots =
+      8;  ///< Most entry processes that can be alive at once.
   friend auto operator<=>(const FleetSpec&, const FleetSpec&) = default;
 };
 
@@ -110,19 +116,22 @@
   NamedTable<GoalSpec> goals;    ///< By pool.
 
   /// Team whose key has this digest, or null.
-  [[nodiscard]] const TeamSpec* FindTeamByKeyDigest(std::string_view sha256) const;
+  [[nodiscard]] const TeamSpec* FindTeamByKeyDigest(
+      std::string_view sha256) const;
   /// Route of a model, or null.
   [[nodiscard]] const RouteSpec* FindModelRoute(std::string_view model) const;
   /// Service route with the longest path that is a prefix of `path`, or null.
   [[nodiscard]] const RouteSpec* FindServiceRoute(std::string_view path) const;
   /// Rate between two data centres in megabytes per second; 0 when not limited.
-  [[nodiscard]] std::int64_t LinkRate(std::string_view from, std::string_view to) const;
+  [[nodiscard]] std::int64_t LinkRate(std::string_view from,
+                                      std::string_view to) const;
 };
 
 /// `prefill`, `decode`, `mixed` or `service`.
 [[nodiscard]] std::string_view NameOf(PoolRole role) noexcept;
 /// Inverse of `NameOf(PoolRole)`.
-[[nodiscard]] std::optional<PoolRole> PoolRoleFromName(std::string_view name) noexcept;
+[[nodiscard]] std::optional<PoolRole> PoolRoleFromName(
+    std::string_view name) noexcept;
 
 std::ostream& operator<<(std::ostream& out, const TeamSpec& team);
 std::ostream& operator<<(std::ostream& out, const EndpointSpec& endpoint);
--- a/include/limpethaven/endpoint_health.h
+++ b/include/limpethaven/endpoint_health.h
@@ -13,13 +13,16 @@
 
 /// Settings of endpoint ejection.
 struct HealthSettings {
-  double eject_at = 2.5;            ///< Decayed failures that eject: three in quick succession.
-  DurationMs half_life_ms = 5000;   ///< Failures halve in this time.
-  DurationMs eject_ms = 1000;       ///< First ejection; doubles with each one in a row.
+  double eject_at =
+      2.5;  ///< Decayed failures that eject: three in quick succession.
+  DurationMs half_life_ms = 5000;  ///< Failures halve in this time.
+  DurationMs eject_ms =
+      1000;  ///< First ejection; doubles with each one in a row.
   DurationMs max_eject_ms = 30'000;
 };
 
-/// Health of endpoints by address. Unknown addresses are healthy. Not thread safe.
+/// Health of endpoints by address. Unknown addresses are healthy. Not thread
+/// safe.
 class EndpointHealth {
  public:
   explicit EndpointHealth(HealthSettings settings = {});
@@ -28,9 +31,11 @@
   bool OnFailure(std::string_view address, TimeMs now);
   /// Counts a success. @returns true when it ends a row of ejections.
   bool OnSuccess(std::string_view address, TimeMs now);
-  /// Whether new work may go there. After an ejection one request is let through as a probe.
+  /// Whether new work may go there. After an ejection one request is let
+  /// through as a probe.
   [[nodiscard]] bool Usable(std::string_view address, TimeMs now) const;
-  /// Marks the probe after an ejection as taken, so that further requests wait for its outcome.
+  /// Marks the probe after an ejection as taken, so that further requests wait
+  /// for its outcome.
   void OnChosen(std::string_view address, TimeMs now);
 
  private:
--- a/include/limpethaven/error.h
+++ b/include/limpethaven/error.h
@@ -15,7 +15,8 @@
 
 namespace limpethaven {
 
-/// Every way a request can be refused or fail. Closed: each kind has a row in `ErrorTable()`.
+/// Every way a request can be refused or fail. Closed: each kind has a row in
+/// `ErrorTable()`.
 enum class ErrorKind {
   kBadRequest,
   kBodyTooLarge,
@@ -54,16 +55,18 @@
 /// One row of the error table.
 struct ErrorRow {
   ErrorKind kind;
-  std::string_view name;         ///< Name in JSON answers.
-  int http_status;               ///< HTTP status of the answer.
-  Ran ran;                       ///< What `ran` says unless the error itself says more.
-  std::int64_t retry_after_ms;   ///< Advice in milliseconds; 0 means do not retry.
-  EventId event;                 ///< Log event written with the refusal.
+  std::string_view name;  ///< Name in JSON answers.
+  int http_status;        ///< HTTP status of the answer.
+  Ran ran;  ///< What `ran` says unless the error itself says more.
+  std::int64_t
+      retry_after_ms;  ///< Advice in milliseconds; 0 means do not retry.
+  EventId event;       ///< Log event written with the refusal.
 };
 
 /// An error value: kind, message, and what is known about execution.
 ///
-/// Example: `return Error::Of(ErrorKind::kTeamLimit, "team north has 12 of 400 tokens");`
+/// Example: `return Error::Of(ErrorKind::kTeamLimit, "team north has 12 of 400
+/// tokens");`
 struct Error {
   ErrorKind kind = ErrorKind::kInternal;
   std::string message;
@@ -84,14 +87,17 @@
     T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
 
 /// Shorthand for a successful `Result<void>`.
-[[nodiscard]] inline auto Success() { return BOOST_OUTCOME_V2_NAMESPACE::success(); }
+[[nodiscard]] inline auto Success() {
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
 
 /// The whole table, in the order of `ErrorKind`.
 [[nodiscard]] std::span<const ErrorRow> ErrorTable() noexcept;
 /// Row of one kind.
 [[nodiscard]] const ErrorRow& RowOf(ErrorKind kind) noexcept;
 /// Kind by its JSON name; empty when unknown.
-[[nodiscard]] std::optional<ErrorKind> ErrorKindFromName(std::string_view name) noexcept;
+[[nodiscard]] std::optional<ErrorKind> ErrorKindFromName(
+    std::string_view name) noexcept;
 /// `no`, `unknown` or `yes`.
 [[nodiscard]] std::string_view NameOf(Ran ran) noexcept;
 /// Inverse of `NameOf(Ran)`; anything else reads as `kUnknown`.
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -1,5 +1,6 @@
 /// @file
-/// Numbered log events. `docs/EVENTS.md` is the catalogue; a test holds both together.
+/// Numbered log events. `docs/EVENTS.md` is the catalogue; a test holds both
+/// together.
 #pragma once
 
 #include <span>
--- a/include/limpethaven/fair_queue.h
+++ b/include/limpethaven/fair_queue.h
@@ -1,5 +1,6 @@
 /// @file
-/// A queue that is fair across teams by weighted tokens and earliest-deadline-first within one.
+/// A queue that is fair across teams by weighted tokens and
+/// earliest-deadline-first within one.
 #pragma once
 
 #include <compare>
@@ -30,12 +31,14 @@
 /// Start-time fair queue. Not thread safe.
 class FairQueue {
  public:
-  /// @param max_bypass Times a head may be passed over before it blocks the queue.
+  /// @param max_bypass Times a head may be passed over before it blocks the
+  /// queue.
   explicit FairQueue(std::int64_t max_bypass = 64);
 
   void Push(QueueItem item);
-  /// Pops the first team head, in fair order, that `fits` accepts. A head that was passed over
-  /// too often ends the search, so that large requests are not starved.
+  /// Pops the first team head, in fair order, that `fits` accepts. A head that
+  /// was passed over too often ends the search, so that large requests are not
+  /// starved.
   [[nodiscard]] std::optional<QueueItem> PopFirst(
       const std::function<bool(const QueueItem&)>& fits);
   /// Removes and returns the items whose latest start lies before `now`.
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -1,8 +1,10 @@
 /// @file
-/// Membership: which processes are alive, found by probing and spread by gossip.
+/// Membership: which processes are alive, found by probing and spread by
+/// gossip.
 ///
-/// The platform's lagging list of VMs names whom to probe. Each process has an incarnation; a
-/// message for an older incarnation is refused. Members are alive, suspect, dead or leaving.
+/// The platform's lagging list of VMs names whom to probe. Each process has an
+/// incarnation; a message for an older incarnation is refused. Members are
+/// alive, suspect, dead or leaving.
 #pragma once
 
 #include <compare>
@@ -29,12 +31,15 @@
 
 /// Settings of membership.
 struct MembershipSettings {
-  DurationMs probe_period_ms = 500;   ///< One member is probed each period.
-  DurationMs ack_timeout_ms = 200;    ///< After this, others are asked to probe too.
-  DurationMs suspicion_ms = 1500;     ///< A suspect that does not refute becomes dead.
-  std::int64_t indirect_probes = 2;   ///< Members asked to probe in our place.
+  DurationMs probe_period_ms = 500;  ///< One member is probed each period.
+  DurationMs ack_timeout_ms =
+      200;  ///< After this, others are asked to probe too.
+  DurationMs suspicion_ms =
+      1500;  ///< A suspect that does not refute becomes dead.
+  std::int64_t indirect_probes = 2;  ///< Members asked to probe in our place.
   std::size_t updates_per_message = 8;
-  DurationMs pause_ms = 2000;         ///< A longer gap between ticks is a pause of our own.
+  DurationMs pause_ms =
+      2000;  ///< A longer gap between ticks is a pause of our own.
 };
 
 /// One piece of news about a member.
@@ -42,7 +47,8 @@
   std::string address;
   std::string data_centre;
   std::uint64_t incarnation = 0;
-  std::uint64_t refutation = 0;  ///< Raised by the member itself to refute suspicion.
+  std::uint64_t refutation =
+      0;  ///< Raised by the member itself to refute suspicion.
   MemberState state = MemberState::kUnknown;
   friend auto operator<=>(const MemberUpdate&, const MemberUpdate&) = default;
 };
@@ -70,17 +76,21 @@
   bool from_leaving = false;
   std::uint64_t to_incarnation = 0;  ///< 0: the sender does not know it yet.
   std::uint64_t sequence = 0;
-  std::string target;                ///< For ping requests: whom to probe. For relays: for whom.
+  std::string
+      target;  ///< For ping requests: whom to probe. For relays: for whom.
   std::uint64_t config_version = 0;
-  std::string config_digest;         ///< First digits of the configuration's digest.
+  std::string config_digest;  ///< First digits of the configuration's digest.
   std::vector<MemberUpdate> updates;
   friend auto operator<=>(const GossipMessage&, const GossipMessage&) = default;
 };
 
-/// Bytes of a message under the fleet's secret: CBOR behind a 16-byte authentication tag.
-[[nodiscard]] std::string EncodeGossip(std::string_view secret, const GossipMessage& message);
+/// Bytes of a message under the fleet's secret: CBOR behind a 16-byte
+/// authentication tag.
+[[nodiscard]] std::string EncodeGossip(std::string_view secret,
+                                       const GossipMessage& message);
 /// Reads a message; an error when it is malformed or its tag does not fit.
-[[nodiscard]] Result<GossipMessage> DecodeGossip(std::string_view secret, std::string_view bytes);
+[[nodiscard]] Result<GossipMessage> DecodeGossip(std::string_view secret,
+                                                 std::string_view bytes);
 
 /// A message to send.
 struct OutgoingGossip {
@@ -94,35 +104,43 @@
   MemberState before = MemberState::kUnknown;
 };
 
-/// Membership of one process. Not thread safe; no I/O, no clock, randomness from the seed.
+/// Membership of one process. Not thread safe; no I/O, no clock, randomness
+/// from the seed.
 class Membership {
  public:
   Membership(VmId self, std::string data_centre, MembershipSettings settings,
              std::uint64_t seed);
 
-  /// Takes in the platform's list. Members off the list are kept while they answer.
+  /// Takes in the platform's list. Members off the list are kept while they
+  /// answer.
   void SetListed(const std::vector<ListedVm>& vms, TimeMs now);
   /// Version and digest that messages carry.
   void SetConfig(std::uint64_t version, std::string_view digest);
   /// Announces that this process is leaving.
   void Leave();
-  /// Probes, times out and spreads news. Call it several times each probe period.
+  /// Probes, times out and spreads news. Call it several times each probe
+  /// period.
   [[nodiscard]] std::vector<OutgoingGossip> Tick(TimeMs now);
-  /// Messages that tell up to `fanout` random usable members what is new, outside of probing.
+  /// Messages that tell up to `fanout` random usable members what is new,
+  /// outside of probing.
   [[nodiscard]] std::vector<OutgoingGossip> Announce(std::size_t fanout);
-  /// Takes in a message; returns answers. Messages for an older incarnation are refused.
-  [[nodiscard]] Result<std::vector<OutgoingGossip>> Receive(const GossipMessage& message,
-                                                            TimeMs now);
-  /// Whether the last `Tick` found that this process had been paused; cleared by reading it.
+  /// Takes in a message; returns answers. Messages for an older incarnation are
+  /// refused.
+  [[nodiscard]] Result<std::vector<OutgoingGossip>> Receive(
+      const GossipMessage& message, TimeMs now);
+  /// Whether the last `Tick` found that this process had been paused; cleared
+  /// by reading it.
   [[nodiscard]] bool TakePause() noexcept;
   /// State changes since the last call.
   [[nodiscard]] std::vector<MemberChange> TakeChanges();
 
   [[nodiscard]] std::vector<Member> Members() const;
-  /// Addresses that can be given work: alive or suspect, this process included unless leaving.
+  /// Addresses that can be given work: alive or suspect, this process included
+  /// unless leaving.
   [[nodiscard]] std::vector<std::string> UsableAddresses() const;
   /// Addresses of a data centre that can be given work.
-  [[nodiscard]] std::vector<std::string> UsableAddresses(std::string_view data_centre) const;
+  [[nodiscard]] std::vector<std::string> UsableAddresses(
+      std::string_view data_centre) const;
   /// Data centre of a member; empty when unknown.
   [[nodiscard]] std::string DataCentreOf(std::string_view address) const;
   [[nodiscard]] const VmId& Self() const noexcept;
@@ -136,6 +154,8 @@
   };
   struct News {
     std::string address;
+    bool expected =
+        false;  ///< A first contact that others will make themselves.
     std::int64_t transmissions = 0;
   };
   struct Relay {
@@ -147,7 +167,7 @@
 
   [[nodiscard]] GossipMessage NewMessage(GossipKind kind, std::string_view to);
   void AttachNews(GossipMessage& message);
-  void Spread(const std::string& address);
+  void Spread(const std::string& address, bool expected);
   void Merge(const MemberUpdate& update, TimeMs now);
   void MergeSelf(const MemberUpdate& update);
   void SetState(Member& member, const MemberUpdate& update, TimeMs now);
@@ -157,14 +177,16 @@
   void ForgetDead(TimeMs now);
   void StartProbe(TimeMs now, std::vector<OutgoingGossip>& out);
   [[nodiscard]] std::string NextTarget();
-  [[nodiscard]] OutgoingGossip AckOf(const GossipMessage& message, std::string_view to,
+  [[nodiscard]] OutgoingGossip AckOf(const GossipMessage& message,
+                                     std::string_view to,
                                      std::uint64_t sequence);
 
   VmId self;
   std::string data_centre;
   MembershipSettings settings;
   std::mt19937_64 random;
-  std::map<std::string, Member, std::less<>> members;  ///< Without this process.
+  std::map<std::string, Member, std::less<>>
+      members;  ///< Without this process.
   std::vector<std::string> probe_order;
   std::vector<Probe> probes;
   std::vector<Relay> relays;
--- a/include/limpethaven/rendezvous.h
+++ b/include/limpethaven/rendezvous.h
@@ -1,5 +1,6 @@
 /// @file
-/// Rendezvous hashing: every process that sees the same candidates picks the same one.
+/// Rendezvous hashing: every process that sees the same candidates picks the
+/// same one.
 #pragma once
 
 #include <cstdint>
@@ -15,12 +16,13 @@
 
 /// Candidates ordered by preference for `key`, best first.
 /// Example: `RendezvousOrder("cell/scribe/0", vms).front()` is the owner.
-[[nodiscard]] std::vector<std::string> RendezvousOrder(std::string_view key,
-                                                       std::span<const std::string> candidates);
+[[nodiscard]] std::vector<std::string> RendezvousOrder(
+    std::string_view key, std::span<const std::string> candidates);
 
-/// The first `count` of `RendezvousOrder`, without ordering or copying the rest.
-[[nodiscard]] std::vector<std::string> RendezvousTop(std::string_view key,
-                                                     std::span<const std::string> candidates,
-                                                     std::size_t count);
+/// The first `count` of `RendezvousOrder`, without ordering or copying the
+/// rest.
+[[nodiscard]] std::vector<std::string> RendezvousTop(
+    std::string_view key, std::span<const std::string> candidates,
+    std::size_t count);
 
 }  // namespace limpethaven
--- a/include/limpethaven/resume_token.h
+++ b/include/limpethaven/resume_token.h
@@ -19,21 +19,25 @@
   std::string attempt;
   std::string team;
   std::string model;
-  std::string engine;          ///< Address of the decode engine.
+  std::string engine;  ///< Address of the decode engine.
   std::string cell;
   std::string reservation;
   std::int64_t pieces = 0;
-  std::int64_t offset = 0;     ///< Next token wanted. Not signed: it selects among own tokens.
+  std::int64_t offset =
+      0;  ///< Next token wanted. Not signed: it selects among own tokens.
   friend auto operator<=>(const ResumeToken&, const ResumeToken&) = default;
 };
 
 std::ostream& operator<<(std::ostream& out, const ResumeToken& token);
 
 /// The signed part, the same for every event of one answer.
-[[nodiscard]] std::string EncodeResumeBase(std::string_view secret, const ResumeToken& token);
+[[nodiscard]] std::string EncodeResumeBase(std::string_view secret,
+                                           const ResumeToken& token);
 /// Adds the offset to a signed part.
-[[nodiscard]] std::string EncodeResumeId(std::string_view base, std::int64_t offset);
-/// Reads an event id back; empty when it is malformed or its signature does not fit.
+[[nodiscard]] std::string EncodeResumeId(std::string_view base,
+                                         std::int64_t offset);
+/// Reads an event id back; empty when it is malformed or its signature does not
+/// fit.
 [[nodiscard]] std::optional<ResumeToken> DecodeResumeId(std::string_view secret,
                                                         std::string_view text);
 
--- a/include/limpethaven/retry_budget.h
+++ b/include/limpethaven/retry_budget.h
@@ -1,5 +1,6 @@
 /// @file
-/// Limits retries to a fraction of requests, so that retries never multiply an outage.
+/// Limits retries to a fraction of requests, so that retries never multiply an
+/// outage.
 #pragma once
 
 #include <cstdint>
--- a/include/limpethaven/stream_guard.h
+++ b/include/limpethaven/stream_guard.h
@@ -1,5 +1,6 @@
 /// @file
-/// Accepts only the events that continue one answer; drops crossed, late and repeated ones.
+/// Accepts only the events that continue one answer; drops crossed, late and
+/// repeated ones.
 #pragma once
 
 #include <cstdint>
--- a/include/limpethaven/ticket_book.h
+++ b/include/limpethaven/ticket_book.h
@@ -1,5 +1,6 @@
 /// @file
-/// Tickets: signed names of requests that run at most once, kept by the process that minted them.
+/// Tickets: signed names of requests that run at most once, kept by the process
+/// that minted them.
 #pragma once
 
 #include <compare>
@@ -27,27 +28,36 @@
 std::ostream& operator<<(std::ostream& out, const Ticket& ticket);
 
 /// Signed text of a ticket.
-[[nodiscard]] std::string EncodeTicket(std::string_view secret, const Ticket& ticket);
-/// Reads a ticket back; empty when the text is malformed or its signature does not fit.
-[[nodiscard]] std::optional<Ticket> DecodeTicket(std::string_view secret, std::string_view text);
+[[nodiscard]] std::string EncodeTicket(std::string_view secret,
+                                       const Ticket& ticket);
+/// Reads a ticket back; empty when the text is malformed or its signature does
+/// not fit.
+[[nodiscard]] std::optional<Ticket> DecodeTicket(std::string_view secret,
+                                                 std::string_view text);
 
 /// Settings of a ticket book.
 struct TicketSettings {
-  DurationMs lifetime_ms = 60'000;     ///< From minting to the last moment a run may begin.
-  DurationMs remember_ms = 600'000;    ///< How long the record outlives its expiry.
-  std::size_t max_records = 1'000'000; ///< Beyond it no tickets are minted.
+  DurationMs lifetime_ms =
+      60'000;  ///< From minting to the last moment a run may begin.
+  DurationMs remember_ms =
+      600'000;  ///< How long the record outlives its expiry.
+  std::size_t max_records = 1'000'000;  ///< Beyond it no tickets are minted.
 };
 
-/// The records of one process. A restart forgets them; the incarnation in each ticket makes every
-/// older ticket unusable. Not thread safe.
+/// The records of one process. A restart forgets them; the incarnation in each
+/// ticket makes every older ticket unusable. Not thread safe.
 class TicketBook {
  public:
   explicit TicketBook(VmId self, TicketSettings settings = {});
 
-  /// Mints a ticket for a team. @param nonce Unique text, e.g. 16 random bytes in hexadecimal.
-  [[nodiscard]] Result<Ticket> Mint(std::string_view team, std::string nonce, TimeMs now);
-  /// Claims the one run. After success the caller must call `Finish` or `Release`.
-  [[nodiscard]] Result<void> Begin(const Ticket& ticket, std::string_view team, TimeMs now);
+  /// Mints a ticket for a team. @param nonce Unique text, e.g. 16 random bytes
+  /// in hexadecimal.
+  [[nodiscard]] Result<Ticket> Mint(std::string_view team, std::string nonce,
+                                    TimeMs now);
+  /// Claims the one run. After success the caller must call `Finish` or
+  /// `Release`.
+  [[nodiscard]] Result<void> Begin(const Ticket& ticket, std::string_view team,
+                                   TimeMs now);
   /// The run ended, whatever came of it.
   void Finish(std::string_view nonce);
   /// Nothing was sent: the ticket may be used again.
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -18,9 +18,12 @@
 constexpr Tokens kMinTokensToLearn = 100;
 constexpr std::size_t kNoEngine = std::numeric_limits<std::size_t>::max();
 
-std::int64_t PiecesOf(Tokens tokens) { return (tokens + kTokensPerPiece - 1) / kTokensPerPiece; }
+std::int64_t PiecesOf(Tokens tokens) {
+  return (tokens + kTokensPerPiece - 1) / kTokensPerPiece;
+}
 
-/// Prefix blocks that a prefill engine is believed to hold, least recently used first out.
+/// Prefix blocks that a prefill engine is believed to hold, least recently used
+/// first out.
 class PrefixCacheView {
  public:
   explicit PrefixCacheView(std::size_t max_blocks) : capacity(max_blocks) {}
@@ -42,24 +45,30 @@
   }
 
   /// Leading blocks of `prefix` that are held.
-  [[nodiscard]] std::size_t Match(const std::vector<std::uint64_t>& prefix) const {
-    const auto miss = std::ranges::find_if_not(
-        prefix, [this](std::uint64_t block) { return this->positions.contains(block); });
+  [[nodiscard]] std::size_t Match(
+      const std::vector<std::uint64_t>& prefix) const {
+    const auto miss =
+        std::ranges::find_if_not(prefix, [this](std::uint64_t block) {
+          return this->positions.contains(block);
+        });
     return static_cast<std::size_t>(miss - prefix.begin());
   }
 
  private:
   std::size_t capacity;
   std::list<std::uint64_t> order;
-  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> positions;
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+      positions;
 };
 
 struct EngineRow {
   CellEngine spec;
   bool configured = true;
-  bool usable = true;  ///< As of the last refresh: configured, staying and healthy.
+  bool usable =
+      true;  ///< As of the last refresh: configured, staying and healthy.
   std::int64_t reserved = 0;
-  std::int64_t foreign = 0;  ///< Pieces reported as held for others than this scheduler.
+  std::int64_t foreign =
+      0;  ///< Pieces reported as held for others than this scheduler.
   std::int64_t prefills = 0;
   TimeMs busy_until = 0;
   double prefill_ms_per_token = 0;
@@ -69,10 +78,12 @@
     return this->spec.pieces - this->reserved - this->foreign;
   }
   [[nodiscard]] bool Prefills() const {
-    return this->spec.role == PoolRole::kPrefill || this->spec.role == PoolRole::kMixed;
+    return this->spec.role == PoolRole::kPrefill ||
+           this->spec.role == PoolRole::kMixed;
   }
   [[nodiscard]] bool Decodes() const {
-    return this->spec.role == PoolRole::kDecode || this->spec.role == PoolRole::kMixed;
+    return this->spec.role == PoolRole::kDecode ||
+           this->spec.role == PoolRole::kMixed;
   }
   [[nodiscard]] DurationMs Backlog(TimeMs now) const {
     return std::max<DurationMs>(0, this->busy_until - now);
@@ -130,7 +141,8 @@
 }  // namespace
 
 std::ostream& operator<<(std::ostream& out, const Placement& placement) {
-  return out << placement.reservation << ": " << placement.prefill << " -> " << placement.decode;
+  return out << placement.reservation << ": " << placement.prefill << " -> "
+             << placement.decode;
 }
 
 struct CellScheduler::Tables {
@@ -144,25 +156,29 @@
   FairQueue queue;
   std::map<std::string, ReservationRow, std::less<>> reservations;
   std::unordered_map<std::string, std::string> reservation_of;  ///< By request.
-  std::map<std::string, CancelRow, std::less<>> cancels;        ///< By reservation.
-  std::unordered_set<std::string> finished;                     ///< Reservations ended lately.
-  std::deque<Due> finished_order;                               ///< By the time they ended.
-  /// When to look at a reservation's lease. A renewal leaves its old entry, which is put off
-  /// when its time comes.
+  std::map<std::string, CancelRow, std::less<>> cancels;  ///< By reservation.
+  std::unordered_set<std::string> finished;  ///< Reservations ended lately.
+  std::deque<Due> finished_order;            ///< By the time they ended.
+  /// When to look at a reservation's lease. A renewal leaves its old entry,
+  /// which is put off when its time comes.
   std::priority_queue<Due, std::vector<Due>, std::greater<>> expiries;
   EndpointHealth health;
   std::vector<CellCommand> commands;
 
-  void Refuse(const std::string& request_id, ErrorKind kind, std::string message) {
+  void Refuse(const std::string& request_id, ErrorKind kind,
+              std::string message) {
     this->waiting.erase(request_id);
-    this->commands.emplace_back(RefuseCommand{request_id, Error::Of(kind, std::move(message))});
+    this->commands.emplace_back(
+        RefuseCommand{request_id, Error::Of(kind, std::move(message))});
   }
 
-  // -- engines --------------------------------------------------------------------------------
+  // -- engines
+  // --------------------------------------------------------------------------------
 
   EngineRow* FindEngine(std::string_view address) {
     const auto row = this->engine_index.find(std::string(address));
-    return row == this->engine_index.end() ? nullptr : &this->engines[row->second];
+    return row == this->engine_index.end() ? nullptr
+                                           : &this->engines[row->second];
   }
 
   void ReindexEngines() {
@@ -186,7 +202,9 @@
     std::int64_t best_free = pieces - 1;
     for (std::size_t index = 0; index < this->engines.size(); ++index) {
       const EngineRow& engine = this->engines[index];
-      if (!engine.usable || !engine.Decodes() || engine.Free() <= best_free) continue;
+      if (!engine.usable || !engine.Decodes() || engine.Free() <= best_free) {
+        continue;
+      }
       if (IsExcluded(request, engine.spec.address)) continue;
       best = index;
       best_free = engine.Free();
@@ -194,8 +212,10 @@
     return best;
   }
 
-  /// Prefill engine with the least sum of queued work and own work, which cached blocks shorten.
-  void ChoosePrefill(const PlacementRequest& request, TimeMs now, Choice& choice) const {
+  /// Prefill engine with the least sum of queued work and own work, which
+  /// cached blocks shorten.
+  void ChoosePrefill(const PlacementRequest& request, TimeMs now,
+                     Choice& choice) const {
     double second_ms = std::numeric_limits<double>::max();
     choice.cost_ms = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < this->engines.size(); ++index) {
@@ -205,10 +225,11 @@
       if (backlog_ms > this->settings.max_prefill_backlog_ms) continue;
       if (IsExcluded(request, engine.spec.address)) continue;
       const Tokens cached = std::min<Tokens>(
-          static_cast<Tokens>(engine.cache.Match(request.prefix)) * kTokensPerPiece,
+          static_cast<Tokens>(engine.cache.Match(request.prefix)) *
+              kTokensPerPiece,
           std::max<Tokens>(0, request.prompt_tokens - 1));
-      const double own_ms =
-          engine.prefill_ms_per_token * static_cast<double>(request.prompt_tokens - cached);
+      const double own_ms = engine.prefill_ms_per_token *
+                            static_cast<double>(request.prompt_tokens - cached);
       const double cost_ms = own_ms + static_cast<double>(backlog_ms);
       if (cost_ms < choice.cost_ms) {
         choice.runner_up = choice.prefill;
@@ -224,10 +245,11 @@
     }
   }
 
-  [[nodiscard]] Choice Choose(const PlacementRequest& request, TimeMs now) const {
+  [[nodiscard]] Choice Choose(const PlacementRequest& request,
+                              TimeMs now) const {
     Choice choice;
-    choice.decode =
-        this->ChooseDecode(request, PiecesOf(request.prompt_tokens + request.max_tokens));
+    choice.decode = this->ChooseDecode(
+        request, PiecesOf(request.prompt_tokens + request.max_tokens));
     if (choice.decode != kNoEngine) this->ChoosePrefill(request, now, choice);
     return choice;
   }
@@ -242,7 +264,9 @@
   [[nodiscard]] std::int64_t LargestFree() const {
     std::int64_t largest = 0;
     std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
-      if (engine.usable && engine.Decodes()) largest = std::max(largest, engine.Free());
+      if (engine.usable && engine.Decodes()) {
+        largest = std::max(largest, engine.Free());
+      }
     });
     return largest;
   }
@@ -250,7 +274,9 @@
   [[nodiscard]] std::int64_t LargestEngine() const {
     std::int64_t largest = 0;
     std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
-      if (engine.configured && engine.Decodes()) largest = std::max(largest, engine.spec.pieces);
+      if (engine.configured && engine.Decodes()) {
+        largest = std::max(largest, engine.spec.pieces);
+      }
     });
     return largest;
   }
@@ -263,23 +289,30 @@
       sum += engine.prefill_ms_per_token;
       ++count;
     });
-    return count == 0 ? this->settings.prefill_ms_per_token : sum / static_cast<double>(count);
+    return count == 0 ? this->settings.prefill_ms_per_token
+                      : sum / static_cast<double>(count);
   }
 
-  // -- reservations ---------------------------------------------------------------------------
+  // -- reservations
+  // ---------------------------------------------------------------------------
 
   void Reserve(const std::string& id, ReservationRow row) {
-    if (EngineRow* engine = this->FindEngine(row.decode)) engine->reserved += row.pieces;
+    if (EngineRow* engine = this->FindEngine(row.decode)) {
+      engine->reserved += row.pieces;
+    }
     this->reservation_of.insert_or_assign(row.request_id, id);
     this->expiries.push(Due{row.expires_at, id});
     this->reservations.insert_or_assign(id, std::move(row));
   }
 
-  std::optional<ReservationRow> TakeReservation(std::string_view id, TimeMs now) {
+  std::optional<ReservationRow> TakeReservation(std::string_view id,
+                                                TimeMs now) {
     const auto found = this->reservations.find(id);
     if (found == this->reservations.end()) return std::nullopt;
     ReservationRow row = std::move(found->second);
-    if (EngineRow* engine = this->FindEngine(row.decode)) engine->reserved -= row.pieces;
+    if (EngineRow* engine = this->FindEngine(row.decode)) {
+      engine->reserved -= row.pieces;
+    }
     const auto current = this->reservation_of.find(row.request_id);
     if (current != this->reservation_of.end() && current->second == id) {
       this->reservation_of.erase(current);
@@ -300,12 +333,14 @@
     if (engine->prefills == 0) engine->busy_until = now;
   }
 
-  void Cancel(std::string_view id, const std::string& engine, const std::string& request_id,
-              bool orphan, TimeMs now) {
-    this->cancels.try_emplace(std::string(id), CancelRow{engine, request_id, orphan, now, now});
+  void Cancel(std::string_view id, const std::string& engine,
+              const std::string& request_id, bool orphan, TimeMs now) {
+    this->cancels.try_emplace(std::string(id),
+                              CancelRow{engine, request_id, orphan, now, now});
   }
 
-  // -- systems: each runs once a tick ---------------------------------------------------------
+  // -- systems: each runs once a tick
+  // ---------------------------------------------------------
 
   void ExpireReservations(TimeMs now) {
     while (!this->expiries.empty() && this->expiries.top().at <= now) {
@@ -338,7 +373,8 @@
       if (largest_free <= 0) return;
       Choice choice;
       const auto item = this->queue.PopFirst([&](const QueueItem& candidate) {
-        // The cost of an item is its tokens, so most heads are judged without a look-up.
+        // The cost of an item is its tokens, so most heads are judged without a
+        // look-up.
         if (PiecesOf(candidate.cost) > largest_free) return false;
         choice = this->Choose(this->waiting.at(candidate.id).request, now);
         return choice.Complete();
@@ -353,31 +389,41 @@
     const WaitingRow row = std::move(found->second);
     this->waiting.erase(found);
     const PlacementRequest& request = row.request;
-    const std::int64_t pieces = PiecesOf(request.prompt_tokens + request.max_tokens);
+    const std::int64_t pieces =
+        PiecesOf(request.prompt_tokens + request.max_tokens);
     EngineRow& decode = this->engines[choice.decode];
     EngineRow& prefill = this->engines[choice.prefill];
-    const std::string id = this->owner + "-" + std::to_string(this->next_reservation++);
-
-    Placement placement{id, prefill.spec.address, decode.spec.address, {}, pieces,
-                        choice.cached_tokens, now - row.submitted_at, this->settings.lease_ms,
+    const std::string id =
+        this->owner + "-" + std::to_string(this->next_reservation++);
+
+    Placement placement{id,
+                        prefill.spec.address,
+                        decode.spec.address,
+                        {},
+                        pieces,
+                        choice.cached_tokens,
+                        now - row.submitted_at,
+                        this->settings.lease_ms,
                         {}};
     if (choice.runner_up != kNoEngine) {
       placement.runner_up = this->engines[choice.runner_up].spec.address;
     }
     placement.reason = "least prefill cost " +
-                       std::to_string(static_cast<DurationMs>(choice.cost_ms)) + " ms with " +
-                       std::to_string(choice.cached_tokens) +
-                       " cached tokens; most free memory " + std::to_string(decode.Free()) +
-                       " pieces";
-    this->Reserve(id, ReservationRow{request_id, decode.spec.address, prefill.spec.address, pieces,
-                                     now + this->settings.lease_ms,
-                                     request.prompt_tokens - choice.cached_tokens, true});
+                       std::to_string(static_cast<DurationMs>(choice.cost_ms)) +
+                       " ms with " + std::to_string(choice.cached_tokens) +
+                       " cached tokens; most free memory " +
+                       std::to_string(decode.Free()) + " pieces";
+    this->Reserve(id, ReservationRow{
+                          request_id, decode.spec.address, prefill.spec.address,
+                          pieces, now + this->settings.lease_ms,
+                          request.prompt_tokens - choice.cached_tokens, true});
     this->health.OnChosen(decode.spec.address, now);
     this->health.OnChosen(prefill.spec.address, now);
     prefill.busy_until = std::max(now, prefill.busy_until) + choice.prefill_ms;
     ++prefill.prefills;
-    std::ranges::for_each(request.prefix,
-                          [&prefill](std::uint64_t block) { prefill.cache.Add(block); });
+    std::ranges::for_each(request.prefix, [&prefill](std::uint64_t block) {
+      prefill.cache.Add(block);
+    });
     this->commands.emplace_back(PlaceCommand{request_id, std::move(placement)});
   }
 
@@ -404,7 +450,8 @@
   }
 };
 
-CellScheduler::CellScheduler(std::string cell_name, std::string owner, CellSettings settings)
+CellScheduler::CellScheduler(std::string cell_name, std::string owner,
+                             CellSettings settings)
     : tables(std::make_unique<Tables>()) {
   this->tables->name = std::move(cell_name);
   this->tables->owner = std::move(owner);
@@ -415,16 +462,19 @@
 CellScheduler::CellScheduler(CellScheduler&&) noexcept = default;
 CellScheduler& CellScheduler::operator=(CellScheduler&&) noexcept = default;
 
-void CellScheduler::Configure(const std::vector<CellEngine>& engines, TimeMs now) {
+void CellScheduler::Configure(const std::vector<CellEngine>& engines,
+                              TimeMs now) {
   Tables& state = *this->tables;
-  std::ranges::for_each(state.engines, [](EngineRow& row) { row.configured = false; });
+  std::ranges::for_each(state.engines,
+                        [](EngineRow& row) { row.configured = false; });
   std::ranges::for_each(engines, [&](const CellEngine& spec) {
     if (EngineRow* known = state.FindEngine(spec.address)) {
       known->spec = spec;
       known->configured = true;
       return;
     }
-    EngineRow row{.spec = spec, .cache = PrefixCacheView(state.settings.cache_blocks)};
+    EngineRow row{.spec = spec,
+                  .cache = PrefixCacheView(state.settings.cache_blocks)};
     row.busy_until = now;
     row.prefill_ms_per_token = state.settings.prefill_ms_per_token;
     state.engine_index.emplace(spec.address, state.engines.size());
@@ -440,9 +490,12 @@
 void CellScheduler::Submit(PlacementRequest request, TimeMs now) {
   Tables& state = *this->tables;
   const std::string id = request.request_id;
-  const std::int64_t pieces = PiecesOf(request.prompt_tokens + request.max_tokens);
+  const std::int64_t pieces =
+      PiecesOf(request.prompt_tokens + request.max_tokens);
   const std::int64_t largest = state.LargestEngine();
-  if (largest == 0) return state.Refuse(id, ErrorKind::kNoEndpoint, "the pool has no engine");
+  if (largest == 0) {
+    return state.Refuse(id, ErrorKind::kNoEndpoint, "the pool has no engine");
+  }
   if (pieces > largest) {
     return state.Refuse(id, ErrorKind::kBodyTooLarge,
                         "the request needs " + std::to_string(pieces) +
@@ -450,17 +503,19 @@
                             std::to_string(largest));
   }
   if (state.queue.Size() >= state.settings.max_queue) {
-    return state.Refuse(id, ErrorKind::kCapacity, "too many requests are waiting");
+    return state.Refuse(id, ErrorKind::kCapacity,
+                        "too many requests are waiting");
   }
-  const double prefill_ms =
-      state.MeanPrefillMsPerToken() * static_cast<double>(request.prompt_tokens);
+  const double prefill_ms = state.MeanPrefillMsPerToken() *
+                            static_cast<double>(request.prompt_tokens);
   const TimeMs deadline = now + request.budget_ms;
-  const TimeMs latest_start = request.serve_late
-                                  ? std::numeric_limits<TimeMs>::max()
-                                  : std::max(now, deadline - static_cast<DurationMs>(prefill_ms));
+  const TimeMs latest_start =
+      request.serve_late
+          ? std::numeric_limits<TimeMs>::max()
+          : std::max(now, deadline - static_cast<DurationMs>(prefill_ms));
   state.queue.Push(QueueItem{id, request.team, request.weight,
-                             request.prompt_tokens + request.max_tokens, deadline,
-                             latest_start});
+                             request.prompt_tokens + request.max_tokens,
+                             deadline, latest_start});
   state.waiting.insert_or_assign(id, WaitingRow{std::move(request), now});
 }
 
@@ -486,23 +541,26 @@
     }
     // One that lapsed or ended here must not come back through a late renewal.
     if (state.finished.contains(renewal.reservation)) return;
-    state.Reserve(renewal.reservation,
-                  ReservationRow{renewal.request_id, renewal.engine, "", renewal.pieces,
-                                 now + state.settings.lease_ms, 0, false});
+    state.Reserve(
+        renewal.reservation,
+        ReservationRow{renewal.request_id, renewal.engine, "", renewal.pieces,
+                       now + state.settings.lease_ms, 0, false});
   });
 }
 
-void CellScheduler::PrefillDone(std::string_view reservation, DurationMs measured_ms,
-                                TimeMs now) {
+void CellScheduler::PrefillDone(std::string_view reservation,
+                                DurationMs measured_ms, TimeMs now) {
   Tables& state = *this->tables;
   const auto found = state.reservations.find(reservation);
   if (found == state.reservations.end()) return;
   ReservationRow& row = found->second;
   EngineRow* engine = state.FindEngine(row.prefill);
-  if (engine != nullptr && row.prefilling && row.uncached_tokens >= kMinTokensToLearn) {
+  if (engine != nullptr && row.prefilling &&
+      row.uncached_tokens >= kMinTokensToLearn) {
     const double sample = static_cast<double>(measured_ms) /
                           static_cast<double>(row.uncached_tokens);
-    engine->prefill_ms_per_token += kLearningRate * (sample - engine->prefill_ms_per_token);
+    engine->prefill_ms_per_token +=
+        kLearningRate * (sample - engine->prefill_ms_per_token);
   }
   state.EndPrefill(row, now);
 }
@@ -524,7 +582,8 @@
   if (row != this->tables->cancels.end()) this->tables->cancels.erase(row);
 }
 
-void CellScheduler::Report(std::string_view address, const EngineLoad& load, TimeMs now) {
+void CellScheduler::Report(std::string_view address, const EngineLoad& load,
+                           TimeMs now) {
   Tables& state = *this->tables;
   EngineRow* engine = state.FindEngine(address);
   if (engine == nullptr) return;
@@ -534,7 +593,8 @@
     if (state.finished.contains(held.attempt)) return;
     engine->foreign += held.pieces;
     if (held.detached_ms >= state.settings.orphan_grace_ms) {
-      state.Cancel(held.attempt, std::string(address), held.request_id, true, now);
+      state.Cancel(held.attempt, std::string(address), held.request_id, true,
+                   now);
     }
   });
 }
@@ -567,19 +627,24 @@
   this->tables->RefreshUsable(now);
   std::ranges::transform(this->tables->engines, std::back_inserter(views),
                          [now](const EngineRow& engine) {
-                           return EngineView{engine.spec.address, engine.spec.role,
-                                             engine.spec.pieces, engine.reserved,
-                                             engine.Backlog(now), engine.usable};
+                           return EngineView{
+                               engine.spec.address, engine.spec.role,
+                               engine.spec.pieces,  engine.reserved,
+                               engine.Backlog(now), engine.usable};
                          });
   return views;
 }
 
-std::size_t CellScheduler::QueueLength() const noexcept { return this->tables->queue.Size(); }
+std::size_t CellScheduler::QueueLength() const noexcept {
+  return this->tables->queue.Size();
+}
 
 std::size_t CellScheduler::Reservations() const noexcept {
   return this->tables->reservations.size();
 }
 
-const std::string& CellScheduler::Name() const noexcept { return this->tables->name; }
+const std::string& CellScheduler::Name() const noexcept {
+  return this->tables->name;
+}
 
 }  // namespace limpethaven
--- a/src/core/cells.cc
+++ b/src/core/cells.cc
@@ -8,16 +8,18 @@
 namespace limpethaven {
 namespace {
 
-std::vector<CellEngine> EnginesOf(const Configuration& config, const RouteSpec& route) {
+std::vector<CellEngine> EnginesOf(const Configuration& config,
+                                  const RouteSpec& route) {
   std::vector<CellEngine> engines;
   const auto add = [&](const std::string& pool_name) {
     const auto pool = config.pools.find(pool_name);
     if (pool == config.pools.end()) return;
     std::ranges::transform(pool->second.endpoints, std::back_inserter(engines),
                            [&](const EndpointSpec& endpoint) {
-                             return CellEngine{endpoint.address, endpoint.data_centre,
-                                               pool->second.role, pool->second.memory_pieces,
-                                               endpoint.leaving};
+                             return CellEngine{
+                                 endpoint.address, endpoint.data_centre,
+                                 pool->second.role, pool->second.memory_pieces,
+                                 endpoint.leaving};
                            });
   };
   add(route.prefill_pool);
@@ -30,8 +32,9 @@
 
 std::string MainDataCentre(const std::vector<CellEngine>& engines) {
   std::map<std::string, std::size_t> counts;
-  std::ranges::for_each(engines,
-                        [&counts](const CellEngine& engine) { ++counts[engine.data_centre]; });
+  std::ranges::for_each(engines, [&counts](const CellEngine& engine) {
+    ++counts[engine.data_centre];
+  });
   const auto largest = std::ranges::max_element(
       counts, {}, [](const auto& entry) { return entry.second; });
   return largest == counts.end() ? std::string() : largest->first;
@@ -39,14 +42,15 @@
 
 }  // namespace
 
-std::vector<CellSpec> BuildCells(const Configuration& config, std::size_t max_engines) {
+std::vector<CellSpec> BuildCells(const Configuration& config,
+                                 std::size_t max_engines) {
   std::vector<CellSpec> cells;
   std::ranges::for_each(config.routes, [&](const auto& entry) {
     const RouteSpec& route = entry.second;
     if (route.model.empty()) return;
     const std::vector<CellEngine> engines = EnginesOf(config, route);
-    const std::size_t count =
-        std::max<std::size_t>(1, (engines.size() + max_engines - 1) / max_engines);
+    const std::size_t count = std::max<std::size_t>(
+        1, (engines.size() + max_engines - 1) / max_engines);
     std::vector<CellSpec> parts(count);
     for (std::size_t index = 0; index < engines.size(); ++index) {
       parts[index % count].engines.push_back(engines[index]);
@@ -61,8 +65,10 @@
   return cells;
 }
 
-std::vector<std::string> CellOrder(std::span<const CellSpec> cells, std::string_view model,
-                                   std::uint64_t prefix_hash, std::size_t count) {
+std::vector<std::string> CellOrder(std::span<const CellSpec> cells,
+                                   std::string_view model,
+                                   std::uint64_t prefix_hash,
+                                   std::size_t count) {
   std::vector<std::string> names;
   std::ranges::for_each(cells, [&](const CellSpec& cell) {
     if (cell.model == model) names.push_back(cell.name);
--- a/src/core/clock.cc
+++ b/src/core/clock.cc
@@ -13,8 +13,12 @@
 
 }  // namespace
 
-TimeMs SystemClock::Now() const noexcept { return MillisecondsOf<std::chrono::steady_clock>(); }
+TimeMs SystemClock::Now() const noexcept {
+  return MillisecondsOf<std::chrono::steady_clock>();
+}
 
-TimeMs SystemClock::WallNow() const noexcept { return MillisecondsOf<std::chrono::system_clock>(); }
+TimeMs SystemClock::WallNow() const noexcept {
+  return MillisecondsOf<std::chrono::system_clock>();
+}
 
 }  // namespace limpethaven
--- a/src/core/config_codec.cc
+++ b/src/core/config_codec.cc
@@ -9,11 +9,13 @@
 
 namespace limpethaven {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamSpec, name, rate_tokens_per_s, burst_tokens, weight)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamSpec, name, rate_tokens_per_s,
+                                   burst_tokens, weight)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeySpec, sha256, team)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndpointSpec, address, data_centre, leaving)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RouteSpec, path, model, prefill_pool, decode_pool, pool,
-                                   repeatable, open, first_token_ms, token_gap_ms, serve_late)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RouteSpec, path, model, prefill_pool,
+                                   decode_pool, pool, repeatable, open,
+                                   first_token_ms, token_gap_ms, serve_late)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LinkSpec, from, to, mbytes_per_s)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetSpec, share_slots)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GoalSpec, pool, model, model_version)
@@ -22,14 +24,16 @@
                                         {PoolRole::kPrefill, "prefill"},
                                         {PoolRole::kDecode, "decode"},
                                         {PoolRole::kMixed, "mixed"}})
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolSpec, name, role, model, memory_pieces, checks_fencing,
-                                   endpoints)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolSpec, name, role, model, memory_pieces,
+                                   checks_fencing, endpoints)
 
 namespace {
 
 using nlohmann::json;
 
-void to_json(json& out, const Entity& entity) { out = json::array({entity.key, entity.value}); }
+void to_json(json& out, const Entity& entity) {
+  out = json::array({entity.key, entity.value});
+}
 
 void from_json(const json& in, Entity& entity) {
   entity.key = in.at(0).get<std::string>();
@@ -48,11 +52,12 @@
 
 std::vector<Entity> EntitiesFrom(const json& list) {
   std::vector<Entity> entities;
-  std::ranges::transform(list, std::back_inserter(entities), [](const json& row) {
-    Entity entity;
-    from_json(row, entity);
-    return entity;
-  });
+  std::ranges::transform(list, std::back_inserter(entities),
+                         [](const json& row) {
+                           Entity entity;
+                           from_json(row, entity);
+                           return entity;
+                         });
   return entities;
 }
 
@@ -64,7 +69,8 @@
 }
 
 ConfigChange ChangeFrom(const json& in) {
-  return ConfigChange{in.at("version").get<std::uint64_t>(), in.at("digest").get<std::string>(),
+  return ConfigChange{in.at("version").get<std::uint64_t>(),
+                      in.at("digest").get<std::string>(),
                       EntitiesFrom(in.at("upserts")),
                       in.at("removals").get<std::vector<std::string>>()};
 }
@@ -76,16 +82,18 @@
   try {
     return read(json::parse(text));
   } catch (const json::exception& fault) {
-    return Error::Of(ErrorKind::kConfigInvalid, std::string(what) + ": " + fault.what());
+    return Error::Of(ErrorKind::kConfigInvalid,
+                     std::string(what) + ": " + fault.what());
   }
 }
 
 template <typename T>
 void EncodeTable(std::string_view prefix, const NamedTable<T>& table,
                  std::vector<Entity>& entities) {
-  std::ranges::transform(table, std::back_inserter(entities), [prefix](const auto& row) {
-    return Entity{std::string(prefix) + row.first, json(row.second).dump()};
-  });
+  std::ranges::transform(
+      table, std::back_inserter(entities), [prefix](const auto& row) {
+        return Entity{std::string(prefix) + row.first, json(row.second).dump()};
+      });
 }
 
 /// Calls `visit(table, name)` with the table that holds entities of this key.
@@ -104,7 +112,9 @@
   return true;
 }
 
-std::size_t ChunkOf(std::string_view key) { return StableHash(key) % kChunkCount; }
+std::size_t ChunkOf(std::string_view key) {
+  return StableHash(key) % kChunkCount;
+}
 
 }  // namespace
 
@@ -125,12 +135,14 @@
     this->chunks[index].erase(key);
     touched.insert(index);
   });
-  std::ranges::for_each(touched, [this](std::size_t index) { this->Rehash(index); });
+  std::ranges::for_each(touched,
+                        [this](std::size_t index) { this->Rehash(index); });
 }
 
 std::string EntityTable::Digest() const {
   std::string all;
-  std::ranges::for_each(this->digests, [&all](const std::string& digest) { all += digest; });
+  std::ranges::for_each(this->digests,
+                        [&all](const std::string& digest) { all += digest; });
   return Sha256Hex(all);
 }
 
@@ -149,9 +161,10 @@
 std::vector<Entity> EntityTable::All() const {
   std::vector<Entity> entities;
   std::ranges::for_each(this->chunks, [&entities](const Chunk& chunk) {
-    std::ranges::transform(chunk, std::back_inserter(entities), [](const auto& row) {
-      return Entity{row.first, row.second};
-    });
+    std::ranges::transform(chunk, std::back_inserter(entities),
+                           [](const auto& row) {
+                             return Entity{row.first, row.second};
+                           });
   });
   return entities;
 }
@@ -197,24 +210,28 @@
       config.fleet = value.get<FleetSpec>();
       return Success();
     }
-    VisitTable(config, entity.key, [&value](auto& table, const std::string& name) {
-      using Spec = typename std::decay_t<decltype(table)>::mapped_type;
-      table.insert_or_assign(name, value.template get<Spec>());
-    });
+    VisitTable(
+        config, entity.key, [&value](auto& table, const std::string& name) {
+          using Spec = typename std::decay_t<decltype(table)>::mapped_type;
+          table.insert_or_assign(name, value.template get<Spec>());
+        });
   } catch (const json::exception& fault) {
-    return Error::Of(ErrorKind::kConfigInvalid, "entity " + entity.key + ": " + fault.what());
+    return Error::Of(ErrorKind::kConfigInvalid,
+                     "entity " + entity.key + ": " + fault.what());
   }
   return Success();
 }
 
 void RemoveEntity(Configuration& config, std::string_view key) {
-  VisitTable(config, key, [](auto& table, const std::string& name) { table.erase(name); });
+  VisitTable(config, key,
+             [](auto& table, const std::string& name) { table.erase(name); });
 }
 
 std::string EncodeHead(const ConfigHead& head) {
   json changes = json::array();
-  std::ranges::for_each(head.changes,
-                        [&](const ConfigChange& change) { changes.push_back(ToJson(change)); });
+  std::ranges::for_each(head.changes, [&](const ConfigChange& change) {
+    changes.push_back(ToJson(change));
+  });
   return json{{"version", head.version},
               {"digest", head.digest},
               {"chunks", head.chunks},
@@ -224,14 +241,19 @@
 
 Result<ConfigHead> DecodeHead(std::string_view text) {
   return Decode(text, "configuration head", [](const json& in) {
-    ConfigHead head{in.at("version").get<std::uint64_t>(), in.at("digest").get<std::string>(),
-                    in.at("chunks").get<std::vector<std::string>>(), {}};
-    std::ranges::transform(in.at("changes"), std::back_inserter(head.changes), ChangeFrom);
+    ConfigHead head{in.at("version").get<std::uint64_t>(),
+                    in.at("digest").get<std::string>(),
+                    in.at("chunks").get<std::vector<std::string>>(),
+                    {}};
+    std::ranges::transform(in.at("changes"), std::back_inserter(head.changes),
+                           ChangeFrom);
     return head;
   });
 }
 
-std::string EncodeChange(const ConfigChange& change) { return ToJson(change).dump(); }
+std::string EncodeChange(const ConfigChange& change) {
+  return ToJson(change).dump();
+}
 
 Result<ConfigChange> DecodeChange(std::string_view text) {
   return Decode(text, "configuration change", ChangeFrom);
--- a/src/core/config_follower.cc
+++ b/src/core/config_follower.cc
@@ -13,16 +13,21 @@
 
 }  // namespace
 
-ConfigFollower::ConfigFollower() : current(std::make_shared<const Configuration>()) {}
+ConfigFollower::ConfigFollower()
+    : current(std::make_shared<const Configuration>()) {}
 
-OfferOutcome ConfigFollower::Judge(std::uint64_t version, std::string_view digest) const {
+OfferOutcome ConfigFollower::Judge(std::uint64_t version,
+                                   std::string_view digest) const {
   if (version > this->current->version) return OfferOutcome::kNeedPull;
   if (version < this->current->version) return OfferOutcome::kOlder;
-  if (version == 0 || digest == this->current->digest) return OfferOutcome::kAlreadyHave;
+  if (version == 0 || digest == this->current->digest) {
+    return OfferOutcome::kAlreadyHave;
+  }
   return OfferOutcome::kConflict;
 }
 
-Result<void> ConfigFollower::ApplyChanges(const std::vector<ConfigChange>& changes) {
+Result<void> ConfigFollower::ApplyChanges(
+    const std::vector<ConfigChange>& changes) {
   EntityTable next = this->table;
   Configuration config = *this->current;
   std::uint64_t version = this->current->version;
@@ -31,28 +36,32 @@
   for (const ConfigChange& change : changes) {
     if (change.version <= version) continue;
     if (change.version != version + 1) {
-      return Fault("change " + std::to_string(change.version) + " does not follow version " +
-                   std::to_string(version));
+      return Fault("change " + std::to_string(change.version) +
+                   " does not follow version " + std::to_string(version));
     }
     next.Apply(change.upserts, change.removals);
     for (const Entity& entity : change.upserts) {
-      const auto outcome = ApplyEntity(config, entity);
+      auto outcome = ApplyEntity(config, entity);
       if (!outcome) return outcome;
     }
-    std::ranges::for_each(change.removals,
-                          [&config](const std::string& key) { RemoveEntity(config, key); });
+    std::ranges::for_each(change.removals, [&config](const std::string& key) {
+      RemoveEntity(config, key);
+    });
     version = change.version;
     digest = change.digest;
     applied.push_back(change);
   }
   if (applied.empty()) return Success();
-  const auto outcome = this->Adopt(std::move(next), std::move(config), version, digest);
+  auto outcome =
+      this->Adopt(std::move(next), std::move(config), version, digest);
   if (!outcome) return outcome;
-  std::ranges::for_each(applied, [this](const ConfigChange& change) { this->Remember(change); });
+  std::ranges::for_each(
+      applied, [this](const ConfigChange& change) { this->Remember(change); });
   return Success();
 }
 
-Result<void> ConfigFollower::ApplyWhole(std::uint64_t version, std::string_view digest,
+Result<void> ConfigFollower::ApplyWhole(std::uint64_t version,
+                                        std::string_view digest,
                                         const std::vector<Entity>& entities) {
   if (version <= this->current->version) {
     return Fault("version " + std::to_string(version) + " is not newer than " +
@@ -62,20 +71,25 @@
   next.Apply(entities, {});
   Configuration config;
   for (const Entity& entity : entities) {
-    const auto outcome = ApplyEntity(config, entity);
+    auto outcome = ApplyEntity(config, entity);
     if (!outcome) return outcome;
   }
-  const auto outcome = this->Adopt(std::move(next), std::move(config), version, digest);
+  auto outcome =
+      this->Adopt(std::move(next), std::move(config), version, digest);
   if (outcome) this->recent.clear();
   return outcome;
 }
 
-std::vector<ConfigChange> ConfigFollower::ChangesAfter(std::uint64_t version) const {
-  const auto first = std::ranges::find(this->recent, version + 1, &ConfigChange::version);
+std::vector<ConfigChange> ConfigFollower::ChangesAfter(
+    std::uint64_t version) const {
+  const auto first =
+      std::ranges::find(this->recent, version + 1, &ConfigChange::version);
   return std::vector<ConfigChange>(first, this->recent.end());
 }
 
-std::vector<Entity> ConfigFollower::Entities() const { return this->table.All(); }
+std::vector<Entity> ConfigFollower::Entities() const {
+  return this->table.All();
+}
 
 const std::vector<std::string>& ConfigFollower::ChunkDigests() const noexcept {
   return this->table.ChunkDigests();
@@ -85,12 +99,13 @@
   return this->current;
 }
 
-Result<void> ConfigFollower::Adopt(EntityTable next, Configuration config, std::uint64_t version,
+Result<void> ConfigFollower::Adopt(EntityTable next, Configuration config,
+                                   std::uint64_t version,
                                    std::string_view digest) {
   const std::string actual = next.Digest();
   if (actual != digest) {
-    return Fault("version " + std::to_string(version) + " has digest " + actual + ", expected " +
-                 std::string(digest));
+    return Fault("version " + std::to_string(version) + " has digest " +
+                 actual + ", expected " + std::string(digest));
   }
   config.version = version;
   config.digest = actual;
--- a/src/core/config_model.cc
+++ b/src/core/config_model.cc
@@ -7,16 +7,19 @@
 namespace limpethaven {
 namespace {
 
-constexpr std::array<std::string_view, 4> kRoleNames = {"prefill", "decode", "mixed", "service"};
+constexpr std::array<std::string_view, 4> kRoleNames = {"prefill", "decode",
+                                                        "mixed", "service"};
 
 bool IsPathPrefix(std::string_view prefix, std::string_view path) {
   if (!path.starts_with(prefix)) return false;
-  return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
+  return path.size() == prefix.size() || prefix.ends_with('/') ||
+         path[prefix.size()] == '/';
 }
 
 }  // namespace
 
-const TeamSpec* Configuration::FindTeamByKeyDigest(std::string_view sha256) const {
+const TeamSpec* Configuration::FindTeamByKeyDigest(
+    std::string_view sha256) const {
   const auto key = this->keys.find(sha256);
   if (key == this->keys.end()) return nullptr;
   const auto team = this->teams.find(key->second.team);
@@ -29,7 +32,8 @@
 }
 
 const RouteSpec* Configuration::FindServiceRoute(std::string_view path) const {
-  // Walks from the longest possible prefix to the shortest, one path segment at a time.
+  // Walks from the longest possible prefix to the shortest, one path segment at
+  // a time.
   std::string_view prefix = path;
   while (!prefix.empty()) {
     const auto route = this->routes.find(prefix);
@@ -39,12 +43,14 @@
     }
     const auto slash = prefix.rfind('/');
     if (slash == std::string_view::npos) break;
-    prefix = slash + 1 == prefix.size() ? prefix.substr(0, slash) : prefix.substr(0, slash + 1);
+    prefix = slash + 1 == prefix.size() ? prefix.substr(0, slash)
+                                        : prefix.substr(0, slash + 1);
   }
   return nullptr;
 }
 
-std::int64_t Configuration::LinkRate(std::string_view from, std::string_view to) const {
+std::int64_t Configuration::LinkRate(std::string_view from,
+                                     std::string_view to) const {
   const auto link = this->links.find(std::string(from) + ">" + std::string(to));
   return link == this->links.end() ? 0 : link->second.mbytes_per_s;
 }
@@ -60,8 +66,9 @@
 }
 
 std::ostream& operator<<(std::ostream& out, const TeamSpec& team) {
-  return out << team.name << " rate=" << team.rate_tokens_per_s << "tokens/s burst="
-             << team.burst_tokens << "tokens weight=" << team.weight;
+  return out << team.name << " rate=" << team.rate_tokens_per_s
+             << "tokens/s burst=" << team.burst_tokens
+             << "tokens weight=" << team.weight;
 }
 
 std::ostream& operator<<(std::ostream& out, const EndpointSpec& endpoint) {
@@ -69,7 +76,8 @@
 }
 
 std::ostream& operator<<(std::ostream& out, const RouteSpec& route) {
-  return out << route.path << (route.model.empty() ? "" : " model=") << route.model;
+  return out << route.path << (route.model.empty() ? "" : " model=")
+             << route.model;
 }
 
 }  // namespace limpethaven
--- a/src/core/crypto.cc
+++ b/src/core/crypto.cc
@@ -38,8 +38,8 @@
 Digest HmacDigest(std::string_view secret, std::string_view data) {
   Digest digest{};
   unsigned int length = digest.size();
-  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), BytesOf(data), data.size(),
-       digest.data(), &length);
+  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+       BytesOf(data), data.size(), digest.data(), &length);
   return digest;
 }
 
@@ -90,7 +90,9 @@
       text += kBase64Alphabet[(window >> static_cast<unsigned>(bits)) & 63U];
     }
   }
-  if (bits > 0) text += kBase64Alphabet[(window << static_cast<unsigned>(6 - bits)) & 63U];
+  if (bits > 0) {
+    text += kBase64Alphabet[(window << static_cast<unsigned>(6 - bits)) & 63U];
+  }
   return text;
 }
 
@@ -120,9 +122,12 @@
 std::string VerifyText(std::string_view secret, std::string_view text) {
   const auto dot = text.rfind('.');
   if (dot == std::string_view::npos) return {};
-  const std::string payload = Base64UrlDecode(text.substr(0, dot));
-  const std::string expected = HmacSha256Hex(secret, payload).substr(0, kSignatureDigits);
-  if (payload.empty() || !ConstantTimeEqual(expected, text.substr(dot + 1))) return {};
+  std::string payload = Base64UrlDecode(text.substr(0, dot));
+  const std::string expected =
+      HmacSha256Hex(secret, payload).substr(0, kSignatureDigits);
+  if (payload.empty() || !ConstantTimeEqual(expected, text.substr(dot + 1))) {
+    return {};
+  }
   return payload;
 }
 
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -14,8 +14,8 @@
   const bool probe_failed = row.ejections > 0 && now >= row.ejected_until;
   if (row.failures < this->settings.eject_at && !probe_failed) return false;
   const std::int64_t doublings = std::min<std::int64_t>(row.ejections, 16);
-  const DurationMs length =
-      std::min(this->settings.max_eject_ms, this->settings.eject_ms << doublings);
+  const DurationMs length = std::min(this->settings.max_eject_ms,
+                                     this->settings.eject_ms << doublings);
   row.ejected_until = now + length;
   ++row.ejections;
   row.failures = 0;
@@ -27,7 +27,9 @@
   if (row == this->rows.end()) return false;
   this->Decay(row->second, now);
   // A late success from before the ejection proves nothing about now.
-  if (row->second.ejections == 0 || now < row->second.ejected_until) return false;
+  if (row->second.ejections == 0 || now < row->second.ejected_until) {
+    return false;
+  }
   this->rows.erase(row);
   return true;
 }
@@ -40,12 +42,14 @@
 void EndpointHealth::OnChosen(std::string_view address, TimeMs now) {
   const auto row = this->rows.find(std::string(address));
   if (row == this->rows.end() || row->second.ejections == 0) return;
-  row->second.ejected_until = std::max(row->second.ejected_until, now + this->settings.eject_ms);
+  row->second.ejected_until =
+      std::max(row->second.ejected_until, now + this->settings.eject_ms);
 }
 
 void EndpointHealth::Decay(Row& row, TimeMs now) const {
-  const double half_lives = static_cast<double>(std::max<DurationMs>(0, now - row.updated_at)) /
-                            static_cast<double>(this->settings.half_life_ms);
+  const double half_lives =
+      static_cast<double>(std::max<DurationMs>(0, now - row.updated_at)) /
+      static_cast<double>(this->settings.half_life_ms);
   row.failures *= std::exp2(-half_lives);
   row.updated_at = now;
 }
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -38,8 +38,9 @@
       const Turn taken = turn;
       this->turns.erase(taken);
       this->virtual_time = std::max(this->virtual_time, taken.start_tag);
-      team.start_tag = taken.start_tag + static_cast<double>(entry.item.cost) /
-                                             static_cast<double>(entry.item.weight);
+      team.start_tag =
+          taken.start_tag + static_cast<double>(entry.item.cost) /
+                                static_cast<double>(entry.item.weight);
       this->turns.insert(Turn{team.start_tag, taken.team});
       return this->Take(id);
     }
@@ -73,10 +74,13 @@
   this->entries.erase(found);
   this->late.erase(Late{entry.item.latest_start, entry.item.id});
   TeamRow& team = this->teams.at(entry.item.team);
-  team.waiting.erase(Waiting{entry.item.deadline, entry.sequence, entry.item.id});
+  team.waiting.erase(
+      Waiting{entry.item.deadline, entry.sequence, entry.item.id});
   if (team.waiting.empty()) {
     this->turns.erase(Turn{team.start_tag, entry.item.team});
-    if (team.start_tag <= this->virtual_time) this->teams.erase(entry.item.team);
+    if (team.start_tag <= this->virtual_time) {
+      this->teams.erase(entry.item.team);
+    }
   }
   this->queued_tokens -= entry.item.cost;
   return entry.item;
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -15,21 +15,24 @@
 constexpr std::size_t kUpdateFields = 5;
 
 json ToJson(const MemberUpdate& update) {
-  return json::array({update.address, update.data_centre, update.incarnation, update.refutation,
-                      static_cast<int>(update.state)});
+  return json::array({update.address, update.data_centre, update.incarnation,
+                      update.refutation, static_cast<int>(update.state)});
 }
 
 template <typename EnumType>
 EnumType EnumFrom(const json& in, EnumType last) {
   const int value = in.get<int>();
-  if (value < 0 || value > static_cast<int>(last)) throw std::out_of_range("enum");
+  if (value < 0 || value > static_cast<int>(last)) {
+    throw std::out_of_range("enum");
+  }
   return static_cast<EnumType>(value);
 }
 
 MemberUpdate UpdateFrom(const json& in) {
   if (in.size() != kUpdateFields) throw std::out_of_range("update");
   return MemberUpdate{in.at(0).get<std::string>(), in.at(1).get<std::string>(),
-                      in.at(2).get<std::uint64_t>(), in.at(3).get<std::uint64_t>(),
+                      in.at(2).get<std::uint64_t>(),
+                      in.at(3).get<std::uint64_t>(),
                       EnumFrom(in.at(4), MemberState::kLeaving)};
 }
 
@@ -37,7 +40,8 @@
   if (in.size() != kMessageFields) throw std::out_of_range("message");
   GossipMessage message;
   message.kind = EnumFrom(in.at(0), GossipKind::kRelayedPing);
-  message.from = VmId{in.at(1).get<std::string>(), in.at(2).get<std::uint64_t>()};
+  message.from =
+      VmId{in.at(1).get<std::string>(), in.at(2).get<std::uint64_t>()};
   message.from_data_centre = in.at(3).get<std::string>();
   message.from_refutation = in.at(4).get<std::uint64_t>();
   message.from_leaving = in.at(5).get<bool>();
@@ -46,32 +50,38 @@
   message.target = in.at(8).get<std::string>();
   message.config_version = in.at(9).at(0).get<std::uint64_t>();
   message.config_digest = in.at(9).at(1).get<std::string>();
-  std::ranges::transform(in.at(10), std::back_inserter(message.updates), UpdateFrom);
+  std::ranges::transform(in.at(10), std::back_inserter(message.updates),
+                         UpdateFrom);
   return message;
 }
 
 }  // namespace
 
-std::string EncodeGossip(std::string_view secret, const GossipMessage& message) {
+std::string EncodeGossip(std::string_view secret,
+                         const GossipMessage& message) {
   json updates = json::array();
   std::ranges::transform(message.updates, std::back_inserter(updates), ToJson);
   const json fields = json::array(
-      {static_cast<int>(message.kind), message.from.address, message.from.incarnation,
-       message.from_data_centre, message.from_refutation, message.from_leaving,
-       message.to_incarnation, message.sequence, message.target,
+      {static_cast<int>(message.kind), message.from.address,
+       message.from.incarnation, message.from_data_centre,
+       message.from_refutation, message.from_leaving, message.to_incarnation,
+       message.sequence, message.target,
        json::array({message.config_version, message.config_digest}), updates});
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
   return HmacSha256(secret, body).substr(0, kTagBytes) + body;
 }
 
-Result<GossipMessage> DecodeGossip(std::string_view secret, std::string_view bytes) {
-  const Error malformed = Error::Of(ErrorKind::kPeerRejected, "malformed gossip message");
+Result<GossipMessage> DecodeGossip(std::string_view secret,
+                                   std::string_view bytes) {
+  const Error malformed =
+      Error::Of(ErrorKind::kPeerRejected, "malformed gossip message");
   if (bytes.size() <= kTagBytes) return malformed;
   const std::string_view body = bytes.substr(kTagBytes);
   const std::string expected = HmacSha256(secret, body).substr(0, kTagBytes);
   if (!ConstantTimeEqual(expected, bytes.substr(0, kTagBytes))) {
-    return Error::Of(ErrorKind::kPeerRejected, "gossip message with a wrong authentication tag");
+    return Error::Of(ErrorKind::kPeerRejected,
+                     "gossip message with a wrong authentication tag");
   }
   try {
     return MessageFrom(json::from_cbor(body.begin(), body.end()));
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -8,8 +8,8 @@
 namespace limpethaven {
 namespace {
 
-constexpr std::array<std::string_view, 5> kStateNames = {"unknown", "alive", "suspect", "dead",
-                                                         "leaving"};
+constexpr std::array<std::string_view, 5> kStateNames = {
+    "unknown", "alive", "suspect", "dead", "leaving"};
 constexpr DurationMs kForgetDeadMs = 60'000;
 constexpr DurationMs kRelayLifetimeMs = 1000;
 
@@ -32,13 +32,15 @@
 
 bool IsNewer(const MemberUpdate& left, const MemberUpdate& right) {
   const auto key = [](const MemberUpdate& update) {
-    return std::tuple(update.incarnation, update.refutation, RankOf(update.state));
+    return std::tuple(update.incarnation, update.refutation,
+                      RankOf(update.state));
   };
   return key(left) > key(right);
 }
 
 bool IsUsable(const Member& member) {
-  return member.news.state == MemberState::kAlive || member.news.state == MemberState::kSuspect;
+  return member.news.state == MemberState::kAlive ||
+         member.news.state == MemberState::kSuspect;
 }
 
 }  // namespace
@@ -49,15 +51,20 @@
 
 std::ostream& operator<<(std::ostream& out, const Member& member) {
   return out << member.news.address << '@' << member.news.incarnation << ' '
-             << NameOf(member.news.state) << (member.listed ? "" : " (not listed)");
+             << NameOf(member.news.state)
+             << (member.listed ? "" : " (not listed)");
 }
 
 Membership::Membership(VmId own, std::string zone, MembershipSettings initial,
                        std::uint64_t seed)
-    : self(std::move(own)), data_centre(std::move(zone)), settings(initial), random(seed) {}
+    : self(std::move(own)),
+      data_centre(std::move(zone)),
+      settings(initial),
+      random(seed) {}
 
 void Membership::SetListed(const std::vector<ListedVm>& vms, TimeMs now) {
-  std::ranges::for_each(this->members, [](auto& row) { row.second.listed = false; });
+  std::ranges::for_each(this->members,
+                        [](auto& row) { row.second.listed = false; });
   std::ranges::for_each(vms, [&](const ListedVm& vm) {
     if (vm.address == this->self.address) return;
     Member& member = this->members[vm.address];
@@ -78,16 +85,18 @@
 void Membership::Leave() {
   this->leaving = true;
   ++this->refutation;
-  this->Spread(this->self.address);
+  this->Spread(this->self.address, false);
 }
 
 std::vector<OutgoingGossip> Membership::Tick(TimeMs now) {
   std::vector<OutgoingGossip> out;
   if (this->ticked && now - this->last_tick > this->settings.pause_ms) {
-    // What happened meanwhile says nothing about the others: give everyone a fresh chance.
+    // What happened meanwhile says nothing about the others: give everyone a
+    // fresh chance.
     this->paused = true;
     this->probes.clear();
-    std::ranges::for_each(this->members, [now](auto& row) { row.second.since = now; });
+    std::ranges::for_each(this->members,
+                          [now](auto& row) { row.second.since = now; });
   }
   this->last_tick = now;
   this->ticked = true;
@@ -109,36 +118,45 @@
   std::ranges::shuffle(targets, this->random);
   targets.resize(std::min(targets.size(), fanout));
   std::vector<OutgoingGossip> out;
-  std::ranges::transform(targets, std::back_inserter(out), [this](const std::string& target) {
-    return OutgoingGossip{target, this->NewMessage(GossipKind::kPing, target)};
-  });
+  std::ranges::transform(
+      targets, std::back_inserter(out), [this](const std::string& target) {
+        return OutgoingGossip{target,
+                              this->NewMessage(GossipKind::kPing, target)};
+      });
   return out;
 }
 
-Result<std::vector<OutgoingGossip>> Membership::Receive(const GossipMessage& message,
-                                                        TimeMs now) {
-  if (message.to_incarnation != 0 && message.to_incarnation != this->self.incarnation) {
-    return Error::Of(ErrorKind::kPeerRejected, "message for another incarnation");
+Result<std::vector<OutgoingGossip>> Membership::Receive(
+    const GossipMessage& message, TimeMs now) {
+  if (message.to_incarnation != 0 &&
+      message.to_incarnation != this->self.incarnation) {
+    return Error::Of(ErrorKind::kPeerRejected,
+                     "message for another incarnation");
   }
   if (message.from.address == this->self.address) {
-    return Error::Of(ErrorKind::kPeerRejected, "message under this process's own address");
+    return Error::Of(ErrorKind::kPeerRejected,
+                     "message under this process's own address");
   }
   const auto known = this->members.find(message.from.address);
   if (known != this->members.end() &&
       message.from.incarnation < known->second.news.incarnation) {
-    return Error::Of(ErrorKind::kPeerRejected, "message from an older incarnation");
+    return Error::Of(ErrorKind::kPeerRejected,
+                     "message from an older incarnation");
   }
   this->HearFrom(message, now);
-  std::ranges::for_each(message.updates,
-                        [&](const MemberUpdate& update) { this->Merge(update, now); });
+  std::ranges::for_each(message.updates, [&](const MemberUpdate& update) {
+    this->Merge(update, now);
+  });
   std::vector<OutgoingGossip> out;
   switch (message.kind) {
     case GossipKind::kPing:
     case GossipKind::kRelayedPing:
-      out.push_back(this->AckOf(message, message.from.address, message.sequence));
+      out.push_back(
+          this->AckOf(message, message.from.address, message.sequence));
       break;
     case GossipKind::kPingRequest: {
-      GossipMessage ping = this->NewMessage(GossipKind::kRelayedPing, message.target);
+      GossipMessage ping =
+          this->NewMessage(GossipKind::kRelayedPing, message.target);
       this->relays.push_back(
           Relay{message.from.address, message.sequence, ping.sequence, now});
       out.push_back(OutgoingGossip{message.target, std::move(ping)});
@@ -148,10 +166,11 @@
       std::erase_if(this->probes, [&](const Probe& probe) {
         return probe.sequence == message.sequence;
       });
-      const auto relay =
-          std::ranges::find(this->relays, message.sequence, &Relay::own_sequence);
+      const auto relay = std::ranges::find(this->relays, message.sequence,
+                                           &Relay::own_sequence);
       if (relay != this->relays.end()) {
-        out.push_back(this->AckOf(message, relay->requester, relay->requester_sequence));
+        out.push_back(
+            this->AckOf(message, relay->requester, relay->requester_sequence));
         this->relays.erase(relay);
       }
       break;
@@ -166,7 +185,9 @@
   return was_paused;
 }
 
-std::vector<MemberChange> Membership::TakeChanges() { return std::exchange(this->changes, {}); }
+std::vector<MemberChange> Membership::TakeChanges() {
+  return std::exchange(this->changes, {});
+}
 
 std::vector<Member> Membership::Members() const {
   std::vector<Member> rows;
@@ -180,14 +201,18 @@
   return this->UsableAddresses(std::string_view());
 }
 
-std::vector<std::string> Membership::UsableAddresses(std::string_view zone) const {
+std::vector<std::string> Membership::UsableAddresses(
+    std::string_view zone) const {
   std::vector<std::string> addresses;
   if (!this->leaving && (zone.empty() || zone == this->data_centre)) {
     addresses.push_back(this->self.address);
   }
   std::ranges::for_each(this->members, [&](const auto& row) {
     const Member& member = row.second;
-    if (!IsUsable(member) || (!zone.empty() && zone != member.news.data_centre)) return;
+    if (!IsUsable(member) ||
+        (!zone.empty() && zone != member.news.data_centre)) {
+      return;
+    }
     addresses.push_back(member.news.address);
   });
   return addresses;
@@ -196,7 +221,8 @@
 std::string Membership::DataCentreOf(std::string_view address) const {
   if (address == this->self.address) return this->data_centre;
   const auto row = this->members.find(address);
-  return row == this->members.end() ? std::string() : row->second.news.data_centre;
+  return row == this->members.end() ? std::string()
+                                    : row->second.news.data_centre;
 }
 
 const VmId& Membership::Self() const noexcept { return this->self; }
@@ -215,8 +241,9 @@
   if (row != this->members.end()) {
     message.to_incarnation = row->second.news.incarnation;
     const MemberState state = row->second.news.state;
-    // A member that others doubt must hear of it to refute it. A dead row may name an
-    // incarnation that is gone, so nothing is demanded of its successor.
+    // A member that others doubt must hear of it to refute it. A dead row may
+    // name an incarnation that is gone, so nothing is demanded of its
+    // successor.
     if (state == MemberState::kDead) message.to_incarnation = 0;
     if (state == MemberState::kDead || state == MemberState::kSuspect) {
       message.updates.push_back(row->second.news);
@@ -228,24 +255,32 @@
 
 void Membership::AttachNews(GossipMessage& message) {
   const auto limit = static_cast<std::int64_t>(
-      3.0 * std::ceil(std::log2(static_cast<double>(this->members.size()) + 2.0)));
+      3.0 *
+      std::ceil(std::log2(static_cast<double>(this->members.size()) + 2.0)));
   const auto count = static_cast<std::ptrdiff_t>(
       std::min(this->news.size(), this->settings.updates_per_message));
-  // What was sent least goes first, so that old news never holds up a death.
-  std::ranges::partial_sort(this->news, this->news.begin() + count, {}, &News::transmissions);
-  std::for_each(this->news.begin(), this->news.begin() + count, [&](News& item) {
-    ++item.transmissions;
-    const auto row = this->members.find(item.address);
-    if (row != this->members.end()) message.updates.push_back(row->second.news);
-  });
+  // Unexpected news first, and of that what was sent least.
+  std::ranges::partial_sort(
+      this->news, this->news.begin() + count, {}, [](const News& item) {
+        return std::pair(item.expected, item.transmissions);
+      });
+  std::for_each(this->news.begin(), this->news.begin() + count,
+                [&](News& item) {
+                  ++item.transmissions;
+                  const auto row = this->members.find(item.address);
+                  if (row != this->members.end()) {
+                    message.updates.push_back(row->second.news);
+                  }
+                });
   std::erase_if(this->news, [&](const News& item) {
     return item.transmissions >= limit || !this->members.contains(item.address);
   });
 }
 
-void Membership::Spread(const std::string& address) {
-  std::erase_if(this->news, [&](const News& item) { return item.address == address; });
-  this->news.push_back(News{address, 0});
+void Membership::Spread(const std::string& address, bool expected) {
+  std::erase_if(this->news,
+                [&](const News& item) { return item.address == address; });
+  this->news.push_back(News{address, expected, 0});
 }
 
 void Membership::Merge(const MemberUpdate& update, TimeMs now) {
@@ -264,25 +299,39 @@
 }
 
 void Membership::MergeSelf(const MemberUpdate& update) {
-  if (update.incarnation != this->self.incarnation || update.refutation < this->refutation) return;
-  if (update.state != MemberState::kSuspect && update.state != MemberState::kDead) return;
+  if (update.incarnation != this->self.incarnation ||
+      update.refutation < this->refutation) {
+    return;
+  }
+  if (update.state != MemberState::kSuspect &&
+      update.state != MemberState::kDead) {
+    return;
+  }
   this->refutation = update.refutation + 1;
 }
 
-void Membership::SetState(Member& member, const MemberUpdate& update, TimeMs now) {
+void Membership::SetState(Member& member, const MemberUpdate& update,
+                          TimeMs now) {
   const MemberState before = member.news.state;
-  const bool changed = before != update.state || member.news.incarnation != update.incarnation;
+  const bool changed =
+      before != update.state || member.news.incarnation != update.incarnation;
   member.news = update;
   if (!changed) return;
   member.since = now;
   this->changes.push_back(MemberChange{member, before});
-  this->Spread(member.news.address);
+  // Everyone probes whom the platform lists, so a first contact with one is
+  // expected. After a whole fleet has started it would otherwise hold up real
+  // news for minutes.
+  const bool expected = member.listed && before == MemberState::kUnknown &&
+                        update.state == MemberState::kAlive;
+  this->Spread(member.news.address, expected);
 }
 
 void Membership::HearFrom(const GossipMessage& message, TimeMs now) {
-  const MemberUpdate update{message.from.address, message.from_data_centre,
-                            message.from.incarnation, message.from_refutation,
-                            message.from_leaving ? MemberState::kLeaving : MemberState::kAlive};
+  const MemberUpdate update{
+      message.from.address, message.from_data_centre, message.from.incarnation,
+      message.from_refutation,
+      message.from_leaving ? MemberState::kLeaving : MemberState::kAlive};
   this->Merge(update, now);
   this->members[message.from.address].config_version = message.config_version;
 }
@@ -297,13 +346,17 @@
       probe.indirect_sent = true;
       std::vector<std::string> helpers;
       std::ranges::for_each(this->members, [&](const auto& row) {
-        if (IsUsable(row.second) && row.first != probe.address) helpers.push_back(row.first);
+        if (IsUsable(row.second) && row.first != probe.address) {
+          helpers.push_back(row.first);
+        }
       });
       std::ranges::shuffle(helpers, this->random);
       helpers.resize(std::min<std::size_t>(
-          helpers.size(), static_cast<std::size_t>(this->settings.indirect_probes)));
+          helpers.size(),
+          static_cast<std::size_t>(this->settings.indirect_probes)));
       std::ranges::for_each(helpers, [&](const std::string& helper) {
-        GossipMessage request = this->NewMessage(GossipKind::kPingRequest, helper);
+        GossipMessage request =
+            this->NewMessage(GossipKind::kPingRequest, helper);
         request.sequence = probe.sequence;
         request.target = probe.address;
         out.push_back(OutgoingGossip{helper, std::move(request)});
@@ -313,8 +366,9 @@
   std::erase_if(this->probes, [&](const Probe& probe) {
     return now - probe.sent_at >= this->settings.probe_period_ms;
   });
-  std::erase_if(this->relays,
-                [now](const Relay& relay) { return now - relay.sent_at >= kRelayLifetimeMs; });
+  std::erase_if(this->relays, [now](const Relay& relay) {
+    return now - relay.sent_at >= kRelayLifetimeMs;
+  });
   std::ranges::for_each(failed, [&](const std::string& address) {
     const auto row = this->members.find(address);
     if (row == this->members.end()) return;
@@ -369,8 +423,8 @@
   return {};
 }
 
-OutgoingGossip Membership::AckOf(const GossipMessage& message, std::string_view to,
-                                 std::uint64_t sequence) {
+OutgoingGossip Membership::AckOf(const GossipMessage& message,
+                                 std::string_view to, std::uint64_t sequence) {
   GossipMessage ack = this->NewMessage(GossipKind::kAck, to);
   ack.sequence = sequence;
   if (to == message.from.address) ack.to_incarnation = message.from.incarnation;
--- a/src/core/rendezvous.cc
+++ b/src/core/rendezvous.cc
@@ -27,14 +27,15 @@
 
 std::uint64_t StableHash(std::string_view text) noexcept {
   const std::uint64_t hash = std::accumulate(
-      text.begin(), text.end(), kFnvOffset, [](std::uint64_t state, char character) {
+      text.begin(), text.end(), kFnvOffset,
+      [](std::uint64_t state, char character) {
         return (state ^ static_cast<unsigned char>(character)) * kFnvPrime;
       });
   return Mix(hash);
 }
 
-std::vector<std::string> RendezvousOrder(std::string_view key,
-                                         std::span<const std::string> candidates) {
+std::vector<std::string> RendezvousOrder(
+    std::string_view key, std::span<const std::string> candidates) {
   return RendezvousTop(key, candidates, candidates.size());
 }
 
@@ -44,13 +45,16 @@
   const std::uint64_t key_hash = StableHash(key);
   std::vector<Scored> scored(candidates.size());
   for (std::size_t index = 0; index < candidates.size(); ++index) {
-    scored[index] = Scored{Mix(key_hash ^ StableHash(candidates[index])), index};
+    scored[index] =
+        Scored{Mix(key_hash ^ StableHash(candidates[index])), index};
   }
-  const auto last = scored.begin() + static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
-  std::ranges::partial_sort(scored, last, [&](const Scored& left, const Scored& right) {
-    if (left.score != right.score) return left.score > right.score;
-    return candidates[left.index] > candidates[right.index];
-  });
+  const auto last = scored.begin() +
+                    static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
+  std::ranges::partial_sort(
+      scored, last, [&](const Scored& left, const Scored& right) {
+        if (left.score != right.score) return left.score > right.score;
+        return candidates[left.index] > candidates[right.index];
+      });
   std::vector<std::string> order;
   std::transform(scored.begin(), last, std::back_inserter(order),
                  [&](const Scored& row) { return candidates[row.index]; });
--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -8,7 +8,8 @@
     : settings(initial), balance(initial.max_balance) {}
 
 void RetryBudget::OnRequest() noexcept {
-  this->balance = std::min(this->settings.max_balance, this->balance + this->settings.ratio);
+  this->balance = std::min(this->settings.max_balance,
+                           this->balance + this->settings.ratio);
 }
 
 bool RetryBudget::TryRetry() noexcept {
--- a/src/core/share_ledger.cc
+++ b/src/core/share_ledger.cc
@@ -11,31 +11,39 @@
 }  // namespace
 
 std::ostream& operator<<(std::ostream& out, const Transfer& transfer) {
-  return out << transfer.id << ": " << transfer.tokens << " tokens of " << transfer.team;
+  return out << transfer.id << ": " << transfer.tokens << " tokens of "
+             << transfer.team;
 }
 
 ShareLedger::ShareLedger(ShareSettings initial) : settings(initial) {}
 
 void ShareLedger::Configure(const Configuration& config, TimeMs now) {
   // Accrue under the old rates first, so that a change acts from now on only.
-  std::ranges::for_each(this->rows, [&](auto& row) { this->Accrue(row.second, now); });
+  std::ranges::for_each(this->rows,
+                        [&](auto& row) { this->Accrue(row.second, now); });
   this->slots = std::max<std::int64_t>(1, config.fleet.share_slots);
-  std::erase_if(this->rows, [&](const auto& row) { return !config.teams.contains(row.first); });
+  std::erase_if(this->rows, [&](const auto& row) {
+    return !config.teams.contains(row.first);
+  });
   std::ranges::for_each(config.teams, [&](const auto& entry) {
     const TeamSpec& team = entry.second;
-    // An earlier process on this slot may have lent tokens that are still in flight: nothing is
-    // earned until every such transfer has expired.
+    // An earlier process on this slot may have lent tokens that are still in
+    // flight: nothing is earned until every such transfer has expired.
     const TimeMs first_accrual = now + this->settings.transfer_ttl_ms;
-    Row& row = this->rows.try_emplace(team.name, Row{.accrued_at = first_accrual}).first->second;
+    Row& row =
+        this->rows.try_emplace(team.name, Row{.accrued_at = first_accrual})
+            .first->second;
     row.rate_per_s = team.rate_tokens_per_s;
     row.burst = team.burst_tokens * kMilli;
     row.cap = row.burst / this->slots;
-    row.level = std::min(row.level, std::max<MilliTokens>(0, row.cap - row.in_flight));
+    row.level =
+        std::min(row.level, std::max<MilliTokens>(0, row.cap - row.in_flight));
   });
 }
 
-ChargeOutcome ShareLedger::TryCharge(std::string_view team, std::string_view request_id,
-                                     Tokens tokens, const std::vector<Transfer>& received,
+ChargeOutcome ShareLedger::TryCharge(std::string_view team,
+                                     std::string_view request_id, Tokens tokens,
+                                     const std::vector<Transfer>& received,
                                      TimeMs now) {
   Row* row = this->Find(team, now);
   if (row == nullptr) return {false, tokens};
@@ -49,7 +57,8 @@
   }
   row->level = std::min(total - wanted, room);
   const std::uint64_t admission = row->next_admission++;
-  row->peaks.push_back(PeakStep{row->level + row->in_flight - row->refund_offset, admission});
+  row->peaks.push_back(
+      PeakStep{row->level + row->in_flight - row->refund_offset, admission});
   ObservePeak(*row);
   ++row->in_service;
   this->charges.insert_or_assign(std::string(request_id),
@@ -57,16 +66,18 @@
   return {true, 0};
 }
 
-Tokens ShareLedger::Settle(std::string_view request_id, Tokens used, TimeMs now) {
+Tokens ShareLedger::Settle(std::string_view request_id, Tokens used,
+                           TimeMs now) {
   const auto charge = this->charges.find(std::string(request_id));
   if (charge == this->charges.end()) return 0;
   const Charge ended = charge->second;
   this->charges.erase(charge);
   Row* row = this->Find(ended.team, now);
   if (row == nullptr) return 0;
-  // A bucket charged with the true cost would have been higher by `unused` ever since admission,
-  // and would have lost whatever rose above its cap.
-  const MilliTokens unused = std::max<MilliTokens>(0, ended.charged - used * kMilli);
+  // A bucket charged with the true cost would have been higher by `unused` ever
+  // since admission, and would have lost whatever rose above its cap.
+  const MilliTokens unused =
+      std::max<MilliTokens>(0, ended.charged - used * kMilli);
   const MilliTokens headroom = row->cap - PeakSince(*row, ended.admission);
   const MilliTokens refund = std::clamp<MilliTokens>(headroom, 0, unused);
   row->level += refund;
@@ -79,11 +90,12 @@
   return refund / kMilli;
 }
 
-Tokens ShareLedger::Lend(std::string_view team, std::string_view transfer_id, Tokens wanted,
-                         TimeMs now) {
+Tokens ShareLedger::Lend(std::string_view team, std::string_view transfer_id,
+                         Tokens wanted, TimeMs now) {
   Row* row = this->Find(team, now);
   if (row == nullptr || this->lent.contains(std::string(transfer_id))) return 0;
-  const Tokens tokens = std::clamp<Tokens>(row->level / kMilli, 0, std::max<Tokens>(0, wanted));
+  const Tokens tokens =
+      std::clamp<Tokens>(row->level / kMilli, 0, std::max<Tokens>(0, wanted));
   if (tokens == 0) return 0;
   row->level -= tokens * kMilli;
   row->in_flight += tokens * kMilli;
@@ -99,7 +111,8 @@
   const auto transfer = this->lent.find(std::string(transfer_id));
   if (transfer == this->lent.end()) return;
   Row* row = this->Find(transfer->second.team, now);
-  // The entry stays, emptied, until it expires: a repeated request must lend nothing.
+  // The entry stays, emptied, until it expires: a repeated request must lend
+  // nothing.
   if (row != nullptr) row->in_flight -= transfer->second.tokens;
   transfer->second.tokens = 0;
 }
@@ -107,7 +120,8 @@
 ShareView ShareLedger::View(std::string_view team, TimeMs now) {
   const Row* row = this->Find(team, now);
   if (row == nullptr) return {};
-  return {row->level / kMilli, row->cap / kMilli, row->in_flight / kMilli, row->in_service};
+  return {row->level / kMilli, row->cap / kMilli, row->in_flight / kMilli,
+          row->in_service};
 }
 
 Tokens ShareLedger::Burst(std::string_view team) const {
@@ -126,32 +140,36 @@
 void ShareLedger::Accrue(Row& row, TimeMs now) const {
   const DurationMs elapsed = std::max<DurationMs>(0, now - row.accrued_at);
   row.accrued_at = std::max(row.accrued_at, now);
-  // Rate is tokens per second, elapsed is milliseconds: the product is thousandths of tokens.
+  // Rate is tokens per second, elapsed is milliseconds: the product is
+  // thousandths of tokens.
   const std::int64_t earned = row.rate_per_s * elapsed + row.accrual_rest;
   row.accrual_rest = earned % this->slots;
   const MilliTokens room = std::max<MilliTokens>(0, row.cap - row.in_flight);
-  row.level = std::max(row.level, std::min(room, row.level + earned / this->slots));
+  row.level =
+      std::max(row.level, std::min(room, row.level + earned / this->slots));
   ObservePeak(row);
 }
 
 void ShareLedger::ObservePeak(Row& row) {
   const MilliTokens level = row.level + row.in_flight - row.refund_offset;
   auto& peaks = row.peaks;
-  const auto first_lower =
-      std::ranges::find_if(peaks, [level](const PeakStep& step) { return step.peak <= level; });
+  const auto first_lower = std::ranges::find_if(
+      peaks, [level](const PeakStep& step) { return step.peak <= level; });
   if (first_lower == peaks.end()) return;
   first_lower->peak = level;
   peaks.erase(first_lower + 1, peaks.end());
 }
 
-ShareLedger::MilliTokens ShareLedger::PeakSince(const Row& row, std::uint64_t admission) {
-  const auto after = std::ranges::upper_bound(row.peaks, admission, {}, &PeakStep::first);
+ShareLedger::MilliTokens ShareLedger::PeakSince(const Row& row,
+                                                std::uint64_t admission) {
+  const auto after =
+      std::ranges::upper_bound(row.peaks, admission, {}, &PeakStep::first);
   if (after == row.peaks.begin()) return row.cap;
   return std::prev(after)->peak + row.refund_offset;
 }
 
-ShareLedger::MilliTokens ShareLedger::Accept(const std::vector<Transfer>& received,
-                                             std::string_view team, TimeMs now) {
+ShareLedger::MilliTokens ShareLedger::Accept(
+    const std::vector<Transfer>& received, std::string_view team, TimeMs now) {
   MilliTokens sum = 0;
   std::ranges::for_each(received, [&](const Transfer& transfer) {
     const TimeMs deadline = transfer.asked_at + this->settings.transfer_ttl_ms;
@@ -175,7 +193,8 @@
     }
     return true;
   });
-  std::erase_if(this->seen, [now](const auto& entry) { return now >= entry.second; });
+  std::erase_if(this->seen,
+                [now](const auto& entry) { return now >= entry.second; });
 }
 
 }  // namespace limpethaven
--- a/src/core/stream_guard.cc
+++ b/src/core/stream_guard.cc
@@ -2,8 +2,11 @@
 
 namespace limpethaven {
 
-StreamGuard::StreamGuard(std::string request, std::string nonce, std::int64_t offset)
-    : request_id(std::move(request)), attempt(std::move(nonce)), next_offset(offset) {}
+StreamGuard::StreamGuard(std::string request, std::string nonce,
+                         std::int64_t offset)
+    : request_id(std::move(request)),
+      attempt(std::move(nonce)),
+      next_offset(offset) {}
 
 EventVerdict StreamGuard::Judge(const StreamEvent& event) {
   if (event.request_id != this->request_id || event.attempt != this->attempt) {
@@ -23,7 +26,9 @@
   return EventVerdict::kDeliver;
 }
 
-std::int64_t StreamGuard::NextOffset() const noexcept { return this->next_offset; }
+std::int64_t StreamGuard::NextOffset() const noexcept {
+  return this->next_offset;
+}
 
 bool StreamGuard::Whole() const noexcept { return this->whole; }
 
--- a/src/core/ticket_book.cc
+++ b/src/core/ticket_book.cc
@@ -8,41 +8,51 @@
 namespace limpethaven {
 
 std::ostream& operator<<(std::ostream& out, const Ticket& ticket) {
-  return out << ticket.nonce << " of " << ticket.team << " by " << ticket.minter;
+  return out << ticket.nonce << " of " << ticket.team << " by "
+             << ticket.minter;
 }
 
 std::string EncodeTicket(std::string_view secret, const Ticket& ticket) {
-  const nlohmann::json fields = nlohmann::json::array(
-      {"ticket", ticket.nonce, ticket.team, ticket.minter.address, ticket.minter.incarnation});
+  const nlohmann::json fields =
+      nlohmann::json::array({"ticket", ticket.nonce, ticket.team,
+                             ticket.minter.address, ticket.minter.incarnation});
   return SignText(secret, fields.dump());
 }
 
-std::optional<Ticket> DecodeTicket(std::string_view secret, std::string_view text) {
-  const auto fields = nlohmann::json::parse(VerifyText(secret, text), nullptr, false);
-  if (!fields.is_array() || fields.size() != 5 || fields[0] != "ticket") return std::nullopt;
-  return Ticket{fields[1].get<std::string>(),
-                fields[2].get<std::string>(),
-                VmId{fields[3].get<std::string>(), fields[4].get<std::uint64_t>()}};
+std::optional<Ticket> DecodeTicket(std::string_view secret,
+                                   std::string_view text) {
+  const auto fields =
+      nlohmann::json::parse(VerifyText(secret, text), nullptr, false);
+  if (!fields.is_array() || fields.size() != 5 || fields[0] != "ticket") {
+    return std::nullopt;
+  }
+  return Ticket{
+      fields[1].get<std::string>(), fields[2].get<std::string>(),
+      VmId{fields[3].get<std::string>(), fields[4].get<std::uint64_t>()}};
 }
 
 TicketBook::TicketBook(VmId owner, TicketSettings initial)
     : self(std::move(owner)), settings(initial) {}
 
-Result<Ticket> TicketBook::Mint(std::string_view team, std::string nonce, TimeMs now) {
+Result<Ticket> TicketBook::Mint(std::string_view team, std::string nonce,
+                                TimeMs now) {
   if (this->records.size() >= this->settings.max_records) {
     return Error::Of(ErrorKind::kCapacity, "too many tickets are outstanding");
   }
   Ticket ticket{std::move(nonce), std::string(team), this->self};
-  const Record record{ticket.team, State::kMinted, now + this->settings.lifetime_ms};
+  const Record record{ticket.team, State::kMinted,
+                      now + this->settings.lifetime_ms};
   if (!this->records.emplace(ticket.nonce, record).second) {
     return Error::Of(ErrorKind::kInternal, "ticket nonce is not unique");
   }
   return ticket;
 }
 
-Result<void> TicketBook::Begin(const Ticket& ticket, std::string_view team, TimeMs now) {
+Result<void> TicketBook::Begin(const Ticket& ticket, std::string_view team,
+                               TimeMs now) {
   if (ticket.team != team) {
-    return Error::Of(ErrorKind::kTeamMismatch, "the ticket belongs to another team");
+    return Error::Of(ErrorKind::kTeamMismatch,
+                     "the ticket belongs to another team");
   }
   if (ticket.minter != this->self) {
     return Error::Of(ErrorKind::kTicketMinterUnreachable,
@@ -50,14 +60,18 @@
   }
   const auto record = this->records.find(ticket.nonce);
   if (record == this->records.end()) {
-    return Error::Of(ErrorKind::kTicketExpired, "the ticket's record is no longer kept");
+    return Error::Of(ErrorKind::kTicketExpired,
+                     "the ticket's record is no longer kept");
   }
   if (record->second.state != State::kMinted) {
-    const Ran ran = record->second.state == State::kDone ? Ran::kYes : Ran::kUnknown;
-    return Error::Of(ErrorKind::kTicketUsed, "the ticket was used before").WithRan(ran);
+    const Ran ran =
+        record->second.state == State::kDone ? Ran::kYes : Ran::kUnknown;
+    return Error::Of(ErrorKind::kTicketUsed, "the ticket was used before")
+        .WithRan(ran);
   }
   if (now >= record->second.expires_at) {
-    return Error::Of(ErrorKind::kTicketExpired, "the ticket expired before any run began")
+    return Error::Of(ErrorKind::kTicketExpired,
+                     "the ticket expired before any run began")
         .WithRan(Ran::kNo);
   }
   record->second.state = State::kRunning;
@@ -71,7 +85,8 @@
 
 void TicketBook::Release(std::string_view nonce) {
   const auto record = this->records.find(std::string(nonce));
-  if (record != this->records.end() && record->second.state == State::kRunning) {
+  if (record != this->records.end() &&
+      record->second.state == State::kRunning) {
     record->second.state = State::kMinted;
   }
 }
--- a/src/edge/engine_client.cc
+++ b/src/edge/engine_client.cc
@@ -8,8 +8,10 @@
 
 constexpr DurationMs kControlTimeoutMs = 500;
 
-/// Error that an engine's answer stands for: its own words when they are ours, or the status.
-Error EngineRefusal(std::string_view address, int status, std::string_view body) {
+/// Error that an engine's answer stands for: its own words when they are ours,
+/// or the status.
+Error EngineRefusal(std::string_view address, int status,
+                    std::string_view body) {
   if (auto error = ErrorFromJsonBody(body)) return *error;
   return Error::Of(ErrorKind::kEndpointFailed,
                    std::string(address) + ": status " + std::to_string(status));
@@ -18,16 +20,27 @@
 }  // namespace
 
 Result<PrefillAnswer> HttpEngineClient::Prefill(const PrefillCall& call) {
-  const PrefillBody body{call.request_id, call.attempt, call.prompt, call.prompt_tokens};
-  BOOST_OUTCOME_TRY(text, this->Call(call.address, PostRequest("/prefill", WriteJson(body)),
-                                    call.timeout_ms));
+  const PrefillBody body{call.request_id, call.attempt, call.prompt,
+                         call.prompt_tokens};
+  BOOST_OUTCOME_TRY(
+      text, this->Call(call.address, PostRequest("/prefill", WriteJson(body)),
+                       call.timeout_ms));
   return ReadJson<PrefillAnswer>(text, "prefill answer");
 }
 
-Result<void> HttpEngineClient::Generate(const GenerateCall& call, StreamObserver& observer) {
-  const GenerateBody body{call.request_id, call.attempt,    call.kv_source, call.kv_handle,
-                          call.prompt_tokens, call.max_tokens, call.pieces,    call.priority,
-                          call.offset,     call.resume,     call.expected_attachment};
+Result<void> HttpEngineClient::Generate(const GenerateCall& call,
+                                        StreamObserver& observer) {
+  const GenerateBody body{call.request_id,
+                          call.attempt,
+                          call.kv_source,
+                          call.kv_handle,
+                          call.prompt_tokens,
+                          call.max_tokens,
+                          call.pieces,
+                          call.priority,
+                          call.offset,
+                          call.resume,
+                          call.expected_attachment};
   const auto client = NewHttpClient(call.address, call.silence_ms);
   httplib::Request request = PostRequest("/generate", WriteJson(body));
   SseParser parser;
@@ -38,8 +51,8 @@
     status = response.status;
     return true;
   };
-  request.content_receiver = [&](const char* data, std::size_t length, std::uint64_t,
-                                 std::uint64_t) {
+  request.content_receiver = [&](const char* data, std::size_t length,
+                                 std::uint64_t, std::uint64_t) {
     const std::string_view bytes(data, length);
     if (status != 200) {
       refusal.append(bytes);
@@ -58,46 +71,61 @@
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
   const bool complete = client->send(request, response, error);
-  if (status != 0 && status != 200) return EngineRefusal(call.address, status, refusal);
+  if (status != 0 && status != 200) {
+    return EngineRefusal(call.address, status, refusal);
+  }
   if (stopped) return Success();
   if (!complete) return HttpFailure(call.address, error);
   return Success();
 }
 
-Result<void> HttpEngineClient::Cancel(std::string_view address, std::string_view request_id,
-                                      std::string_view attempt, std::int64_t attachment) {
-  const CancelBody body{std::string(request_id), std::string(attempt), attachment};
-  BOOST_OUTCOME_TRY(this->Call(address, PostRequest("/cancel", WriteJson(body)), kControlTimeoutMs));
+Result<void> HttpEngineClient::Cancel(std::string_view address,
+                                      std::string_view request_id,
+                                      std::string_view attempt,
+                                      std::int64_t attachment) {
+  const CancelBody body{std::string(request_id), std::string(attempt),
+                        attachment};
+  BOOST_OUTCOME_TRY(this->Call(address, PostRequest("/cancel", WriteJson(body)),
+                               kControlTimeoutMs));
   return Success();
 }
 
 Result<EngineLoad> HttpEngineClient::Load(std::string_view address) {
-  BOOST_OUTCOME_TRY(text, this->Call(address, GetRequest("/load"), kControlTimeoutMs));
+  BOOST_OUTCOME_TRY(
+      text, this->Call(address, GetRequest("/load"), kControlTimeoutMs));
   return ReadJson<EngineLoad>(text, "engine load");
 }
 
-Result<std::vector<CacheEvent>> HttpEngineClient::CacheEvents(std::string_view address,
-                                                              std::int64_t after) {
-  BOOST_OUTCOME_TRY(text,
-              this->Call(address, GetRequest("/cache_events?after=" + std::to_string(after)),
-                         kControlTimeoutMs));
+Result<std::vector<CacheEvent>> HttpEngineClient::CacheEvents(
+    std::string_view address, std::int64_t after) {
+  BOOST_OUTCOME_TRY(text, this->Call(address,
+                                     GetRequest("/cache_events?after=" +
+                                                std::to_string(after)),
+                                     kControlTimeoutMs));
   return ReadJson<std::vector<CacheEvent>>(text, "cache events");
 }
 
 Result<EngineState> HttpEngineClient::ReadState(std::string_view address) {
-  BOOST_OUTCOME_TRY(text, this->Call(address, GetRequest("/state"), kControlTimeoutMs));
+  BOOST_OUTCOME_TRY(
+      text, this->Call(address, GetRequest("/state"), kControlTimeoutMs));
   return ReadJson<EngineState>(text, "engine state");
 }
 
-Result<void> HttpEngineClient::Order(std::string_view address, const EngineOrder& order) {
-  BOOST_OUTCOME_TRY(this->Call(address, PostRequest("/orders", WriteJson(order)), kControlTimeoutMs));
+Result<void> HttpEngineClient::Order(std::string_view address,
+                                     const EngineOrder& order) {
+  BOOST_OUTCOME_TRY(this->Call(
+      address, PostRequest("/orders", WriteJson(order)), kControlTimeoutMs));
   return Success();
 }
 
-Result<std::string> HttpEngineClient::Call(std::string_view address, httplib::Request request,
+Result<std::string> HttpEngineClient::Call(std::string_view address,
+                                           httplib::Request request,
                                            DurationMs timeout_ms) {
-  BOOST_OUTCOME_TRY(response, this->pool.Send(address, std::move(request), timeout_ms));
-  if (response.status != 200) return EngineRefusal(address, response.status, response.body);
+  BOOST_OUTCOME_TRY(response,
+                    this->pool.Send(address, std::move(request), timeout_ms));
+  if (response.status != 200) {
+    return EngineRefusal(address, response.status, response.body);
+  }
   return std::move(response.body);
 }
 
--- a/src/edge/engine_messages.h
+++ b/src/edge/engine_messages.h
@@ -9,14 +9,18 @@
 
 namespace limpethaven {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefillAnswer, kv_handle, cached_tokens, elapsed_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamEvent, request_id, attempt, offset, count, text, last,
-                                   superseded, attachment)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldRequest, request_id, attempt, pieces, age_ms, detached_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefillAnswer, kv_handle, cached_tokens,
+                                   elapsed_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamEvent, request_id, attempt, offset,
+                                   count, text, last, superseded, attachment)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldRequest, request_id, attempt, pieces,
+                                   age_ms, detached_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EngineLoad, pieces_used, pieces_total, held)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CacheEvent, number, block, added)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EngineOrder, model, model_version, role, fence)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EngineState, model, model_version, role, fence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EngineOrder, model, model_version, role,
+                                   fence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EngineState, model, model_version, role,
+                                   fence)
 
 /// Body of `POST /prefill`.
 struct PrefillBody {
@@ -25,7 +29,8 @@
   std::string prompt;
   Tokens prompt_tokens = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefillBody, request_id, attempt, prompt, prompt_tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefillBody, request_id, attempt, prompt,
+                                   prompt_tokens)
 
 /// Body of `POST /generate`.
 struct GenerateBody {
@@ -41,8 +46,9 @@
   bool resume = false;
   std::int64_t expected_attachment = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GenerateBody, request_id, attempt, kv_source, kv_handle,
-                                   prompt_tokens, max_tokens, pieces, priority, offset, resume,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GenerateBody, request_id, attempt, kv_source,
+                                   kv_handle, prompt_tokens, max_tokens, pieces,
+                                   priority, offset, resume,
                                    expected_attachment)
 
 /// Body of `POST /cancel`.
@@ -53,20 +59,23 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CancelBody, request_id, attempt, attachment)
 
-/// Reads a typed body; an error names what was being read and what is wrong with it.
+/// Reads a typed body; an error names what was being read and what is wrong
+/// with it.
 template <typename T>
 [[nodiscard]] Result<T> ReadJson(std::string_view text, std::string_view what) {
   try {
     return nlohmann::json::parse(text).get<T>();
   } catch (const nlohmann::json::exception& fault) {
-    return Error::Of(ErrorKind::kBadRequest, std::string(what) + ": " + fault.what());
+    return Error::Of(ErrorKind::kBadRequest,
+                     std::string(what) + ": " + fault.what());
   }
 }
 
 /// Text of a typed body. Bytes that are not UTF-8 are replaced.
 template <typename T>
 [[nodiscard]] std::string WriteJson(const T& value) {
-  return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json(value).dump(-1, ' ', false,
+                                    nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace limpethaven
--- a/src/edge/flags.cc
+++ b/src/edge/flags.cc
@@ -15,7 +15,8 @@
 
 std::string EnvironmentName(std::string_view flag) {
   std::string name = "LIMPETHAVEN_";
-  const std::string_view bare = flag.substr(std::min(flag.size(), flag.find_first_not_of('-')));
+  const std::string_view bare =
+      flag.substr(std::min(flag.size(), flag.find_first_not_of('-')));
   std::ranges::transform(bare, std::back_inserter(name), [](char character) {
     return character == '-' ? '_' : static_cast<char>(std::toupper(character));
   });
@@ -45,7 +46,8 @@
   }
   if (secret.size() < kMinSecretBytes) {
     return Error::Of(ErrorKind::kBadRequest,
-                     "fleet secret: expected at least 16 characters in LIMPETHAVEN_FLEET_SECRET "
+                     "fleet secret: expected at least 16 characters in "
+                     "LIMPETHAVEN_FLEET_SECRET "
                      "or in the file named by --fleet-secret-file");
   }
   return secret;
--- a/src/edge/http_client.cc
+++ b/src/edge/http_client.cc
@@ -8,25 +8,30 @@
 
 constexpr DurationMs kConnectTimeoutMs = 500;
 constexpr std::size_t kMaxIdlePerAddress = 64;
-// Less than the servers' own limit, so that a kept connection is not closed under a call.
+// Less than the servers' own limit, so that a kept connection is not closed
+// under a call.
 constexpr DurationMs kMaxIdleMs = 1000;
 
 void SetTimeouts(httplib::Client& client, DurationMs timeout_ms) {
   const std::chrono::milliseconds timeout(timeout_ms);
-  client.set_connection_timeout(std::chrono::milliseconds(std::min(timeout_ms, kConnectTimeoutMs)));
+  client.set_connection_timeout(
+      std::chrono::milliseconds(std::min(timeout_ms, kConnectTimeoutMs)));
   client.set_read_timeout(timeout);
   client.set_write_timeout(timeout);
 }
 
 }  // namespace
 
-std::unique_ptr<httplib::Client> NewHttpClient(std::string_view address, DurationMs timeout_ms) {
+std::unique_ptr<httplib::Client> NewHttpClient(std::string_view address,
+                                               DurationMs timeout_ms) {
   const auto colon = address.rfind(':');
   int port = 0;
   if (colon != std::string_view::npos) {
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
+                    port);
   }
-  auto client = std::make_unique<httplib::Client>(std::string(address.substr(0, colon)), port);
+  auto client = std::make_unique<httplib::Client>(
+      std::string(address.substr(0, colon)), port);
   client->set_tcp_nodelay(true);
   client->set_keep_alive(false);
   client->set_follow_location(false);
@@ -43,14 +48,17 @@
       .WithRan(connected ? Ran::kUnknown : Ran::kNo);
 }
 
-Result<httplib::Response> HttpPool::Send(std::string_view address, httplib::Request request,
+Result<httplib::Response> HttpPool::Send(std::string_view address,
+                                         httplib::Request request,
                                          DurationMs timeout_ms) {
   const std::string key(address);
   ClientPtr client = this->Take(key);
   SetTimeouts(*client, timeout_ms);
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
-  if (!client->send(request, response, error)) return HttpFailure(address, error);
+  if (!client->send(request, response, error)) {
+    return HttpFailure(address, error);
+  }
   this->Return(key, std::move(client));
   return response;
 }
@@ -62,7 +70,9 @@
     if (found != this->idle.end() && !found->second.empty()) {
       IdleClient newest = std::move(found->second.back());
       found->second.pop_back();
-      if (this->clock.Now() - newest.since < kMaxIdleMs) return std::move(newest.client);
+      if (this->clock.Now() - newest.since < kMaxIdleMs) {
+        return std::move(newest.client);
+      }
       // The others have been idle for longer still.
       found->second.clear();
     }
--- a/src/edge/http_client.h
+++ b/src/edge/http_client.h
@@ -1,5 +1,6 @@
 /// @file
-/// HTTP clients with every timeout set in one place, and a pool of kept connections.
+/// HTTP clients with every timeout set in one place, and a pool of kept
+/// connections.
 #pragma once
 
 #include <httplib.h>
@@ -16,18 +17,21 @@
 
 namespace limpethaven {
 
-/// A client for `address` (`IP:port`) that connects anew and keeps no connection.
-[[nodiscard]] std::unique_ptr<httplib::Client> NewHttpClient(std::string_view address,
-                                                             DurationMs timeout_ms);
+/// A client for `address` (`IP:port`) that connects anew and keeps no
+/// connection.
+[[nodiscard]] std::unique_ptr<httplib::Client> NewHttpClient(
+    std::string_view address, DurationMs timeout_ms);
 
-/// Error for a failed call. Its `ran` is `kNo` only when no connection was made.
+/// Error for a failed call. Its `ran` is `kNo` only when no connection was
+/// made.
 [[nodiscard]] Error HttpFailure(std::string_view address, httplib::Error error);
 
 /// Kept connections for short calls that may be repeated by whoever makes them.
 class HttpPool {
  public:
   /// Sends a request on a kept or new connection.
-  [[nodiscard]] Result<httplib::Response> Send(std::string_view address, httplib::Request request,
+  [[nodiscard]] Result<httplib::Response> Send(std::string_view address,
+                                               httplib::Request request,
                                                DurationMs timeout_ms);
 
  private:
--- a/src/edge/http_server.cc
+++ b/src/edge/http_server.cc
@@ -14,11 +14,13 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kKeepAliveRequests = 1'000'000;
-// A stop waits for idle connections, so they are closed soon; clients drop theirs sooner still.
+// A stop waits for idle connections, so they are closed soon; clients drop
+// theirs sooner still.
 constexpr int kKeepAliveIdleS = 2;
 constexpr std::int64_t kMsPerS = 1000;
 
-/// Binds exclusively: unlike the library's default it never shares the port with another process.
+/// Binds exclusively: unlike the library's default it never shares the port
+/// with another process.
 void SetSocketOptions(int socket) {
   const int on = 1;
   setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -31,14 +33,17 @@
   TlsFiles(std::string certificate, std::string key)
       : certificate_file(std::move(certificate)), key_file(std::move(key)) {}
 
-  /// Sets up a server context so that every handshake asks for the current certificate.
+  /// Sets up a server context so that every handshake asks for the current
+  /// certificate.
   bool Install(SSL_CTX& context) {
     this->Reload();
     if (!this->loaded) return false;
     SSL_CTX_set_min_proto_version(&context, TLS1_2_VERSION);
     SSL_CTX_set_cert_cb(
         &context,
-        [](SSL* ssl, void* self) { return static_cast<TlsFiles*>(self)->Present(ssl) ? 1 : 0; },
+        [](SSL* ssl, void* self) {
+          return static_cast<TlsFiles*>(self)->Present(ssl) ? 1 : 0;
+        },
         this);
     return true;
   }
@@ -47,23 +52,28 @@
   bool Present(SSL* ssl) {
     const std::lock_guard lock(this->mutex);
     this->ReloadIfChanged();
-    return this->loaded != nullptr && SSL_set_SSL_CTX(ssl, this->loaded.get()) != nullptr;
+    return this->loaded != nullptr &&
+           SSL_set_SSL_CTX(ssl, this->loaded.get()) != nullptr;
   }
 
   void ReloadIfChanged() {
     std::error_code ignored;
-    const auto changed = std::filesystem::last_write_time(this->certificate_file, ignored);
+    const auto changed =
+        std::filesystem::last_write_time(this->certificate_file, ignored);
     if (changed != this->loaded_at) this->Reload();
   }
 
   /// Keeps the old certificate when the new files do not fit together.
   void Reload() {
     std::error_code ignored;
-    this->loaded_at = std::filesystem::last_write_time(this->certificate_file, ignored);
+    this->loaded_at =
+        std::filesystem::last_write_time(this->certificate_file, ignored);
     ContextPtr next(SSL_CTX_new(TLS_server_method()), &SSL_CTX_free);
     const bool usable =
-        SSL_CTX_use_certificate_chain_file(next.get(), this->certificate_file.c_str()) == 1 &&
-        SSL_CTX_use_PrivateKey_file(next.get(), this->key_file.c_str(), SSL_FILETYPE_PEM) == 1 &&
+        SSL_CTX_use_certificate_chain_file(
+            next.get(), this->certificate_file.c_str()) == 1 &&
+        SSL_CTX_use_PrivateKey_file(next.get(), this->key_file.c_str(),
+                                    SSL_FILETYPE_PEM) == 1 &&
         SSL_CTX_check_private_key(next.get()) == 1;
     if (usable) this->loaded = std::move(next);
   }
@@ -76,7 +86,8 @@
   std::filesystem::file_time_type loaded_at;
 };
 
-HttpServer::HttpServer(HttpServerSettings initial) : settings(std::move(initial)) {
+HttpServer::HttpServer(HttpServerSettings initial)
+    : settings(std::move(initial)) {
   if (this->settings.tls_certificate_file.empty()) {
     this->server = std::make_unique<httplib::Server>();
   } else {
@@ -87,7 +98,9 @@
   }
   httplib::Server& routes = *this->server;
   const std::size_t max_connections = this->settings.max_connections;
-  routes.new_task_queue = [max_connections] { return new TaskPool(max_connections); };
+  routes.new_task_queue = [max_connections] {
+    return new TaskPool(max_connections);
+  };
   routes.set_socket_options([this](int socket) {
     SetSocketOptions(socket);
     this->listen_socket = socket;
@@ -98,20 +111,22 @@
   routes.set_read_timeout(this->settings.read_timeout_s);
   routes.set_write_timeout(this->settings.write_timeout_s);
   routes.set_payload_max_length(this->settings.max_body_bytes);
-  routes.set_exception_handler(
-      [](const httplib::Request&, httplib::Response& response, std::exception_ptr thrown) {
-        std::string what = "unknown exception";
-        try {
-          std::rethrow_exception(thrown);
-        } catch (const std::exception& fault) {
-          what = fault.what();
-        } catch (...) {
-          what = "exception of an unknown type";
-        }
-        LogWarning(EventId::kInternalError, {{"what", what}});
-        WriteRefusal(response, Error::Of(ErrorKind::kInternal, "internal error"));
-      });
-  routes.set_error_handler([](const httplib::Request&, httplib::Response& response) {
+  routes.set_exception_handler([](const httplib::Request&,
+                                  httplib::Response& response,
+                                  const std::exception_ptr& thrown) {
+    std::string what = "unknown exception";
+    try {
+      std::rethrow_exception(thrown);
+    } catch (const std::exception& fault) {
+      what = fault.what();
+    } catch (...) {
+      what = "exception of an unknown type";
+    }
+    LogWarning(EventId::kInternalError, {{"what", what}});
+    WriteRefusal(response, Error::Of(ErrorKind::kInternal, "internal error"));
+  });
+  routes.set_error_handler([](const httplib::Request&,
+                              httplib::Response& response) {
     if (!response.body.empty()) return;
     const bool too_large = response.status == 413;
     const bool not_found = response.status == 404;
@@ -127,23 +142,29 @@
 httplib::Server& HttpServer::Routes() noexcept { return *this->server; }
 
 Result<void> HttpServer::Start() {
-  const std::string where = this->settings.address + ":" + std::to_string(this->settings.port);
+  const std::string where =
+      this->settings.address + ":" + std::to_string(this->settings.port);
   if (!this->server->is_valid()) {
-    return Error::Of(ErrorKind::kInternal, "cannot use the TLS certificate and key for " + where);
+    return Error::Of(ErrorKind::kInternal,
+                     "cannot use the TLS certificate and key for " + where);
   }
   if (this->settings.port == 0) {
     this->bound_port = this->server->bind_to_any_port(this->settings.address);
-  } else if (this->server->bind_to_port(this->settings.address, this->settings.port)) {
+  } else if (this->server->bind_to_port(this->settings.address,
+                                        this->settings.port)) {
     this->bound_port = this->settings.port;
   }
   if (this->bound_port <= 0) {
     this->bound_port = 0;
-    return Error::Of(ErrorKind::kInternal, "cannot listen on " + where + ": is the port taken?");
+    return Error::Of(ErrorKind::kInternal,
+                     "cannot listen on " + where + ": is the port taken?");
   }
   // The library listens with a backlog of 5; a second call raises it.
   ::listen(this->listen_socket, kListenBacklog);
   this->thread = std::thread([this] { this->server->listen_after_bind(); });
-  while (!this->server->is_running()) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  while (!this->server->is_running()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
   return Success();
 }
 
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -21,11 +21,12 @@
   std::size_t max_body_bytes = 4'000'000;
   int read_timeout_s = 10;  ///< Longest wait for the next bytes of a request.
   int write_timeout_s = 5;  ///< Longest wait for a caller that does not read.
-  std::string tls_certificate_file;    ///< PEM chain; empty for plain HTTP.
+  std::string tls_certificate_file;  ///< PEM chain; empty for plain HTTP.
   std::string tls_key_file;
 };
 
-/// Presents the certificate that the files hold now; read again when they change.
+/// Presents the certificate that the files hold now; read again when they
+/// change.
 class TlsFiles;
 
 /// A server with its thread. Add routes to `Routes()` before `Start`.
@@ -53,7 +54,8 @@
   int listen_socket = -1;
 };
 
-/// Writes a refusal: status from the error table, JSON body, `Retry-After` when it has advice.
+/// Writes a refusal: status from the error table, JSON body, `Retry-After` when
+/// it has advice.
 void WriteRefusal(httplib::Response& response, const Error& error);
 
 }  // namespace limpethaven
--- a/src/edge/log.cc
+++ b/src/edge/log.cc
@@ -12,7 +12,8 @@
   line << '[' << static_cast<int>(event) << ' ' << NameOf(event) << ']';
   std::ranges::for_each(fields, [&line](const LogField& field) {
     line << ' ' << field.name << '=';
-    const bool quote = field.value.empty() || field.value.find(' ') != std::string::npos;
+    const bool quote =
+        field.value.empty() || field.value.find(' ') != std::string::npos;
     if (quote) {
       line << '"' << field.value << '"';
     } else {
--- a/src/edge/peer_transport.cc
+++ b/src/edge/peer_transport.cc
@@ -22,8 +22,9 @@
 constexpr std::size_t kNonceBytes = 8;
 constexpr int kReceiveTimeoutMs = 200;
 
-std::string CallTag(std::string_view secret, std::string_view from, std::string_view to,
-                    std::string_view path, std::string_view nonce, std::string_view body) {
+std::string CallTag(std::string_view secret, std::string_view from,
+                    std::string_view to, std::string_view path,
+                    std::string_view nonce, std::string_view body) {
   std::string text;
   for (const std::string_view part : {from, to, path, nonce, body}) {
     text.append(std::to_string(part.size())).append(":").append(part);
@@ -31,19 +32,23 @@
   return HmacSha256Hex(secret, text);
 }
 
-std::string AnswerTag(std::string_view secret, std::string_view call_tag, int status,
-                      std::string_view body) {
-  return HmacSha256Hex(secret, std::string(call_tag) + std::to_string(status) + std::string(body));
+std::string AnswerTag(std::string_view secret, std::string_view call_tag,
+                      int status, std::string_view body) {
+  return HmacSha256Hex(secret, std::string(call_tag) + std::to_string(status) +
+                                   std::string(body));
 }
 
-std::string TextOf(const VmId& vm) { return vm.address + "@" + std::to_string(vm.incarnation); }
+std::string TextOf(const VmId& vm) {
+  return vm.address + "@" + std::to_string(vm.incarnation);
+}
 
 VmId VmIdFrom(std::string_view text) {
   VmId vm;
   const auto at = text.find('@');
   vm.address = text.substr(0, at);
   if (at != std::string_view::npos) {
-    std::from_chars(text.data() + at + 1, text.data() + text.size(), vm.incarnation);
+    std::from_chars(text.data() + at + 1, text.data() + text.size(),
+                    vm.incarnation);
   }
   return vm;
 }
@@ -67,8 +72,8 @@
 
 void HttpPeerTransport::Handle(const std::string& path, PeerHandler handler) {
   this->server.Routes().Post(
-      path, [this, handler = std::move(handler)](const httplib::Request& request,
-                                                 httplib::Response& response) {
+      path, [this, handler = std::move(handler)](
+                const httplib::Request& request, httplib::Response& response) {
         this->Answer(handler, request, response);
       });
 }
@@ -89,15 +94,18 @@
   this->udp_socket = -1;
 }
 
-void HttpPeerTransport::SendDatagram(std::string_view address, std::string_view bytes) {
+void HttpPeerTransport::SendDatagram(std::string_view address,
+                                     std::string_view bytes) {
   const sockaddr_in to = SocketAddress(address, this->settings.peer_port);
   this->datagram_bytes += bytes.size();
-  ::sendto(this->udp_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to),
-           sizeof(to));
+  ::sendto(this->udp_socket, bytes.data(), bytes.size(), 0,
+           reinterpret_cast<const sockaddr*>(&to), sizeof(to));
 }
 
-Result<std::string> HttpPeerTransport::Call(std::string_view address, std::string_view path,
-                                            std::string_view body, DurationMs timeout_ms) {
+Result<std::string> HttpPeerTransport::Call(std::string_view address,
+                                            std::string_view path,
+                                            std::string_view body,
+                                            DurationMs timeout_ms) {
   const std::string from = TextOf(this->settings.self);
   const std::string nonce = RandomHex(kNonceBytes);
   const std::string tag =
@@ -108,29 +116,38 @@
   request.set_header(kTagHeader, tag);
   const std::string target =
       std::string(address) + ":" + std::to_string(this->settings.peer_port);
-  BOOST_OUTCOME_TRY(response, this->pool.Send(target, std::move(request), timeout_ms));
-  const std::string expected =
-      AnswerTag(this->settings.fleet_secret, tag, response.status, response.body);
+  BOOST_OUTCOME_TRY(response,
+                    this->pool.Send(target, std::move(request), timeout_ms));
+  const std::string expected = AnswerTag(this->settings.fleet_secret, tag,
+                                         response.status, response.body);
   if (!ConstantTimeEqual(expected, response.get_header_value(kTagHeader))) {
-    return Error::Of(ErrorKind::kPeerRejected, target + " did not prove that it is a peer")
+    return Error::Of(ErrorKind::kPeerRejected,
+                     target + " did not prove that it is a peer")
         .WithRan(Ran::kUnknown);
   }
   if (response.status == 200) return std::move(response.body);
   if (auto error = ErrorFromJsonBody(response.body)) return *error;
-  return Error::Of(ErrorKind::kInternal, target + " answered " + std::to_string(response.status));
+  return Error::Of(ErrorKind::kInternal,
+                   target + " answered " + std::to_string(response.status));
 }
 
-std::uint64_t HttpPeerTransport::DatagramBytes() const noexcept { return this->datagram_bytes; }
+std::uint64_t HttpPeerTransport::DatagramBytes() const noexcept {
+  return this->datagram_bytes;
+}
 
-void HttpPeerTransport::Answer(const PeerHandler& handler, const httplib::Request& request,
+void HttpPeerTransport::Answer(const PeerHandler& handler,
+                               const httplib::Request& request,
                                httplib::Response& response) const {
   const std::string from = request.get_header_value(kFromHeader);
   const std::string& secret = this->settings.fleet_secret;
-  const std::string tag = CallTag(secret, from, this->settings.self.address, request.path,
-                                  request.get_header_value(kNonceHeader), request.body);
+  const std::string tag =
+      CallTag(secret, from, this->settings.self.address, request.path,
+              request.get_header_value(kNonceHeader), request.body);
   if (!ConstantTimeEqual(tag, request.get_header_value(kTagHeader))) {
-    LogWarning(EventId::kPeerMessageRejected, {{"from", from}, {"why", "wrong tag"}});
-    WriteRefusal(response, Error::Of(ErrorKind::kPeerRejected, "wrong authentication tag"));
+    LogWarning(EventId::kPeerMessageRejected,
+               {{"from", from}, {"why", "wrong tag"}});
+    WriteRefusal(response, Error::Of(ErrorKind::kPeerRejected,
+                                     "wrong authentication tag"));
     return;
   }
   const auto result = handler(VmIdFrom(from), request.body);
@@ -140,18 +157,23 @@
   } else {
     WriteRefusal(response, result.error());
   }
-  response.set_header(kTagHeader, AnswerTag(secret, tag, response.status, response.body));
+  response.set_header(kTagHeader,
+                      AnswerTag(secret, tag, response.status, response.body));
 }
 
 Result<void> HttpPeerTransport::OpenSocket() {
   this->udp_socket = ::socket(AF_INET, SOCK_DGRAM, 0);
   const timeval timeout{0, kReceiveTimeoutMs * 1000};
-  setsockopt(this->udp_socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-  const sockaddr_in own = SocketAddress(this->settings.self.address, this->settings.peer_port);
-  if (::bind(this->udp_socket, reinterpret_cast<const sockaddr*>(&own), sizeof(own)) != 0) {
-    return Error::Of(ErrorKind::kInternal, "cannot bind UDP port " +
-                                               std::to_string(this->settings.peer_port) + " on " +
-                                               this->settings.self.address);
+  setsockopt(this->udp_socket, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+             sizeof(timeout));
+  const sockaddr_in own =
+      SocketAddress(this->settings.self.address, this->settings.peer_port);
+  if (::bind(this->udp_socket, reinterpret_cast<const sockaddr*>(&own),
+             sizeof(own)) != 0) {
+    return Error::Of(ErrorKind::kInternal,
+                     "cannot bind UDP port " +
+                         std::to_string(this->settings.peer_port) + " on " +
+                         this->settings.self.address);
   }
   return Success();
 }
@@ -159,10 +181,12 @@
 void HttpPeerTransport::Receive() {
   std::array<char, kMaxDatagramBytes> buffer{};
   while (!this->stopping) {
-    const ssize_t length = ::recv(this->udp_socket, buffer.data(), buffer.size(), 0);
+    const ssize_t length =
+        ::recv(this->udp_socket, buffer.data(), buffer.size(), 0);
     if (length <= 0) continue;
     this->datagram_bytes += static_cast<std::uint64_t>(length);
-    this->on_datagram(std::string_view(buffer.data(), static_cast<std::size_t>(length)));
+    this->on_datagram(
+        std::string_view(buffer.data(), static_cast<std::size_t>(length)));
   }
 }
 
--- a/src/edge/peer_transport.h
+++ b/src/edge/peer_transport.h
@@ -17,19 +17,21 @@
 /// Settings of the peer transport.
 struct PeerTransportSettings {
   VmId self;
-  int peer_port = 0;        ///< Same on every VM, TCP and UDP.
-  std::string fleet_secret; ///< Shared by the fleet; signs every message.
+  int peer_port = 0;         ///< Same on every VM, TCP and UDP.
+  std::string fleet_secret;  ///< Shared by the fleet; signs every message.
 };
 
 /// Handles one authenticated call from a peer: body in, body or error out.
-using PeerHandler = std::function<Result<std::string>(const VmId& from, const std::string& body)>;
+using PeerHandler = std::function<Result<std::string>(const VmId& from,
+                                                      const std::string& body)>;
 /// Handles one datagram; its contents are authenticated by the receiver.
 using DatagramHandler = std::function<void(std::string_view bytes)>;
 
 /// Peer transport of one process.
 ///
-/// Calls carry an HMAC over sender, addressee, path, nonce and body; answers carry one over the
-/// call's tag and the answer, so that each side knows the other holds the fleet secret.
+/// Calls carry an HMAC over sender, addressee, path, nonce and body; answers
+/// carry one over the call's tag and the answer, so that each side knows the
+/// other holds the fleet secret.
 class HttpPeerTransport final : public PeerTransport {
  public:
   explicit HttpPeerTransport(PeerTransportSettings settings);
@@ -43,8 +45,10 @@
   void Stop();
 
   void SendDatagram(std::string_view address, std::string_view bytes) override;
-  [[nodiscard]] Result<std::string> Call(std::string_view address, std::string_view path,
-                                         std::string_view body, DurationMs timeout_ms) override;
+  [[nodiscard]] Result<std::string> Call(std::string_view address,
+                                         std::string_view path,
+                                         std::string_view body,
+                                         DurationMs timeout_ms) override;
   /// Bytes of datagrams sent and received so far.
   [[nodiscard]] std::uint64_t DatagramBytes() const noexcept;
 
--- a/src/edge/service_client.cc
+++ b/src/edge/service_client.cc
@@ -22,14 +22,16 @@
     request.set_header(header.name, header.value);
   });
   ServiceAnswer answer;
-  request.content_receiver = [&answer](const char* data, std::size_t length, std::uint64_t,
-                                       std::uint64_t) {
+  request.content_receiver = [&answer](const char* data, std::size_t length,
+                                       std::uint64_t, std::uint64_t) {
     answer.body.append(data, length);
     return answer.body.size() <= kMaxAnswerBytes;
   };
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
-  if (!client->send(request, response, error)) return HttpFailure(call.address, error);
+  if (!client->send(request, response, error)) {
+    return HttpFailure(call.address, error);
+  }
   answer.status = response.status;
   answer.content_type = response.get_header_value("Content-Type");
   if (answer.body.empty()) answer.body = std::move(response.body);
--- a/src/edge/signals.cc
+++ b/src/edge/signals.cc
@@ -31,7 +31,8 @@
     int signal = 0;
     return sigwait(&signals, &signal) == 0;
   }
-  const timespec timeout{timeout_ms / kMsPerS, (timeout_ms % kMsPerS) * kNsPerMs};
+  const timespec timeout{timeout_ms / kMsPerS,
+                         (timeout_ms % kMsPerS) * kNsPerMs};
   return sigtimedwait(&signals, nullptr, &timeout) > 0;
 }
 
--- a/src/edge/sse.cc
+++ b/src/edge/sse.cc
@@ -15,7 +15,9 @@
   std::string text;
   text.reserve(event.id.size() + event.data.size() + 24);
   if (!event.id.empty()) text.append("id: ").append(event.id).append("\n");
-  if (!event.name.empty()) text.append("event: ").append(event.name).append("\n");
+  if (!event.name.empty()) {
+    text.append("event: ").append(event.name).append("\n");
+  }
   return text.append("data: ").append(event.data).append("\n\n");
 }
 
@@ -27,11 +29,14 @@
   std::size_t begin = 0;
   for (std::size_t end = this->buffer.find('\n'); end != std::string::npos;
        end = this->buffer.find('\n', begin)) {
-    this->Line(std::string_view(this->buffer).substr(begin, end - begin), events);
+    this->Line(std::string_view(this->buffer).substr(begin, end - begin),
+               events);
     begin = end + 1;
   }
   this->buffer.erase(0, begin);
-  if (this->buffer.size() + this->current.data.size() > kMaxEventBytes) this->failed = true;
+  if (this->buffer.size() + this->current.data.size() > kMaxEventBytes) {
+    this->failed = true;
+  }
   return events;
 }
 
--- a/src/edge/sse.h
+++ b/src/edge/sse.h
@@ -26,8 +26,8 @@
 /// Splits a byte stream into events; pieces may end anywhere.
 class SseParser {
  public:
-  /// @returns events completed by these bytes. Past `kMaxEventBytes` without an end the parser
-  /// fails: see `Failed`.
+  /// @returns events completed by these bytes. Past `kMaxEventBytes` without an
+  /// end the parser fails: see `Failed`.
   [[nodiscard]] std::vector<SseEvent> Feed(std::string_view bytes);
   [[nodiscard]] bool Failed() const noexcept;
 
--- a/src/edge/task_pool.cc
+++ b/src/edge/task_pool.cc
@@ -9,7 +9,8 @@
 void TaskPool::enqueue(std::function<void()> task) {
   const std::lock_guard lock(this->mutex);
   this->tasks.push_back(std::move(task));
-  if (this->idle < this->tasks.size() && this->threads.size() < this->max_threads) {
+  if (this->idle < this->tasks.size() &&
+      this->threads.size() < this->max_threads) {
     this->threads.emplace_back([this] { this->Work(); });
   }
   this->wake.notify_one();
@@ -28,7 +29,8 @@
   std::unique_lock lock(this->mutex);
   while (true) {
     ++this->idle;
-    this->wake.wait(lock, [this] { return this->stopping || !this->tasks.empty(); });
+    this->wake.wait(lock,
+                    [this] { return this->stopping || !this->tasks.empty(); });
     --this->idle;
     if (this->tasks.empty()) return;
     const std::function<void()> task = std::move(this->tasks.front());
--- a/src/edge/task_pool.h
+++ b/src/edge/task_pool.h
@@ -1,5 +1,6 @@
 /// @file
-/// Thread pool for blocking connections: grows on demand up to a cap, then queues.
+/// Thread pool for blocking connections: grows on demand up to a cap, then
+/// queues.
 #pragma once
 
 #include <httplib.h>
@@ -17,7 +18,8 @@
 /// Task queue of one HTTP server. Threads are kept once started.
 class TaskPool final : public httplib::TaskQueue {
  public:
-  /// @param max_threads Most connections served at once; later ones wait for a thread.
+  /// @param max_threads Most connections served at once; later ones wait for a
+  /// thread.
   explicit TaskPool(std::size_t max_threads);
 
   void enqueue(std::function<void()> task) override;
--- a/src/entry/active_requests.h
+++ b/src/entry/active_requests.h
@@ -59,9 +59,12 @@
   explicit ActiveRequests(std::size_t cap);
 
   /// Adds a request. An id that is being served already is refused.
-  [[nodiscard]] Result<Ptr> Add(std::string id, std::string team, std::string key_digest);
-  /// Adds a request that goes on over a new connection; an older row of the id gives way.
-  [[nodiscard]] Result<Ptr> Replace(std::string id, std::string team, std::string key_digest);
+  [[nodiscard]] Result<Ptr> Add(std::string id, std::string team,
+                                std::string key_digest);
+  /// Adds a request that goes on over a new connection; an older row of the id
+  /// gives way.
+  [[nodiscard]] Result<Ptr> Replace(std::string id, std::string team,
+                                    std::string key_digest);
   void Remove(const ActiveRequest& request);
   [[nodiscard]] std::size_t Size() const;
   /// Cuts a request of a team. @returns whether it was here.
--- a/src/entry/admin_api.cc
+++ b/src/entry/admin_api.cc
@@ -59,27 +59,33 @@
 }  // namespace
 
 void AddAdminRoutes(EntryNode& node, httplib::Server& routes) {
-  routes.Get("/v1/health", [&node](const httplib::Request&, httplib::Response& response) {
+  routes.Get("/v1/health", [&node](const httplib::Request&,
+                                   httplib::Response& response) {
     const bool healthy = node.Ready() && !node.Leaving();
     response.status = healthy ? 200 : 503;
     Send(response, {{"ready", node.Ready()}, {"leaving", node.Leaving()}});
   });
-  routes.Get("/metrics", [&node](const httplib::Request&, httplib::Response& response) {
+  routes.Get("/metrics", [&node](const httplib::Request&,
+                                 httplib::Response& response) {
     response.set_content(node.metrics.Text(), "text/plain; version=0.0.4");
   });
-  routes.Get("/debug/status", [&node](const httplib::Request&, httplib::Response& response) {
-    Send(response, DescribeStatus(node));
-  });
-  routes.Get("/debug/teams", [&node](const httplib::Request&, httplib::Response& response) {
-    Send(response, DescribeTeams(node));
-  });
-  routes.Get("/debug/cells", [&node](const httplib::Request&, httplib::Response& response) {
-    Send(response, node.cells->Describe());
-  });
-  routes.Post("/admin/drain", [](const httplib::Request&, httplib::Response& response) {
-    Send(response, {{"draining", true}});
-    std::raise(SIGTERM);
-  });
+  routes.Get("/debug/status",
+             [&node](const httplib::Request&, httplib::Response& response) {
+               Send(response, DescribeStatus(node));
+             });
+  routes.Get("/debug/teams",
+             [&node](const httplib::Request&, httplib::Response& response) {
+               Send(response, DescribeTeams(node));
+             });
+  routes.Get("/debug/cells",
+             [&node](const httplib::Request&, httplib::Response& response) {
+               Send(response, node.cells->Describe());
+             });
+  routes.Post("/admin/drain",
+              [](const httplib::Request&, httplib::Response& response) {
+                Send(response, {{"draining", true}});
+                std::raise(SIGTERM);
+              });
 }
 
 }  // namespace limpethaven
--- a/src/entry/authenticator.h
+++ b/src/entry/authenticator.h
@@ -11,7 +11,8 @@
 
 namespace limpethaven {
 
-/// Who calls. The key's text is kept only to look for it in what would be sent on.
+/// Who calls. The key's text is kept only to look for it in what would be sent
+/// on.
 struct CallerIdentity {
   std::string team;
   std::string key_digest;
@@ -19,7 +20,7 @@
 };
 
 /// Identity of the caller by `Authorization: Bearer KEY`.
-[[nodiscard]] Result<CallerIdentity> Authenticate(const Configuration& config,
-                                                  const httplib::Request& request);
+[[nodiscard]] Result<CallerIdentity> Authenticate(
+    const Configuration& config, const httplib::Request& request);
 
 }  // namespace limpethaven
--- a/src/entry/cell_service.cc
+++ b/src/entry/cell_service.cc
@@ -32,7 +32,8 @@
 
 /// A scheduler with the calls that wait for its decisions.
 struct CellService::HostedCell {
-  HostedCell(const std::string& name, const std::string& owner) : scheduler(name, owner) {}
+  HostedCell(const std::string& name, const std::string& owner)
+      : scheduler(name, owner) {}
 
   std::mutex mutex;
   CellScheduler scheduler;
@@ -40,7 +41,8 @@
   std::map<std::string, std::int64_t, std::less<>> last_event;  ///< By engine.
 };
 
-CellService::CellService(PeerTransport& peer_transport, GossipService& gossip_service,
+CellService::CellService(PeerTransport& peer_transport,
+                         GossipService& gossip_service,
                          EngineClient& engine_client, const Clock& system_clock,
                          std::size_t engines_per_cell)
     : peers(peer_transport),
@@ -81,24 +83,31 @@
     this->cells = std::move(next);
   }
   const TimeMs now = this->clock.Now();
-  std::ranges::for_each(this->Hosted(), [&](const std::shared_ptr<HostedCell>& cell) {
-    const auto spec = this->FindCell(cell->scheduler.Name());
-    const std::lock_guard lock(cell->mutex);
-    cell->scheduler.Configure(spec ? spec->engines : std::vector<CellEngine>(), now);
-  });
+  std::ranges::for_each(
+      this->Hosted(), [&](const std::shared_ptr<HostedCell>& cell) {
+        const auto spec = this->FindCell(cell->scheduler.Name());
+        const std::lock_guard lock(cell->mutex);
+        cell->scheduler.Configure(
+            spec ? spec->engines : std::vector<CellEngine>(), now);
+      });
 }
 
 Result<PlacedRequest> CellService::Place(std::string_view model,
                                          const PlacementRequest& request) {
-  const std::uint64_t prefix = request.prefix.empty() ? StableHash(request.request_id)
-                                                      : request.prefix.front();
+  const std::uint64_t prefix = request.prefix.empty()
+                                   ? StableHash(request.request_id)
+                                   : request.prefix.front();
   const std::vector<CellSpec> order = this->CellsFor(model, prefix);
-  Error last = Error::Of(ErrorKind::kNoEndpoint, "no cell serves " + std::string(model));
+  Error last =
+      Error::Of(ErrorKind::kNoEndpoint, "no cell serves " + std::string(model));
   for (const CellSpec& cell : order) {
     auto placed = this->PlaceAtOwner(cell, request);
     if (placed) return PlacedRequest{cell.name, std::move(placed.value())};
     last = placed.error();
-    if (last.kind == ErrorKind::kDeadline || last.kind == ErrorKind::kBodyTooLarge) break;
+    if (last.kind == ErrorKind::kDeadline ||
+        last.kind == ErrorKind::kBodyTooLarge) {
+      break;
+    }
   }
   return last;
 }
@@ -106,7 +115,9 @@
 void CellService::Notify(CellNotice notice) {
   const std::lock_guard lock(this->outbox_mutex);
   this->outbox.push_back(Outgoing{std::move(notice), 0});
-  if (this->outbox.back().notice.kind == NoticeKind::kFinish) this->sender.Wake();
+  if (this->outbox.back().notice.kind == NoticeKind::kFinish) {
+    this->sender.Wake();
+  }
 }
 
 void CellService::CancelOnEngine(CancelCommand command) {
@@ -120,42 +131,49 @@
 Result<std::string> CellService::AnswerPlace(const std::string& body) {
   BOOST_OUTCOME_TRY(ask, ReadJson<PlaceBody>(body, "request for a placement"));
   const auto cell = this->FindCell(ask.cell);
-  if (!cell) return Error::Of(ErrorKind::kNoEndpoint, "cell " + ask.cell + " is not known here");
+  if (!cell) {
+    return Error::Of(ErrorKind::kNoEndpoint,
+                     "cell " + ask.cell + " is not known here");
+  }
   BOOST_OUTCOME_TRY(placement, this->PlaceHere(*cell, ask.request));
   return WriteJson(placement);
 }
 
 Result<std::string> CellService::AnswerNotices(const std::string& body) {
-  BOOST_OUTCOME_TRY(notices, ReadJson<std::vector<CellNotice>>(body, "cell notices"));
-  std::ranges::for_each(notices, [this](const CellNotice& notice) { this->Apply(notice); });
+  BOOST_OUTCOME_TRY(notices,
+                    ReadJson<std::vector<CellNotice>>(body, "cell notices"));
+  std::ranges::for_each(
+      notices, [this](const CellNotice& notice) { this->Apply(notice); });
   return std::string("{}");
 }
 
 nlohmann::json CellService::Describe() {
   nlohmann::json out = nlohmann::json::array();
   const TimeMs now = this->clock.Now();
-  std::ranges::for_each(this->Hosted(), [&](const std::shared_ptr<HostedCell>& cell) {
-    const std::lock_guard lock(cell->mutex);
-    nlohmann::json rows = nlohmann::json::array();
-    std::ranges::for_each(cell->scheduler.Engines(now), [&rows](const EngineView& engine) {
-      rows.push_back({{"address", engine.address},
-                      {"role", NameOf(engine.role)},
-                      {"pieces", engine.pieces},
-                      {"reserved", engine.reserved},
-                      {"backlog_ms", engine.backlog_ms},
-                      {"usable", engine.usable}});
-    });
-    out.push_back({{"cell", cell->scheduler.Name()},
-                   {"queue", cell->scheduler.QueueLength()},
-                   {"reservations", cell->scheduler.Reservations()},
-                   {"engines", rows}});
-  });
+  std::ranges::for_each(
+      this->Hosted(), [&](const std::shared_ptr<HostedCell>& cell) {
+        const std::lock_guard lock(cell->mutex);
+        nlohmann::json rows = nlohmann::json::array();
+        std::ranges::for_each(
+            cell->scheduler.Engines(now), [&rows](const EngineView& engine) {
+              rows.push_back({{"address", engine.address},
+                              {"role", NameOf(engine.role)},
+                              {"pieces", engine.pieces},
+                              {"reserved", engine.reserved},
+                              {"backlog_ms", engine.backlog_ms},
+                              {"usable", engine.usable}});
+            });
+        out.push_back({{"cell", cell->scheduler.Name()},
+                       {"queue", cell->scheduler.QueueLength()},
+                       {"reservations", cell->scheduler.Reservations()},
+                       {"engines", rows}});
+      });
   return out;
 }
 
 std::vector<std::string> CellService::OwnerOrder(const CellSpec& cell) const {
-  return RendezvousTop("cell/" + cell.name, this->gossip.UsableNear(cell.data_centre),
-                       kOwnersTried);
+  return RendezvousTop("cell/" + cell.name,
+                       this->gossip.UsableNear(cell.data_centre), kOwnersTried);
 }
 
 std::optional<CellSpec> CellService::FindCell(std::string_view name) const {
@@ -165,41 +183,54 @@
   return *found;
 }
 
-std::vector<CellSpec> CellService::CellsFor(std::string_view model, std::uint64_t prefix) const {
+std::vector<CellSpec> CellService::CellsFor(std::string_view model,
+                                            std::uint64_t prefix) const {
   const std::lock_guard lock(this->mutex);
-  const std::vector<std::string> names = CellOrder(this->cells, model, prefix, kCellsTried);
+  const std::vector<std::string> names =
+      CellOrder(this->cells, model, prefix, kCellsTried);
   std::vector<CellSpec> order;
-  std::ranges::transform(names, std::back_inserter(order), [this](const std::string& name) {
-    return *std::ranges::find(this->cells, name, &CellSpec::name);
-  });
+  std::ranges::transform(
+      names, std::back_inserter(order), [this](const std::string& name) {
+        return *std::ranges::find(this->cells, name, &CellSpec::name);
+      });
   return order;
 }
 
 Result<Placement> CellService::PlaceAtOwner(const CellSpec& cell,
                                             const PlacementRequest& request) {
   const std::vector<std::string> owners = this->OwnerOrder(cell);
-  Error last = Error::Of(ErrorKind::kNoEndpoint, "no VM can schedule cell " + cell.name);
+  Error last =
+      Error::Of(ErrorKind::kNoEndpoint, "no VM can schedule cell " + cell.name);
   for (const std::string& owner : owners) {
-    if (owner == this->gossip.Self().address) return this->PlaceHere(cell, request);
+    if (owner == this->gossip.Self().address) {
+      return this->PlaceHere(cell, request);
+    }
     const DurationMs timeout_ms =
-        (request.serve_late ? kServeLateWaitMs : request.budget_ms) + kPlaceSlackMs;
-    const auto text = this->peers.Call(owner, "/peer/v1/place",
-                                       WriteJson(PlaceBody{cell.name, request}), timeout_ms);
+        (request.serve_late ? kServeLateWaitMs : request.budget_ms) +
+        kPlaceSlackMs;
+    const auto text =
+        this->peers.Call(owner, "/peer/v1/place",
+                         WriteJson(PlaceBody{cell.name, request}), timeout_ms);
     if (text) return ReadJson<Placement>(text.value(), "placement");
     last = text.error();
-    // A refusal by the scheduler is its decision; only an owner out of reach is passed over.
+    // A refusal by the scheduler is its decision; only an owner out of reach is
+    // passed over.
     if (last.kind != ErrorKind::kEndpointFailed) return last;
-    // It may have placed the request all the same: whatever it reserved must be freed.
-    this->Notify(CellNotice{NoticeKind::kWithdraw, cell.name, "", request.request_id, "", 0, 0});
+    // It may have placed the request all the same: whatever it reserved must be
+    // freed.
+    this->Notify(CellNotice{NoticeKind::kWithdraw, cell.name, "",
+                            request.request_id, "", 0, 0});
   }
   return last.WithRan(Ran::kNo);
 }
 
-Result<Placement> CellService::PlaceHere(const CellSpec& cell, PlacementRequest request) {
+Result<Placement> CellService::PlaceHere(const CellSpec& cell,
+                                         PlacementRequest request) {
   const std::shared_ptr<HostedCell> host = this->Host(cell);
   const std::string id = request.request_id;
   const DurationMs wait_ms =
-      (request.serve_late ? kServeLateWaitMs : request.budget_ms) + kPlaceSlackMs / 2;
+      (request.serve_late ? kServeLateWaitMs : request.budget_ms) +
+      kPlaceSlackMs / 2;
   std::future<Result<Placement>> decision;
   {
     const std::lock_guard lock(host->mutex);
@@ -209,7 +240,8 @@
     host->scheduler.Submit(std::move(request), this->clock.Now());
   }
   this->RunTick(*host);
-  if (decision.wait_for(std::chrono::milliseconds(wait_ms)) == std::future_status::ready) {
+  if (decision.wait_for(std::chrono::milliseconds(wait_ms)) ==
+      std::future_status::ready) {
     return decision.get();
   }
   {
@@ -220,7 +252,8 @@
   return Error::Of(ErrorKind::kDeadline, "no placement in time");
 }
 
-std::shared_ptr<CellService::HostedCell> CellService::Host(const CellSpec& cell) {
+std::shared_ptr<CellService::HostedCell> CellService::Host(
+    const CellSpec& cell) {
   std::shared_ptr<HostedCell> host;
   {
     const std::lock_guard lock(this->mutex);
@@ -228,10 +261,12 @@
     if (found != this->hosted.end()) return found->second;
     const VmId& self = this->gossip.Self();
     host = std::make_shared<HostedCell>(
-        cell.name, self.address + "-" + std::to_string(self.incarnation) + "-" + cell.name);
+        cell.name, self.address + "-" + std::to_string(self.incarnation) + "-" +
+                       cell.name);
     host->scheduler.Configure(cell.engines, this->clock.Now());
   }
-  // A new owner first learns what the engines hold, so that it does not place on top of it.
+  // A new owner first learns what the engines hold, so that it does not place
+  // on top of it.
   this->Poll(*host, cell);
   const std::lock_guard lock(this->mutex);
   return this->hosted.emplace(cell.name, host).first->second;
@@ -247,7 +282,8 @@
     CellScheduler& scheduler = host->scheduler;
     switch (notice.kind) {
       case NoticeKind::kRenew:
-        scheduler.Renew({{notice.reservation, notice.request_id, notice.engine, notice.pieces}},
+        scheduler.Renew({{notice.reservation, notice.request_id, notice.engine,
+                          notice.pieces}},
                         now);
         return;
       case NoticeKind::kPrefillDone:
@@ -261,7 +297,8 @@
         break;
       case NoticeKind::kFailed:
         scheduler.EngineFailed(notice.engine, now);
-        LogEvent(EventId::kRetry, {{"request", notice.request_id}, {"engine", notice.engine}});
+        LogEvent(EventId::kRetry,
+                 {{"request", notice.request_id}, {"engine", notice.engine}});
         break;
       case NoticeKind::kServed:
         scheduler.EngineServed(notice.engine, now);
@@ -273,8 +310,10 @@
 
 void CellService::RunTick(HostedCell& cell) {
   const std::lock_guard lock(cell.mutex);
-  const std::vector<CellCommand> commands = cell.scheduler.Tick(this->clock.Now());
-  const auto answer = [&cell](const std::string& request_id, Result<Placement> decision) {
+  const std::vector<CellCommand> commands =
+      cell.scheduler.Tick(this->clock.Now());
+  const auto answer = [&cell](const std::string& request_id,
+                              Result<Placement> decision) {
     const auto waiting = cell.waiting.find(request_id);
     if (waiting == cell.waiting.end()) return;
     waiting->second.set_value(std::move(decision));
@@ -305,7 +344,8 @@
                    [&](const CancelCommand& cancel) {
                      LogEvent(cancel.orphan ? EventId::kOrphanCancelled
                                             : EventId::kReservationLapsed,
-                              {{"request", cancel.request_id}, {"engine", cancel.engine}});
+                              {{"request", cancel.request_id},
+                               {"engine", cancel.engine}});
                      this->CancelOnEngine(cancel);
                    }},
         command);
@@ -333,27 +373,33 @@
   });
   std::ranges::for_each(by_owner, [&](auto& entry) {
     std::vector<CellNotice> notices;
-    std::ranges::transform(entry.second, std::back_inserter(notices), &Outgoing::notice);
+    std::ranges::transform(entry.second, std::back_inserter(notices),
+                           &Outgoing::notice);
     if (entry.first == this->gossip.Self().address) {
-      std::ranges::for_each(notices, [this](const CellNotice& notice) { this->Apply(notice); });
+      std::ranges::for_each(
+          notices, [this](const CellNotice& notice) { this->Apply(notice); });
       return;
     }
-    if (this->peers.Call(entry.first, "/peer/v1/notices", WriteJson(notices), kNoticeTimeoutMs)) {
+    if (this->peers.Call(entry.first, "/peer/v1/notices", WriteJson(notices),
+                         kNoticeTimeoutMs)) {
       return;
     }
     const std::lock_guard lock(this->outbox_mutex);
     std::ranges::for_each(entry.second, [this](Outgoing& outgoing) {
       if (outgoing.notice.kind == NoticeKind::kRenew) return;
-      if (++outgoing.tries < kNoticeTries) this->outbox.push_back(std::move(outgoing));
+      if (++outgoing.tries < kNoticeTries) {
+        this->outbox.push_back(std::move(outgoing));
+      }
     });
   });
 }
 
 void CellService::PollAll() {
-  std::ranges::for_each(this->Hosted(), [this](const std::shared_ptr<HostedCell>& cell) {
-    const auto spec = this->FindCell(cell->scheduler.Name());
-    if (spec) this->Poll(*cell, *spec);
-  });
+  std::ranges::for_each(
+      this->Hosted(), [this](const std::shared_ptr<HostedCell>& cell) {
+        const auto spec = this->FindCell(cell->scheduler.Name());
+        if (spec) this->Poll(*cell, *spec);
+      });
 }
 
 void CellService::Poll(HostedCell& cell, const CellSpec& spec) {
@@ -365,9 +411,10 @@
       after = cell.last_event[engine.address];
     }
     const auto load = this->engines.Load(engine.address);
-    const auto events = prefills && load
-                            ? this->engines.CacheEvents(engine.address, after)
-                            : Result<std::vector<CacheEvent>>(std::vector<CacheEvent>());
+    const auto events =
+        prefills && load
+            ? this->engines.CacheEvents(engine.address, after)
+            : Result<std::vector<CacheEvent>>(std::vector<CacheEvent>());
     const std::lock_guard lock(cell.mutex);
     if (!load) {
       cell.scheduler.EngineFailed(engine.address, this->clock.Now());
@@ -384,23 +431,27 @@
 void CellService::CancelLoop() {
   std::unique_lock lock(this->cancel_mutex);
   while (!this->stopping) {
-    this->cancel_wake.wait(lock, [this] { return this->stopping || !this->cancels.empty(); });
+    this->cancel_wake.wait(
+        lock, [this] { return this->stopping || !this->cancels.empty(); });
     if (this->cancels.empty()) continue;
     const CancelCommand command = std::move(this->cancels.front());
     this->cancels.pop_front();
     lock.unlock();
     // A failed cancel is sent again by the scheduler's own tick.
-    if (this->engines.Cancel(command.engine, command.request_id, command.reservation, 0)) {
-      std::ranges::for_each(this->Hosted(), [&](const std::shared_ptr<HostedCell>& cell) {
-        const std::lock_guard cell_lock(cell->mutex);
-        cell->scheduler.CancelDone(command.reservation);
-      });
+    if (this->engines.Cancel(command.engine, command.request_id,
+                             command.reservation, 0)) {
+      std::ranges::for_each(this->Hosted(),
+                            [&](const std::shared_ptr<HostedCell>& cell) {
+                              const std::lock_guard cell_lock(cell->mutex);
+                              cell->scheduler.CancelDone(command.reservation);
+                            });
     }
     lock.lock();
   }
 }
 
-std::vector<std::shared_ptr<CellService::HostedCell>> CellService::Hosted() const {
+std::vector<std::shared_ptr<CellService::HostedCell>> CellService::Hosted()
+    const {
   const std::lock_guard lock(this->mutex);
   std::vector<std::shared_ptr<HostedCell>> cells_here;
   std::ranges::transform(this->hosted, std::back_inserter(cells_here),
--- a/src/entry/cell_service.h
+++ b/src/entry/cell_service.h
@@ -1,5 +1,6 @@
 /// @file
-/// Hosts the schedulers of the cells this process owns, and reaches the owners of others.
+/// Hosts the schedulers of the cells this process owns, and reaches the owners
+/// of others.
 #pragma once
 
 #include <condition_variable>
@@ -40,12 +41,15 @@
   void Stop();
   void Configure(const Configuration& config);
 
-  /// Asks the owner of a cell of the model for a placement; waits for its decision.
+  /// Asks the owner of a cell of the model for a placement; waits for its
+  /// decision.
   [[nodiscard]] Result<PlacedRequest> Place(std::string_view model,
                                             const PlacementRequest& request);
-  /// Tells the owner of a cell; repeated until it is told. Renewals are not repeated.
+  /// Tells the owner of a cell; repeated until it is told. Renewals are not
+  /// repeated.
   void Notify(CellNotice notice);
-  /// Frees a request on an engine in the background, repeating until the engine agrees.
+  /// Frees a request on an engine in the background, repeating until the engine
+  /// agrees.
   void CancelOnEngine(CancelCommand command);
 
   [[nodiscard]] Result<std::string> AnswerPlace(const std::string& body);
@@ -66,7 +70,8 @@
                                                std::uint64_t prefix) const;
   [[nodiscard]] Result<Placement> PlaceAtOwner(const CellSpec& cell,
                                                const PlacementRequest& request);
-  [[nodiscard]] Result<Placement> PlaceHere(const CellSpec& cell, PlacementRequest request);
+  [[nodiscard]] Result<Placement> PlaceHere(const CellSpec& cell,
+                                            PlacementRequest request);
   [[nodiscard]] std::shared_ptr<HostedCell> Host(const CellSpec& cell);
   void Apply(const CellNotice& notice);
   void RunTick(HostedCell& cell);
