--- a/src/entry/completion_request.cc
+++ b/src/entry/completion_request.cc
@@ -16,22 +16,28 @@
 
 Result<std::string> PromptFrom(const json& body) {
   if (body.contains("prompt")) {
-    if (!body["prompt"].is_string() || body["prompt"].get_ref<const std::string&>().empty()) {
+    if (!body["prompt"].is_string() ||
+        body["prompt"].get_ref<const std::string&>().empty()) {
       return Wrong("prompt", "a string that is not empty");
     }
     return body["prompt"].get<std::string>();
   }
   const auto messages = body.find("messages");
   if (messages == body.end() || !messages->is_array() || messages->empty()) {
-    return Wrong("prompt", "a string, or messages: an array of {role, content}");
+    return Wrong("prompt",
+                 "a string, or messages: an array of {role, content}");
   }
   std::string prompt;
   for (const json& message : *messages) {
     const bool typed = message.is_object() && message.contains("role") &&
-                       message["role"].is_string() && message.contains("content") &&
+                       message["role"].is_string() &&
+                       message.contains("content") &&
                        message["content"].is_string();
-    if (!typed) return Wrong("messages", "objects with the strings role and content");
-    prompt += message["role"].get<std::string>() + ": " + message["content"].get<std::string>();
+    if (!typed) {
+      return Wrong("messages", "objects with the strings role and content");
+    }
+    prompt += message["role"].get<std::string>() + ": " +
+              message["content"].get<std::string>();
     prompt += '\n';
   }
   return prompt;
@@ -43,16 +49,19 @@
   const json body = json::parse(text, nullptr, false);
   if (!body.is_object()) return Wrong("body", "a JSON object");
   CompletionRequest request;
-  if (!body.contains("model") || !body["model"].is_string()) return Wrong("model", "a string");
+  if (!body.contains("model") || !body["model"].is_string()) {
+    return Wrong("model", "a string");
+  }
   request.model = body["model"].get<std::string>();
   BOOST_OUTCOME_TRY(prompt, PromptFrom(body));
   request.prompt = prompt;
   request.max_tokens = kDefaultMaxTokens;
   if (body.contains("max_tokens")) {
     const json& value = body["max_tokens"];
-    if (!value.is_number_integer() || value < 1 || value > kMaxTokensPerRequest) {
-      return Wrong("max_tokens",
-                   "a whole number from 1 to " + std::to_string(kMaxTokensPerRequest));
+    if (!value.is_number_integer() || value < 1 ||
+        value > kMaxTokensPerRequest) {
+      return Wrong("max_tokens", "a whole number from 1 to " +
+                                     std::to_string(kMaxTokensPerRequest));
     }
     request.max_tokens = value.get<Tokens>();
   }
--- a/src/entry/completion_session.cc
+++ b/src/entry/completion_session.cc
@@ -41,8 +41,8 @@
   auto outcome = this->PlaceAndPrefill();
   while (!outcome) {
     const bool retry = outcome.error().kind == ErrorKind::kEndpointFailed &&
-                       this->placements < kMaxPlacements && !this->request.active->CutBy() &&
-                       this->TakeRetry();
+                       this->placements < kMaxPlacements &&
+                       !this->request.active->CutBy() && this->TakeRetry();
     if (!retry) return this->EndBroken(outcome.error().WithRan(Ran::kNo));
     outcome = this->PlaceAndPrefill();
   }
@@ -50,7 +50,8 @@
 }
 
 Result<void> CompletionSession::Attach(const ResumeToken& token) {
-  this->place = ActivePlace{token.cell, token.reservation, token.engine, token.pieces};
+  this->place =
+      ActivePlace{token.cell, token.reservation, token.engine, token.pieces};
   this->request.active->SetPlace(this->place);
   this->guard.emplace(token.request_id, token.attempt, token.offset);
   this->resume_base = EncodeResumeBase(this->context.fleet_secret, token);
@@ -61,19 +62,24 @@
 
 Result<void> CompletionSession::Deliver(AnswerSink& answer_sink) {
   this->sink = &answer_sink;
-  // Names the answer before its first token, so that it can be resumed from the very start.
-  if (!this->sink->OnText("", EncodeResumeId(this->resume_base, this->guard->NextOffset()))) {
+  // Names the answer before its first token, so that it can be resumed from the
+  // very start.
+  if (!this->sink->OnText(
+          "", EncodeResumeId(this->resume_base, this->guard->NextOffset()))) {
     return this->EndGone();
   }
   while (true) {
     this->stop = Stop::kNone;
-    const auto outcome = this->context.engines.Generate(this->NextCall(), *this);
+    const auto outcome =
+        this->context.engines.Generate(this->NextCall(), *this);
     if (this->guard->Whole()) {
       this->EndWhole();
       return Success();
     }
     if (this->request.active->CutBy()) return this->EndCut();
-    if (this->stop == Stop::kCallerGone || !this->sink->OnKeepAlive()) return this->EndGone();
+    if (this->stop == Stop::kCallerGone || !this->sink->OnKeepAlive()) {
+      return this->EndGone();
+    }
     const auto recovered = this->Recover(outcome);
     if (!recovered) return this->EndBroken(recovered.error());
   }
@@ -83,9 +89,13 @@
   return this->guard ? this->guard->NextOffset() : 0;
 }
 
-Tokens CompletionSession::PromptTokens() const noexcept { return this->prompt_tokens; }
+Tokens CompletionSession::PromptTokens() const noexcept {
+  return this->prompt_tokens;
+}
 
-const std::string& CompletionSession::Id() const noexcept { return this->request.active->Id(); }
+const std::string& CompletionSession::Id() const noexcept {
+  return this->request.active->Id();
+}
 
 const std::string& CompletionSession::Model() const noexcept {
   return this->request.completion.model;
@@ -122,11 +132,13 @@
   this->reconnects = 0;
   this->last_progress = this->context.clock.Now();
   if (first && event.count > 0) {
-    this->context.metrics.ObserveFirstToken(static_cast<double>(this->Elapsed()));
+    this->context.metrics.ObserveFirstToken(
+        static_cast<double>(this->Elapsed()));
   }
   this->context.metrics.CountTokens(event.count);
   if (!this->request.completion.prompt.empty()) this->generated += event.text;
-  const std::string id = EncodeResumeId(this->resume_base, this->guard->NextOffset());
+  const std::string id =
+      EncodeResumeId(this->resume_base, this->guard->NextOffset());
   if (!this->sink->OnText(event.text, id)) {
     this->stop = Stop::kCallerGone;
     return event.last;
@@ -152,7 +164,8 @@
 
 Result<void> CompletionSession::PlaceAndPrefill() {
   ++this->placements;
-  this->placement_key = this->request.active->Id() + "#" + std::to_string(this->placements);
+  this->placement_key =
+      this->request.active->Id() + "#" + std::to_string(this->placements);
   const std::string prompt = this->request.completion.prompt + this->generated;
   const std::int64_t done = this->Delivered();
   PlacementRequest ask;
@@ -162,19 +175,22 @@
   ask.prompt_tokens = CountTokens(prompt);
   ask.max_tokens = this->request.completion.max_tokens - done;
   ask.prefix = PrefixBlocks(prompt);
-  ask.budget_ms = std::max(kMinBudgetMs, done > 0 ? this->request.first_token_ms
-                                                  : this->request.first_token_ms - this->Elapsed());
+  ask.budget_ms = std::max(
+      kMinBudgetMs, done > 0 ? this->request.first_token_ms
+                             : this->request.first_token_ms - this->Elapsed());
   ask.serve_late = this->request.serve_late || done > 0;
   ask.excluded = this->excluded;
-  BOOST_OUTCOME_TRY(placed, this->context.cells.Place(this->request.completion.model, ask));
+  BOOST_OUTCOME_TRY(
+      placed, this->context.cells.Place(this->request.completion.model, ask));
   this->Adopt(placed);
   return this->Prefill(prompt);
 }
 
 Result<void> CompletionSession::Prefill(const std::string& prompt) {
-  const PrefillCall call{this->prefill_engine,     this->request.active->Id(),
-                         this->place->reservation, prompt,
-                         CountTokens(prompt),      this->request.first_token_ms + kPrefillSlackMs};
+  const PrefillCall call{
+      this->prefill_engine,     this->request.active->Id(),
+      this->place->reservation, prompt,
+      CountTokens(prompt),      this->request.first_token_ms + kPrefillSlackMs};
   const auto answer = this->context.engines.Prefill(call);
   if (!answer) {
     this->Notify(NoticeKind::kFailed, this->prefill_engine);
@@ -183,14 +199,15 @@
     return Error::Of(ErrorKind::kEndpointFailed, answer.error().message);
   }
   this->kv_handle = answer.value().kv_handle;
-  this->Notify(NoticeKind::kPrefillDone, this->prefill_engine, answer.value().elapsed_ms);
+  this->Notify(NoticeKind::kPrefillDone, this->prefill_engine,
+               answer.value().elapsed_ms);
   return Success();
 }
 
 void CompletionSession::Adopt(const PlacedRequest& placed) {
   const Placement& placement = placed.placement;
-  this->place =
-      ActivePlace{placed.cell, placement.reservation, placement.decode, placement.pieces};
+  this->place = ActivePlace{placed.cell, placement.reservation,
+                            placement.decode, placement.pieces};
   this->request.active->SetPlace(this->place);
   this->prefill_engine = placement.prefill;
   this->attached = false;
@@ -198,11 +215,17 @@
   this->reconnects = 0;
   this->last_progress = this->context.clock.Now();
   const std::int64_t offset = this->Delivered();
-  this->guard.emplace(this->request.active->Id(), placement.reservation, offset);
-  const ResumeToken token{this->request.active->Id(), placement.reservation,
-                          this->request.active->Team(), this->request.completion.model,
-                          placement.decode, placed.cell, placement.reservation,
-                          placement.pieces, offset};
+  this->guard.emplace(this->request.active->Id(), placement.reservation,
+                      offset);
+  const ResumeToken token{this->request.active->Id(),
+                          placement.reservation,
+                          this->request.active->Team(),
+                          this->request.completion.model,
+                          placement.decode,
+                          placed.cell,
+                          placement.reservation,
+                          placement.pieces,
+                          offset};
   this->resume_base = EncodeResumeBase(this->context.fleet_secret, token);
   LogEvent(EventId::kRouteDecision, {{"request", this->request.active->Id()},
                                      {"team", this->request.active->Team()},
@@ -231,35 +254,43 @@
 }
 
 Result<void> CompletionSession::Recover(const Result<void>& outcome) {
-  const std::string why = outcome ? std::string("stream ended early") : outcome.error().message;
-  const ErrorKind kind = outcome ? ErrorKind::kStreamBroken : outcome.error().kind;
+  const std::string why =
+      outcome ? std::string("stream ended early") : outcome.error().message;
+  const ErrorKind kind =
+      outcome ? ErrorKind::kStreamBroken : outcome.error().kind;
   if (this->stop == Stop::kSuperseded || kind == ErrorKind::kSuperseded) {
-    return Error::Of(ErrorKind::kSuperseded, "the caller went on over another connection");
+    return Error::Of(ErrorKind::kSuperseded,
+                     "the caller went on over another connection");
   }
-  const bool refused = kind == ErrorKind::kCapacity || kind == ErrorKind::kStreamGone ||
+  const bool refused = kind == ErrorKind::kCapacity ||
+                       kind == ErrorKind::kStreamGone ||
                        kind == ErrorKind::kCancelled;
   const bool unreachable = !outcome && kind == ErrorKind::kEndpointFailed &&
                            outcome.error().ran == Ran::kNo;
   const bool never_started = !this->attached && (unreachable || refused);
   if (never_started || refused || this->stop == Stop::kStalled ||
-      this->reconnects >= kMaxReconnects || (unreachable && this->reconnects > 1)) {
+      this->reconnects >= kMaxReconnects ||
+      (unreachable && this->reconnects > 1)) {
     return this->Move(why);
   }
-  // The attempt may be running: attach to it, on a new connection, and never start it twice.
+  // The attempt may be running: attach to it, on a new connection, and never
+  // start it twice.
   ++this->reconnects;
   this->attached = true;
   std::this_thread::sleep_for(std::chrono::milliseconds(kReconnectPauseMs));
-  LogEvent(EventId::kStreamReconnected, {{"request", this->request.active->Id()},
-                                         {"engine", this->place->engine},
-                                         LogField::Of("offset", this->Delivered()),
-                                         {"why", why}});
+  LogEvent(EventId::kStreamReconnected,
+           {{"request", this->request.active->Id()},
+            {"engine", this->place->engine},
+            LogField::Of("offset", this->Delivered()),
+            {"why", why}});
   return Success();
 }
 
 Result<void> CompletionSession::Move(std::string_view why) {
   if (this->request.completion.prompt.empty()) {
-    return Error::Of(ErrorKind::kStreamGone,
-                     "the answer is no longer held; send the body along to go on elsewhere");
+    return Error::Of(
+        ErrorKind::kStreamGone,
+        "the answer is no longer held; send the body along to go on elsewhere");
   }
   const std::string failed = this->place->engine;
   this->Notify(NoticeKind::kFailed, failed);
@@ -295,33 +326,37 @@
   this->context.shares.Settle(this->request.active->Id(),
                               this->prompt_tokens + this->Delivered());
   this->context.metrics.CountFinished(this->request.active->Team());
-  LogEvent(EventId::kRequestFinished, {{"request", this->request.active->Id()},
-                                       {"team", this->request.active->Team()},
-                                       {"engine", this->place->engine},
-                                       LogField::Of("tokens", this->Delivered()),
-                                       LogField::Of("elapsed_ms", this->Elapsed())});
+  LogEvent(EventId::kRequestFinished,
+           {{"request", this->request.active->Id()},
+            {"team", this->request.active->Team()},
+            {"engine", this->place->engine},
+            LogField::Of("tokens", this->Delivered()),
+            LogField::Of("elapsed_ms", this->Elapsed())});
 }
 
 Error CompletionSession::EndCut() {
   this->ended = true;
   const ErrorKind kind = *this->request.active->CutBy();
   if (this->place) {
-    this->context.cells.CancelOnEngine(CancelCommand{
-        this->place->engine, this->request.active->Id(), this->place->reservation, false});
+    this->context.cells.CancelOnEngine(
+        CancelCommand{this->place->engine, this->request.active->Id(),
+                      this->place->reservation, false});
   }
   this->Abandon();
   this->context.shares.Settle(this->request.active->Id(),
                               this->prompt_tokens + this->Delivered());
-  return Error::Of(kind, kind == ErrorKind::kKeyWithdrawn ? "the key was withdrawn"
-                                                          : "the request was cancelled");
+  return Error::Of(kind, kind == ErrorKind::kKeyWithdrawn
+                             ? "the key was withdrawn"
+                             : "the request was cancelled");
 }
 
 Error CompletionSession::EndGone() {
   this->ended = true;
   if (this->place) {
     this->context.departures.Add(
-        Departure{this->request.active->Id(), this->placement_key, *this->place, this->attachment,
-                  this->prompt_tokens + this->Delivered(), this->request.charged, 0});
+        Departure{this->request.active->Id(), this->placement_key, *this->place,
+                  this->attachment, this->prompt_tokens + this->Delivered(),
+                  this->request.charged, 0});
   } else {
     this->context.shares.Settle(this->request.active->Id(), this->Delivered());
   }
@@ -332,18 +367,21 @@
   this->ended = true;
   this->Abandon();
   const Tokens delivered = this->Delivered();
-  this->context.shares.Settle(this->request.active->Id(),
-                              delivered == 0 ? 0 : this->prompt_tokens + delivered);
+  this->context.shares.Settle(
+      this->request.active->Id(),
+      delivered == 0 ? 0 : this->prompt_tokens + delivered);
   return error;
 }
 
 void CompletionSession::Notify(NoticeKind kind, const std::string& engine,
                                DurationMs measured_ms) {
   if (!this->place) return;
-  const std::string& id = kind == NoticeKind::kWithdraw ? this->placement_key
-                                                        : this->request.active->Id();
-  this->context.cells.Notify(CellNotice{kind, this->place->cell, this->place->reservation, id,
-                                        engine, this->place->pieces, measured_ms});
+  const std::string& id = kind == NoticeKind::kWithdraw
+                              ? this->placement_key
+                              : this->request.active->Id();
+  this->context.cells.Notify(CellNotice{kind, this->place->cell,
+                                        this->place->reservation, id, engine,
+                                        this->place->pieces, measured_ms});
 }
 
 DurationMs CompletionSession::Elapsed() const {
--- a/src/entry/completion_session.h
+++ b/src/entry/completion_session.h
@@ -1,6 +1,6 @@
 /// @file
-/// Serves one completion: placement, prefill, and a stream that survives broken connections and
-/// engines.
+/// Serves one completion: placement, prefill, and a stream that survives broken
+/// connections and engines.
 #pragma once
 
 #include <memory>
@@ -36,12 +36,14 @@
   RetryBudget& retry_budget;
 };
 
-/// Receives the answer as it grows. Either call returns false once the caller is gone.
+/// Receives the answer as it grows. Either call returns false once the caller
+/// is gone.
 class AnswerSink {
  public:
   virtual ~AnswerSink() = default;
   /// @param resume_id Names the point behind `text`.
-  [[nodiscard]] virtual bool OnText(std::string_view text, std::string_view resume_id) = 0;
+  [[nodiscard]] virtual bool OnText(std::string_view text,
+                                    std::string_view resume_id) = 0;
   [[nodiscard]] virtual bool OnKeepAlive() = 0;
 };
 
@@ -63,9 +65,11 @@
   CompletionSession(const CompletionSession&) = delete;
   CompletionSession& operator=(const CompletionSession&) = delete;
 
-  /// Finds engines and reads the prompt. An error with `ran` `kNo` left nothing behind.
+  /// Finds engines and reads the prompt. An error with `ran` `kNo` left nothing
+  /// behind.
   [[nodiscard]] Result<void> Prepare();
-  /// Goes on with an answer that another process, or an earlier connection, began.
+  /// Goes on with an answer that another process, or an earlier connection,
+  /// began.
   [[nodiscard]] Result<void> Attach(const ResumeToken& token);
   /// Delivers the answer. Success means it was delivered whole.
   [[nodiscard]] Result<void> Deliver(AnswerSink& answer_sink);
@@ -95,7 +99,8 @@
   [[nodiscard]] Error EndCut();
   [[nodiscard]] Error EndGone();
   [[nodiscard]] Error EndBroken(Error error);
-  void Notify(NoticeKind kind, const std::string& engine, DurationMs measured_ms = 0);
+  void Notify(NoticeKind kind, const std::string& engine,
+              DurationMs measured_ms = 0);
   [[nodiscard]] DurationMs Elapsed() const;
 
   SessionContext& context;
--- a/src/entry/config_service.cc
+++ b/src/entry/config_service.cc
@@ -16,9 +16,11 @@
 
 }  // namespace
 
-ConfigService::ConfigService(ConfigSource& config_source, PeerTransport& peer_transport,
-                             OnConfig on_adopted)
-    : source(config_source), peers(peer_transport), on_config(std::move(on_adopted)) {}
+ConfigService::ConfigService(ConfigSource& config_source,
+                             PeerTransport& peer_transport, OnConfig on_adopted)
+    : source(config_source),
+      peers(peer_transport),
+      on_config(std::move(on_adopted)) {}
 
 ConfigService::~ConfigService() { this->Stop(); }
 
@@ -50,23 +52,25 @@
   return this->follower.Snapshot();
 }
 
-void ConfigService::OnPeerVersion(std::string_view address, std::uint64_t version,
+void ConfigService::OnPeerVersion(std::string_view address,
+                                  std::uint64_t version,
                                   std::string_view digest) {
   const std::lock_guard lock(this->mutex);
   const std::string own = this->follower.Snapshot()->digest;
-  const std::string_view compared = std::string_view(own).substr(0, digest.size());
+  const std::string_view compared =
+      std::string_view(own).substr(0, digest.size());
   const bool same = compared == digest;
-  switch (this->follower.Judge(version, same ? std::string_view(own) : digest)) {
+  switch (
+      this->follower.Judge(version, same ? std::string_view(own) : digest)) {
     case OfferOutcome::kNeedPull:
       this->pull_from = address;
       this->puller.Wake();
       break;
     case OfferOutcome::kConflict:
-      LogWarning(EventId::kConfigConflict,
-                 {{"peer", std::string(address)},
-                  LogField::Of("version", version),
-                  {"kept", own},
-                  {"offered", std::string(digest)}});
+      LogWarning(EventId::kConfigConflict, {{"peer", std::string(address)},
+                                            LogField::Of("version", version),
+                                            {"kept", own},
+                                            {"offered", std::string(digest)}});
       break;
     case OfferOutcome::kAlreadyHave:
     case OfferOutcome::kOlder:
@@ -84,27 +88,32 @@
     const Result<void> outcome = apply(this->follower);
     adopted = this->follower.Snapshot();
     if (!outcome && before == adopted->version) {
-      // Another source was quicker, or the offer does not fit: what is held stays.
-      LogWarning(EventId::kConfigRejected, {{"from", std::string(from)},
-                                            LogField::Of("why", outcome.error()),
-                                            LogField::Of("kept", before)});
+      // Another source was quicker, or the offer does not fit: what is held
+      // stays.
+      LogWarning(EventId::kConfigRejected,
+                 {{"from", std::string(from)},
+                  LogField::Of("why", outcome.error()),
+                  LogField::Of("kept", before)});
       return false;
     }
     if (adopted->version == before) return true;
   }
-  LogEvent(EventId::kConfigAdopted, {{"from", std::string(from)},
-                                     LogField::Of("version", adopted->version),
-                                     {"digest", adopted->digest.substr(0, 16)}});
+  LogEvent(EventId::kConfigAdopted,
+           {{"from", std::string(from)},
+            LogField::Of("version", adopted->version),
+            {"digest", adopted->digest.substr(0, 16)}});
   this->on_config(*adopted);
   return true;
 }
 
 bool ConfigService::PullFrom(const std::string& address) {
   const std::uint64_t have = this->Snapshot()->version;
-  const auto text = this->peers.Call(address, "/peer/v1/config", WriteJson(ConfigPullBody{have}),
-                                     kPullTimeoutMs);
+  const auto text =
+      this->peers.Call(address, "/peer/v1/config",
+                       WriteJson(ConfigPullBody{have}), kPullTimeoutMs);
   if (!text) return false;
-  const auto answer = ReadJson<ConfigPullAnswer>(text.value(), "configuration pull");
+  const auto answer =
+      ReadJson<ConfigPullAnswer>(text.value(), "configuration pull");
   if (!answer) return false;
   const ConfigPullAnswer& offer = answer.value();
   if (offer.version <= have) return true;
@@ -129,9 +138,13 @@
   const auto present = this->follower.Snapshot();
   ConfigPullAnswer answer{present->version, present->digest, {}, {}};
   if (pull.after >= present->version) return WriteJson(answer);
-  const std::vector<ConfigChange> changes = this->follower.ChangesAfter(pull.after);
-  std::ranges::transform(changes, std::back_inserter(answer.changes), EncodeChange);
-  if (changes.empty()) answer.entities = EncodeEntityList(this->follower.Entities());
+  const std::vector<ConfigChange> changes =
+      this->follower.ChangesAfter(pull.after);
+  std::ranges::transform(changes, std::back_inserter(answer.changes),
+                         EncodeChange);
+  if (changes.empty()) {
+    answer.entities = EncodeEntityList(this->follower.Entities());
+  }
   return WriteJson(answer);
 }
 
@@ -141,13 +154,16 @@
   });
 }
 
-bool ConfigService::SourceAnswered() const noexcept { return this->source_answered; }
+bool ConfigService::SourceAnswered() const noexcept {
+  return this->source_answered;
+}
 
 void ConfigService::WatchSource() {
   bool running = true;
   while (running) {
     const DurationMs wait_ms = this->source_answered ? kWatchMs : 0;
-    const auto head = this->source.WatchHead(this->Snapshot()->version, wait_ms);
+    const auto head =
+        this->source.WatchHead(this->Snapshot()->version, wait_ms);
     if (head) {
       if (head.value()) this->AdoptHead(*head.value());
       this->source_answered = true;
@@ -156,13 +172,17 @@
       continue;
     }
     running = this->PauseBeforeRetry();
-    if (running) LogWarning(EventId::kConfigSourceLost, {LogField::Of("why", head.error())});
+    if (running) {
+      LogWarning(EventId::kConfigSourceLost,
+                 {LogField::Of("why", head.error())});
+    }
   }
 }
 
 bool ConfigService::PauseBeforeRetry() {
   std::unique_lock lock(this->mutex);
-  return !this->stop_wake.wait_for(lock, kRetryPause, [this] { return this->stopping; });
+  return !this->stop_wake.wait_for(lock, kRetryPause,
+                                   [this] { return this->stopping; });
 }
 
 void ConfigService::AdoptHead(const ConfigHead& head) {
@@ -176,7 +196,8 @@
   }
   const auto entities = this->ReadChunks(head);
   if (!entities) {
-    LogWarning(EventId::kConfigRejected, {LogField::Of("why", entities.error())});
+    LogWarning(EventId::kConfigRejected,
+               {LogField::Of("why", entities.error())});
     this->PauseBeforeRetry();
     return;
   }
--- a/src/entry/config_service.h
+++ b/src/entry/config_service.h
@@ -1,5 +1,6 @@
 /// @file
-/// Keeps the newest configuration: watches the platform, and pulls from peers that are ahead.
+/// Keeps the newest configuration: watches the platform, and pulls from peers
+/// that are ahead.
 #pragma once
 
 #include <atomic>
@@ -22,7 +23,8 @@
 /// Configuration of one process. Thread safe.
 class ConfigService {
  public:
-  ConfigService(ConfigSource& config_source, PeerTransport& peer_transport, OnConfig on_adopted);
+  ConfigService(ConfigSource& config_source, PeerTransport& peer_transport,
+                OnConfig on_adopted);
   ~ConfigService();
   ConfigService(const ConfigService&) = delete;
   ConfigService& operator=(const ConfigService&) = delete;
@@ -30,8 +32,10 @@
   void Start();
   void Stop();
   [[nodiscard]] std::shared_ptr<const Configuration> Snapshot() const;
-  /// A peer said that it has this version. @param digest First digits of its digest.
-  void OnPeerVersion(std::string_view address, std::uint64_t version, std::string_view digest);
+  /// A peer said that it has this version. @param digest First digits of its
+  /// digest.
+  void OnPeerVersion(std::string_view address, std::uint64_t version,
+                     std::string_view digest);
   /// Asks a peer now, whatever version it has. @returns whether it answered.
   bool PullFrom(const std::string& address);
   /// Takes in changes that an operator hands over while the platform is down.
@@ -55,7 +59,8 @@
   PeerTransport& peers;
   OnConfig on_config;
   mutable std::mutex mutex;
-  std::mutex adoption;  ///< Serialises adoptions, so that callbacks come in order.
+  std::mutex
+      adoption;  ///< Serialises adoptions, so that callbacks come in order.
   ConfigFollower follower;
   std::string pull_from;
   std::atomic<bool> source_answered = false;
--- a/src/entry/departures.cc
+++ b/src/entry/departures.cc
@@ -14,7 +14,10 @@
 
 Departures::Departures(CellService& cell_service, EngineClient& engine_client,
                        ShareService& share_service, const Clock& system_clock)
-    : cells(cell_service), engines(engine_client), shares(share_service), clock(system_clock) {}
+    : cells(cell_service),
+      engines(engine_client),
+      shares(share_service),
+      clock(system_clock) {}
 
 void Departures::Start() {
   this->runner.Start(kPeriodMs, [this] { this->Run(); });
@@ -38,19 +41,23 @@
       this->waiting.pop_front();
     }
   }
-  std::ranges::for_each(due, [this](const Departure& departure) { this->Free(departure); });
+  std::ranges::for_each(
+      due, [this](const Departure& departure) { this->Free(departure); });
 }
 
 void Departures::Free(const Departure& departure) {
   const ActivePlace& place = departure.place;
-  const auto outcome = this->engines.Cancel(place.engine, departure.request_id,
-                                            place.reservation, departure.attachment);
+  const auto outcome =
+      this->engines.Cancel(place.engine, departure.request_id,
+                           place.reservation, departure.attachment);
   if (outcome) {
-    this->cells.Notify(CellNotice{NoticeKind::kFinish, place.cell, place.reservation,
-                                  departure.request_id, place.engine, 0, 0});
+    this->cells.Notify(CellNotice{NoticeKind::kFinish, place.cell,
+                                  place.reservation, departure.request_id,
+                                  place.engine, 0, 0});
     this->shares.Settle(departure.request_id, departure.used);
-    LogEvent(EventId::kRequestCancelled,
-             {{"request", departure.request_id}, {"engine", place.engine}, {"why", "caller gone"}});
+    LogEvent(EventId::kRequestCancelled, {{"request", departure.request_id},
+                                          {"engine", place.engine},
+                                          {"why", "caller gone"}});
     return;
   }
   // Whoever went on with it may use every token that was charged.
@@ -59,8 +66,9 @@
   LogWarning(EventId::kCancelRetried, {{"request", departure.request_id},
                                        {"engine", place.engine},
                                        LogField::Of("why", outcome.error())});
-  this->cells.Notify(CellNotice{NoticeKind::kWithdraw, place.cell, place.reservation,
-                                departure.placement_key, place.engine, 0, 0});
+  this->cells.Notify(CellNotice{NoticeKind::kWithdraw, place.cell,
+                                place.reservation, departure.placement_key,
+                                place.engine, 0, 0});
 }
 
 }  // namespace limpethaven
--- a/src/entry/departures.h
+++ b/src/entry/departures.h
@@ -1,6 +1,6 @@
 /// @file
-/// Requests whose caller is gone: kept for a moment so that the caller can go on at another VM,
-/// then freed on the engine.
+/// Requests whose caller is gone: kept for a moment so that the caller can go
+/// on at another VM, then freed on the engine.
 #pragma once
 
 #include <deque>
@@ -28,8 +28,8 @@
 /// Departures of one process. Thread safe.
 class Departures {
  public:
-  Departures(CellService& cell_service, EngineClient& engine_client, ShareService& share_service,
-             const Clock& system_clock);
+  Departures(CellService& cell_service, EngineClient& engine_client,
+             ShareService& share_service, const Clock& system_clock);
 
   void Start();
   void Stop();
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -1,5 +1,6 @@
 /// @file
-/// One entry process: its services wired together, its servers and its life cycle.
+/// One entry process: its services wired together, its servers and its life
+/// cycle.
 #pragma once
 
 #include <atomic>
@@ -34,9 +35,11 @@
   EntryNode(const EntryNode&) = delete;
   EntryNode& operator=(const EntryNode&) = delete;
 
-  /// Starts every service and waits until a configuration is in force or `ready_wait_ms` passes.
+  /// Starts every service and waits until a configuration is in force or
+  /// `ready_wait_ms` passes.
   [[nodiscard]] Result<void> Start(DurationMs ready_wait_ms);
-  /// Graceful stop: announces leaving, waits for callers to learn of it, finishes open requests.
+  /// Graceful stop: announces leaving, waits for callers to learn of it,
+  /// finishes open requests.
   void Drain(const std::function<bool()>& hurry);
   void Stop();
 
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -9,7 +9,9 @@
 
 constexpr int kMaxPort = 65'535;
 
-Error WrongFlag(std::string message) { return Error::Of(ErrorKind::kBadRequest, std::move(message)); }
+Error WrongFlag(std::string message) {
+  return Error::Of(ErrorKind::kBadRequest, std::move(message));
+}
 
 bool IsIpNumber(const std::string& text) {
   in_addr parsed{};
@@ -19,15 +21,21 @@
 }  // namespace
 
 void AddEntryFlags(CLI::App& app, EntrySettings& settings) {
-  AddFlag(app, "--address", settings.address, "IP number that callers and peers reach")
+  AddFlag(app, "--address", settings.address,
+          "IP number that callers and peers reach")
       ->required();
-  AddRangedFlag(app, "--port", settings.port, 1, kMaxPort, "port", "Callers' port");
+  AddRangedFlag(app, "--port", settings.port, 1, kMaxPort, "port",
+                "Callers' port");
   AddRangedFlag(app, "--peer-port", settings.peer_port, 1, kMaxPort, "port",
                 "Peers' port, TCP and UDP, the same on every VM");
-  AddFlag(app, "--admin-address", settings.admin_address, "IP number of health and metrics");
-  AddRangedFlag(app, "--admin-port", settings.admin_port, 1, kMaxPort, "port", "Admin port");
-  AddFlag(app, "--data-centre", settings.data_centre, "Data centre of this VM")->required();
-  AddFlag(app, "--platform", settings.platform, "IP:port of the configuration service")
+  AddFlag(app, "--admin-address", settings.admin_address,
+          "IP number of health and metrics");
+  AddRangedFlag(app, "--admin-port", settings.admin_port, 1, kMaxPort, "port",
+                "Admin port");
+  AddFlag(app, "--data-centre", settings.data_centre, "Data centre of this VM")
+      ->required();
+  AddFlag(app, "--platform", settings.platform,
+          "IP:port of the configuration service")
       ->required();
   AddFlag(app, "--seed-vms", settings.seed_vms,
           "IP numbers of VMs to ask when the platform is down, comma separated")
@@ -37,25 +45,30 @@
   AddFlag(app, "--tls-certificate", settings.tls_certificate,
           "PEM certificate chain for callers, read again when it changes");
   AddFlag(app, "--tls-key", settings.tls_key, "PEM key of the certificate");
-  AddRangedFlag<DurationMs>(app, "--address-ttl-ms", settings.address_ttl_ms, 100, 600'000, "ms",
+  AddRangedFlag<DurationMs>(app, "--address-ttl-ms", settings.address_ttl_ms,
+                            100, 600'000, "ms",
                             "How long callers keep an answer of /v1/addresses");
-  AddRangedFlag<DurationMs>(app, "--token-wait-ms", settings.token_wait_ms, 0, 10'000, "ms",
-                            "Longest wait for a team's tokens before a refusal");
-  AddRangedFlag<DurationMs>(app, "--drain-limit-ms", settings.drain_limit_ms, 0, 3'600'000, "ms",
+  AddRangedFlag<DurationMs>(
+      app, "--token-wait-ms", settings.token_wait_ms, 0, 10'000, "ms",
+      "Longest wait for a team's tokens before a refusal");
+  AddRangedFlag<DurationMs>(app, "--drain-limit-ms", settings.drain_limit_ms, 0,
+                            3'600'000, "ms",
                             "Longest wait for open streams when stopping");
-  AddRangedFlag<std::size_t>(app, "--max-streams", settings.max_streams, 1, 20'000, "streams",
-                             "Requests served at once");
-  AddRangedFlag<std::size_t>(app, "--cell-size", settings.cell_size, 2, 256, "engines",
-                             "Engines in one cell at most");
+  AddRangedFlag<std::size_t>(app, "--max-streams", settings.max_streams, 1,
+                             20'000, "streams", "Requests served at once");
+  AddRangedFlag<std::size_t>(app, "--cell-size", settings.cell_size, 2, 256,
+                             "engines", "Engines in one cell at most");
   app.add_flag("--check", settings.check, "Check the settings and exit");
 }
 
 Result<EntrySettings> FinishEntrySettings(EntrySettings settings) {
   if (!IsIpNumber(settings.address)) {
-    return WrongFlag("--address: '" + settings.address + "', expected an IPv4 number");
+    return WrongFlag("--address: '" + settings.address +
+                     "', expected an IPv4 number");
   }
   if (settings.tls_certificate.empty() != settings.tls_key.empty()) {
-    return WrongFlag("--tls-certificate and --tls-key: expected both or neither");
+    return WrongFlag(
+        "--tls-certificate and --tls-key: expected both or neither");
   }
   if (settings.port == settings.peer_port) {
     return WrongFlag("--peer-port: " + std::to_string(settings.peer_port) +
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -19,10 +19,12 @@
   std::string admin_address = "127.0.0.1";
   int admin_port = 8082;
   std::string data_centre;
-  std::string platform;               ///< `IP:port` of the platform.
-  std::vector<std::string> seed_vms;  ///< Addresses to ask when the platform is down.
+  std::string platform;  ///< `IP:port` of the platform.
+  std::vector<std::string>
+      seed_vms;  ///< Addresses to ask when the platform is down.
   std::string fleet_secret_file;
-  std::string fleet_secret;  ///< Read from the environment or the file, never a flag.
+  std::string
+      fleet_secret;  ///< Read from the environment or the file, never a flag.
   std::string tls_certificate;
   std::string tls_key;
   DurationMs address_ttl_ms = 5000;
--- a/src/entry/gossip_service.cc
+++ b/src/entry/gossip_service.cc
@@ -29,14 +29,15 @@
 
 }  // namespace
 
-GossipService::GossipService(VmId own, std::string data_centre, std::string fleet_secret,
-                             PeerTransport& peers, const Clock& system_clock,
-                             OnPeerConfig on_version)
+GossipService::GossipService(VmId own, std::string data_centre,
+                             std::string fleet_secret, PeerTransport& peers,
+                             const Clock& system_clock, OnPeerConfig on_version)
     : secret(std::move(fleet_secret)),
       transport(peers),
       clock(system_clock),
       on_peer_config(std::move(on_version)),
-      membership(std::move(own), std::move(data_centre), MembershipSettings{}, RandomBits()) {}
+      membership(std::move(own), std::move(data_centre), MembershipSettings{},
+                 RandomBits()) {}
 
 void GossipService::Start() {
   this->ticker.Start(kTickMs, [this] { this->Tick(); });
@@ -47,13 +48,15 @@
 void GossipService::OnDatagram(std::string_view bytes) {
   const auto message = DecodeGossip(this->secret, bytes);
   if (!message) {
-    LogWarning(EventId::kPeerMessageRejected, {LogField::Of("why", message.error())});
+    LogWarning(EventId::kPeerMessageRejected,
+               {LogField::Of("why", message.error())});
     return;
   }
   std::vector<OutgoingGossip> answers;
   {
     const std::lock_guard lock(this->mutex);
-    auto received = this->membership.Receive(message.value(), this->clock.Now());
+    auto received =
+        this->membership.Receive(message.value(), this->clock.Now());
     if (!received) {
       LogWarning(EventId::kPeerMessageRejected,
                  {LogField::Of("from", message.value().from),
@@ -63,7 +66,8 @@
     answers = std::move(received.value());
   }
   this->Send(answers);
-  this->on_peer_config(message.value().from.address, message.value().config_version,
+  this->on_peer_config(message.value().from.address,
+                       message.value().config_version,
                        message.value().config_digest);
 }
 
@@ -72,7 +76,8 @@
   this->membership.SetListed(vms, this->clock.Now());
 }
 
-void GossipService::SetConfig(std::uint64_t version, const std::string& digest) {
+void GossipService::SetConfig(std::uint64_t version,
+                              const std::string& digest) {
   {
     const std::lock_guard lock(this->mutex);
     this->membership.SetConfig(version, digest);
@@ -98,7 +103,8 @@
   return this->membership.UsableAddresses();
 }
 
-std::vector<std::string> GossipService::UsableNear(std::string_view data_centre) const {
+std::vector<std::string> GossipService::UsableNear(
+    std::string_view data_centre) const {
   const std::lock_guard lock(this->mutex);
   auto near = this->membership.UsableAddresses(data_centre);
   return near.empty() ? this->membership.UsableAddresses() : near;
@@ -109,7 +115,9 @@
   return this->membership.DataCentreOf(address);
 }
 
-const VmId& GossipService::Self() const noexcept { return this->membership.Self(); }
+const VmId& GossipService::Self() const noexcept {
+  return this->membership.Self();
+}
 
 void GossipService::Tick() {
   std::vector<OutgoingGossip> messages;
@@ -121,7 +129,9 @@
     changes = this->membership.TakeChanges();
     paused = this->membership.TakePause();
   }
-  if (paused) LogWarning(EventId::kPauseDetected, {LogField::Of("vm", this->Self())});
+  if (paused) {
+    LogWarning(EventId::kPauseDetected, {LogField::Of("vm", this->Self())});
+  }
   this->LogChanges(changes);
   this->Send(messages);
 }
@@ -137,7 +147,8 @@
 
 void GossipService::Send(const std::vector<OutgoingGossip>& messages) {
   std::ranges::for_each(messages, [this](const OutgoingGossip& outgoing) {
-    this->transport.SendDatagram(outgoing.address, EncodeGossip(this->secret, outgoing.message));
+    this->transport.SendDatagram(outgoing.address,
+                                 EncodeGossip(this->secret, outgoing.message));
   });
 }
 
--- a/src/entry/gossip_service.h
+++ b/src/entry/gossip_service.h
@@ -16,13 +16,15 @@
 
 /// Called when a peer says which configuration it has.
 using OnPeerConfig =
-    std::function<void(const std::string& address, std::uint64_t version, const std::string& digest)>;
+    std::function<void(const std::string& address, std::uint64_t version,
+                       const std::string& digest)>;
 
 /// Membership of one process. Thread safe.
 class GossipService {
  public:
-  GossipService(VmId self, std::string data_centre, std::string fleet_secret, PeerTransport& peers,
-                const Clock& system_clock, OnPeerConfig on_version);
+  GossipService(VmId self, std::string data_centre, std::string fleet_secret,
+                PeerTransport& peers, const Clock& system_clock,
+                OnPeerConfig on_version);
 
   void Start();
   void Stop();
@@ -36,7 +38,8 @@
   [[nodiscard]] std::vector<Member> Members() const;
   [[nodiscard]] std::vector<std::string> Usable() const;
   /// Usable members of a data centre, or of all when it has none.
-  [[nodiscard]] std::vector<std::string> UsableNear(std::string_view data_centre) const;
+  [[nodiscard]] std::vector<std::string> UsableNear(
+      std::string_view data_centre) const;
   [[nodiscard]] std::string DataCentreOf(std::string_view address) const;
   [[nodiscard]] const VmId& Self() const noexcept;
 
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -1,5 +1,6 @@
 /// @file
-/// `limpethaven-entry`: serves callers, keeps teams to their shares, and schedules cells.
+/// `limpethaven-entry`: serves callers, keeps teams to their shares, and
+/// schedules cells.
 
 #include <iostream>
 
@@ -26,17 +27,23 @@
   HttpServer admin(HttpServerSettings{.address = settings.admin_address,
                                       .port = settings.admin_port});
   AddAdminRoutes(node, admin.Routes());
-  HttpServer callers(
-      HttpServerSettings{.address = settings.address,
-                         .port = settings.port,
-                         .max_connections = settings.max_streams + kSpareConnections,
-                         .tls_certificate_file = settings.tls_certificate,
-                         .tls_key_file = settings.tls_key});
+  HttpServer callers(HttpServerSettings{
+      .address = settings.address,
+      .port = settings.port,
+      .max_connections = settings.max_streams + kSpareConnections,
+      .tls_certificate_file = settings.tls_certificate,
+      .tls_key_file = settings.tls_key});
   CallerApi api(node);
   api.AddRoutes(callers.Routes());
-  if (const auto started = admin.Start(); !started) return Fail(started.error());
-  if (const auto started = node.Start(kReadyWaitMs); !started) return Fail(started.error());
-  if (const auto started = callers.Start(); !started) return Fail(started.error());
+  if (const auto started = admin.Start(); !started) {
+    return Fail(started.error());
+  }
+  if (const auto started = node.Start(kReadyWaitMs); !started) {
+    return Fail(started.error());
+  }
+  if (const auto started = callers.Start(); !started) {
+    return Fail(started.error());
+  }
   WaitForStopSignal(0);
   node.Drain([] { return WaitForStopSignal(kHurryPollMs); });
   callers.Stop();
@@ -47,8 +54,10 @@
 }
 
 int Main(int argc, char** argv) {
-  CLI::App app("Entry process: serves callers, keeps teams to their shares, schedules cells",
-               "limpethaven-entry");
+  CLI::App app(
+      "Entry process: serves callers, keeps teams to their shares, schedules "
+      "cells",
+      "limpethaven-entry");
   EntrySettings settings;
   AddEntryFlags(app, settings);
   const FlagOutcome outcome = ParseFlags(app, argc, argv);
--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -5,23 +5,26 @@
 namespace limpethaven {
 namespace {
 
-prometheus::Family<prometheus::Counter>& CounterFamily(prometheus::Registry& registry,
-                                                       const std::string& name,
-                                                       const std::string& help) {
+prometheus::Family<prometheus::Counter>& CounterFamily(
+    prometheus::Registry& registry, const std::string& name,
+    const std::string& help) {
   return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
-prometheus::Gauge& NewGauge(prometheus::Registry& registry, const std::string& name,
-                            const std::string& help) {
-  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+prometheus::Gauge& NewGauge(prometheus::Registry& registry,
+                            const std::string& name, const std::string& help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
 }
 
 }  // namespace
 
 EntryMetrics::EntryMetrics()
-    : finished(CounterFamily(this->registry, "limpethaven_requests_finished_total",
+    : finished(CounterFamily(this->registry,
+                             "limpethaven_requests_finished_total",
                              "Requests answered whole, by team")),
-      refused(CounterFamily(this->registry, "limpethaven_requests_refused_total",
+      refused(CounterFamily(this->registry,
+                            "limpethaven_requests_refused_total",
                             "Requests refused or broken, by error kind")),
       retries(CounterFamily(this->registry, "limpethaven_retries_total",
                             "Attempts after the first of a request")
@@ -29,23 +32,29 @@
       resumed(CounterFamily(this->registry, "limpethaven_streams_resumed_total",
                             "Streams that a caller went on with here")
                   .Add({})),
-      dropped_events(CounterFamily(this->registry, "limpethaven_stream_events_dropped_total",
-                                   "Engine events that were crossed, late or repeated")
-                         .Add({})),
-      tokens_delivered(CounterFamily(this->registry, "limpethaven_tokens_delivered_total",
+      dropped_events(
+          CounterFamily(this->registry,
+                        "limpethaven_stream_events_dropped_total",
+                        "Engine events that were crossed, late or repeated")
+              .Add({})),
+      tokens_delivered(CounterFamily(this->registry,
+                                     "limpethaven_tokens_delivered_total",
                                      "Generated tokens written to callers")
                            .Add({})),
-      first_token_ms(prometheus::BuildHistogram()
-                         .Name("limpethaven_first_token_milliseconds")
-                         .Help("Time from request to first token in milliseconds")
-                         .Register(this->registry)
-                         .Add({}, prometheus::Histogram::BucketBoundaries{
-                                      5, 10, 25, 50, 100, 250, 500, 920, 2000, 5000})),
-      active(NewGauge(this->registry, "limpethaven_requests_active", "Requests served now")),
+      first_token_ms(
+          prometheus::BuildHistogram()
+              .Name("limpethaven_first_token_milliseconds")
+              .Help("Time from request to first token in milliseconds")
+              .Register(this->registry)
+              .Add({},
+                   prometheus::Histogram::BucketBoundaries{
+                       5, 10, 25, 50, 100, 250, 500, 920, 2000, 5000})),
+      active(NewGauge(this->registry, "limpethaven_requests_active",
+                      "Requests served now")),
       config_version(NewGauge(this->registry, "limpethaven_config_version",
                               "Version of the configuration in force")),
-      members_alive(
-          NewGauge(this->registry, "limpethaven_members_alive", "Entry processes seen alive")) {}
+      members_alive(NewGauge(this->registry, "limpethaven_members_alive",
+                             "Entry processes seen alive")) {}
 
 void EntryMetrics::CountFinished(const std::string& team) {
   this->finished.Add({{"team", team}}).Increment();
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -1,5 +1,6 @@
 /// @file
-/// Metrics of an entry process; names, units and meanings stand in docs/METRICS.md.
+/// Metrics of an entry process; names, units and meanings stand in
+/// docs/METRICS.md.
 #pragma once
 
 #include <prometheus/counter.h>
--- a/src/entry/peer_messages.h
+++ b/src/entry/peer_messages.h
@@ -12,10 +12,12 @@
 
 namespace limpethaven {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlacementRequest, request_id, team, weight, prompt_tokens,
-                                   max_tokens, prefix, budget_ms, serve_late, excluded)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Placement, reservation, prefill, decode, runner_up, pieces,
-                                   cached_tokens, queued_ms, lease_ms, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlacementRequest, request_id, team, weight,
+                                   prompt_tokens, max_tokens, prefix, budget_ms,
+                                   serve_late, excluded)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Placement, reservation, prefill, decode,
+                                   runner_up, pieces, cached_tokens, queued_ms,
+                                   lease_ms, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HttpHeader, name, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceAnswer, status, content_type, body)
 
@@ -27,7 +29,14 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceBody, cell, request)
 
 /// What an entry tells the scheduler of a cell.
-enum class NoticeKind { kRenew, kPrefillDone, kFinish, kWithdraw, kFailed, kServed };
+enum class NoticeKind {
+  kRenew,
+  kPrefillDone,
+  kFinish,
+  kWithdraw,
+  kFailed,
+  kServed
+};
 
 /// One notice. Notices may be repeated.
 struct CellNotice {
@@ -39,8 +48,8 @@
   std::int64_t pieces = 0;
   DurationMs measured_ms = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellNotice, kind, cell, reservation, request_id, engine, pieces,
-                                   measured_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellNotice, kind, cell, reservation,
+                                   request_id, engine, pieces, measured_ms)
 
 /// Asks a peer for tokens of a team.
 struct LendBody {
@@ -73,8 +82,8 @@
   std::string body;  ///< Base64url, since it may hold any bytes.
   std::vector<HttpHeader> headers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TicketRunBody, ticket, team, pool, request_id, method, path,
-                                   body, headers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TicketRunBody, ticket, team, pool,
+                                   request_id, method, path, body, headers)
 
 /// Cancels a request wherever it is served.
 struct CancelRequestBody {
@@ -89,13 +98,15 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigPullBody, after)
 
-/// Changes after the asked version, or the whole configuration. Parts are codec texts.
+/// Changes after the asked version, or the whole configuration. Parts are codec
+/// texts.
 struct ConfigPullAnswer {
   std::uint64_t version = 0;
   std::string digest;
   std::vector<std::string> changes;
   std::string entities;  ///< Empty when `changes` lead to `version`.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigPullAnswer, version, digest, changes, entities)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigPullAnswer, version, digest, changes,
+                                   entities)
 
 }  // namespace limpethaven
--- a/src/entry/service_router.h
+++ b/src/entry/service_router.h
@@ -1,5 +1,6 @@
 /// @file
-/// Routes calls to plain services; runs calls that may not be repeated at most once.
+/// Routes calls to plain services; runs calls that may not be repeated at most
+/// once.
 #pragma once
 
 #include <atomic>
@@ -25,26 +26,37 @@
 
   /// Mints a ticket for a team; empty team for routes open to all.
   [[nodiscard]] Result<std::string> MintTicket(std::string_view team);
-  /// Sends a call that may be repeated; retries on other endpoints within the retry budget.
-  [[nodiscard]] Result<ServiceAnswer> CallRepeatable(const PoolSpec& pool, ServiceCall call);
+  /// Sends a call that may be repeated; retries on other endpoints within the
+  /// retry budget.
+  [[nodiscard]] Result<ServiceAnswer> CallRepeatable(const PoolSpec& pool,
+                                                     ServiceCall call);
   /// Runs the call that a ticket names: here, or at the process that minted it.
-  [[nodiscard]] Result<ServiceAnswer> CallOnce(const PoolSpec& pool, const std::string& ticket,
-                                               const std::string& team, ServiceCall call);
+  [[nodiscard]] Result<ServiceAnswer> CallOnce(const PoolSpec& pool,
+                                               const std::string& ticket,
+                                               const std::string& team,
+                                               ServiceCall call);
   /// Answers a peer that forwards a call to the minter of its ticket.
   [[nodiscard]] Result<std::string> AnswerTicketRun(const Configuration& config,
                                                     const std::string& body);
   void Tick();
 
  private:
-  [[nodiscard]] Result<ServiceAnswer> RunHere(const PoolSpec& pool, const Ticket& ticket,
-                                              const std::string& team, ServiceCall call);
-  [[nodiscard]] Result<ServiceAnswer> Forward(const PoolSpec& pool, const Ticket& ticket,
-                                              const std::string& text, const std::string& team,
+  [[nodiscard]] Result<ServiceAnswer> RunHere(const PoolSpec& pool,
+                                              const Ticket& ticket,
+                                              const std::string& team,
+                                              ServiceCall call);
+  [[nodiscard]] Result<ServiceAnswer> Forward(const PoolSpec& pool,
+                                              const Ticket& ticket,
+                                              const std::string& text,
+                                              const std::string& team,
                                               const ServiceCall& call);
-  /// Tries endpoints one after another. `may_repeat` false: only while no byte has left.
-  [[nodiscard]] Result<ServiceAnswer> TryEndpoints(const PoolSpec& pool, ServiceCall call,
+  /// Tries endpoints one after another. `may_repeat` false: only while no byte
+  /// has left.
+  [[nodiscard]] Result<ServiceAnswer> TryEndpoints(const PoolSpec& pool,
+                                                   ServiceCall call,
                                                    bool may_repeat);
-  [[nodiscard]] std::string Choose(const PoolSpec& pool, const std::vector<std::string>& excluded,
+  [[nodiscard]] std::string Choose(const PoolSpec& pool,
+                                   const std::vector<std::string>& excluded,
                                    const std::string& request_id);
   [[nodiscard]] Result<ServiceAnswer> Send(const ServiceCall& call);
 
--- a/src/entry/share_service.cc
+++ b/src/entry/share_service.cc
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-ShareService::ShareService(VmId own, PeerTransport& peer_transport, const Clock& system_clock,
-                           PeerLister lister, DurationMs wait_ms)
+ShareService::ShareService(VmId own, PeerTransport& peer_transport,
+                           const Clock& system_clock, PeerLister lister,
+                           DurationMs wait_ms)
     : self(std::move(own)),
       peers(peer_transport),
       clock(system_clock),
@@ -31,15 +32,16 @@
   this->ledger.Configure(config, this->clock.Now());
 }
 
-Result<void> ShareService::Charge(std::string_view team, std::string_view request_id,
-                                  Tokens tokens) {
+Result<void> ShareService::Charge(std::string_view team,
+                                  std::string_view request_id, Tokens tokens) {
   {
     const std::lock_guard lock(this->mutex);
     const Tokens burst = this->ledger.Burst(team);
     if (tokens > burst) {
       return Error::Of(ErrorKind::kRequestOverBurst,
-                       "the request needs " + std::to_string(tokens) + " tokens, the burst of " +
-                           std::string(team) + " is " + std::to_string(burst));
+                       "the request needs " + std::to_string(tokens) +
+                           " tokens, the burst of " + std::string(team) +
+                           " is " + std::to_string(burst));
     }
   }
   const TimeMs give_up_at = this->clock.Now() + this->max_wait_ms;
@@ -51,8 +53,10 @@
     if (outcome.charged) break;
     if (this->clock.Now() >= give_up_at) {
       return Error::Of(ErrorKind::kTeamLimit,
-                       "team " + std::string(team) + " is " + std::to_string(outcome.missing) +
-                           " tokens short of the " + std::to_string(tokens) + " needed");
+                       "team " + std::string(team) + " is " +
+                           std::to_string(outcome.missing) +
+                           " tokens short of the " + std::to_string(tokens) +
+                           " needed");
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(kRetryPauseMs));
     outcome = this->TryCharge(team, request_id, tokens, {});
@@ -65,15 +69,18 @@
   this->ledger.Settle(request_id, used, this->clock.Now());
 }
 
-Result<std::string> ShareService::AnswerLend(const VmId& from, const std::string& body) {
+Result<std::string> ShareService::AnswerLend(const VmId& from,
+                                             const std::string& body) {
   BOOST_OUTCOME_TRY(ask, ReadJson<LendBody>(body, "request for tokens"));
   LendAnswer answer;
   {
     const std::lock_guard lock(this->mutex);
-    answer.tokens = this->ledger.Lend(ask.team, ask.transfer_id, ask.wanted, this->clock.Now());
+    answer.tokens = this->ledger.Lend(ask.team, ask.transfer_id, ask.wanted,
+                                      this->clock.Now());
   }
   if (answer.tokens > 0) {
-    LogEvent(EventId::kTokensLent, {{"team", ask.team}, {"to", from.address},
+    LogEvent(EventId::kTokensLent, {{"team", ask.team},
+                                    {"to", from.address},
                                     LogField::Of("tokens", answer.tokens),
                                     {"transfer", ask.transfer_id}});
   }
@@ -94,7 +101,8 @@
 
 std::int64_t ShareService::Borrowed() const noexcept { return this->borrowed; }
 
-std::vector<ShareService::Loan> ShareService::Borrow(std::string_view team, Tokens missing) {
+std::vector<ShareService::Loan> ShareService::Borrow(std::string_view team,
+                                                     Tokens missing) {
   std::vector<std::string> lenders = this->list_peers();
   std::erase(lenders, this->self.address);
   std::ranges::shuffle(lenders, std::mt19937_64(RandomBits()));
@@ -108,21 +116,23 @@
                            std::to_string(this->next_transfer++);
     const TimeMs asked_at = this->clock.Now();
     const auto text = this->peers.Call(
-        lender, "/peer/v1/lend", WriteJson(LendBody{std::string(team), id, wanted}),
-        kAskTimeoutMs);
+        lender, "/peer/v1/lend",
+        WriteJson(LendBody{std::string(team), id, wanted}), kAskTimeoutMs);
     if (!text) continue;
     const auto answer = ReadJson<LendAnswer>(text.value(), "loan");
     if (!answer || answer.value().tokens <= 0) continue;
     const Tokens tokens = std::min(answer.value().tokens, wanted);
-    loans.push_back(Loan{Transfer{id, std::string(team), tokens, asked_at}, lender});
+    loans.push_back(
+        Loan{Transfer{id, std::string(team), tokens, asked_at}, lender});
     missing -= tokens;
     wanted -= tokens;
     this->borrowed += tokens;
   }
   if (!loans.empty()) {
-    const Tokens sum = std::accumulate(
-        loans.begin(), loans.end(), Tokens{0},
-        [](Tokens total, const Loan& loan) { return total + loan.transfer.tokens; });
+    const Tokens sum = std::accumulate(loans.begin(), loans.end(), Tokens{0},
+                                       [](Tokens total, const Loan& loan) {
+                                         return total + loan.transfer.tokens;
+                                       });
     LogEvent(EventId::kTokensBorrowed, {{"team", std::string(team)},
                                         LogField::Of("tokens", sum),
                                         LogField::Of("lenders", loans.size())});
@@ -132,18 +142,23 @@
 
 void ShareService::Confirm(const std::vector<Loan>& loans) {
   std::ranges::for_each(loans, [this](const Loan& loan) {
-    // Lost confirmations only delay the lender's accrual until the transfer expires there.
+    // Lost confirmations only delay the lender's accrual until the transfer
+    // expires there.
     static_cast<void>(this->peers.Call(loan.lender, "/peer/v1/confirm",
-                                       WriteJson(ConfirmBody{loan.transfer.id}), kAskTimeoutMs));
+                                       WriteJson(ConfirmBody{loan.transfer.id}),
+                                       kAskTimeoutMs));
   });
 }
 
-ChargeOutcome ShareService::TryCharge(std::string_view team, std::string_view request_id,
-                                      Tokens tokens, const std::vector<Loan>& loans) {
+ChargeOutcome ShareService::TryCharge(std::string_view team,
+                                      std::string_view request_id,
+                                      Tokens tokens,
+                                      const std::vector<Loan>& loans) {
   std::vector<Transfer> transfers;
   std::ranges::transform(loans, std::back_inserter(transfers), &Loan::transfer);
   const std::lock_guard lock(this->mutex);
-  return this->ledger.TryCharge(team, request_id, tokens, transfers, this->clock.Now());
+  return this->ledger.TryCharge(team, request_id, tokens, transfers,
+                                this->clock.Now());
 }
 
 }  // namespace limpethaven
--- a/src/entry/share_service.h
+++ b/src/entry/share_service.h
@@ -23,17 +23,19 @@
 class ShareService {
  public:
   /// @param wait_ms Longest wait for tokens before a refusal.
-  ShareService(VmId own, PeerTransport& peer_transport, const Clock& system_clock,
-               PeerLister lister, DurationMs wait_ms);
+  ShareService(VmId own, PeerTransport& peer_transport,
+               const Clock& system_clock, PeerLister lister,
+               DurationMs wait_ms);
 
   void Configure(const Configuration& config);
   /// Charges a request, or says why not.
-  [[nodiscard]] Result<void> Charge(std::string_view team, std::string_view request_id,
-                                    Tokens tokens);
+  [[nodiscard]] Result<void> Charge(std::string_view team,
+                                    std::string_view request_id, Tokens tokens);
   /// Ends a charge and gives back what was not used.
   void Settle(std::string_view request_id, Tokens used);
   /// Answers a peer that asks for tokens.
-  [[nodiscard]] Result<std::string> AnswerLend(const VmId& from, const std::string& body);
+  [[nodiscard]] Result<std::string> AnswerLend(const VmId& from,
+                                               const std::string& body);
   /// Answers a peer that accepted a transfer.
   [[nodiscard]] Result<std::string> AnswerConfirm(const std::string& body);
   [[nodiscard]] ShareView View(std::string_view team);
@@ -49,8 +51,10 @@
 
   [[nodiscard]] std::vector<Loan> Borrow(std::string_view team, Tokens missing);
   void Confirm(const std::vector<Loan>& loans);
-  [[nodiscard]] ChargeOutcome TryCharge(std::string_view team, std::string_view request_id,
-                                        Tokens tokens, const std::vector<Loan>& loans);
+  [[nodiscard]] ChargeOutcome TryCharge(std::string_view team,
+                                        std::string_view request_id,
+                                        Tokens tokens,
+                                        const std::vector<Loan>& loans);
 
   VmId self;
   PeerTransport& peers;
--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -35,7 +35,8 @@
   std::function<void()> on_first;
 };
 
-Caller::Caller(std::vector<std::string> seed_addresses, HistoryWriter& history_writer)
+Caller::Caller(std::vector<std::string> seed_addresses,
+               HistoryWriter& history_writer)
     : seeds(std::move(seed_addresses)), history(history_writer) {}
 
 void Caller::Complete(const LoadRequest& request) {
@@ -45,7 +46,8 @@
   this->Record(HistoryKind::kSent, request, sent);
   StreamState state;
   state.on_first = [&] { this->Record(HistoryKind::kFirstToken, request, {}); };
-  for (std::int64_t connection = 0; connection < kMaxConnections; ++connection) {
+  for (std::int64_t connection = 0; connection < kMaxConnections;
+       ++connection) {
     const StreamEnd end = this->Connect(request, state);
     HistoryEvent event;
     event.max_tokens = request.max_tokens;
@@ -56,7 +58,8 @@
       return this->Record(HistoryKind::kWhole, request, event);
     }
     if (end == StreamEnd::kRefused) {
-      // A VM that is just starting or stopping says that another one should be asked.
+      // A VM that is just starting or stopping says that another one should be
+      // asked.
       const ErrorKind kind = state.error->kind;
       if (kind == ErrorKind::kNotReady || kind == ErrorKind::kLeaving) {
         state.error.reset();
@@ -68,13 +71,16 @@
       event.detail = state.error->message;
       return this->Record(HistoryKind::kRefused, request, event);
     }
-    if (!state.last_id.empty()) this->Record(HistoryKind::kResumed, request, {});
+    if (!state.last_id.empty()) {
+      this->Record(HistoryKind::kResumed, request, {});
+    }
     std::this_thread::sleep_for(kRetryPause);
   }
   this->Record(HistoryKind::kLost, request, {});
 }
 
-void Caller::CallOnceTwice(const LoadRequest& request, const std::string& path) {
+void Caller::CallOnceTwice(const LoadRequest& request,
+                           const std::string& path) {
   HistoryEvent sent;
   sent.once = true;
   this->Record(HistoryKind::kSent, request, sent);
@@ -90,8 +96,11 @@
   mint.set_header("Authorization", "Bearer " + request.key);
   const auto minted = pool.Send(this->NextAddress(), mint, kSilenceMs);
   if (!minted) return refuse(minted.error().WithRan(Ran::kNo));
-  if (const auto error = ErrorFromJsonBody(minted.value().body)) return refuse(*error);
-  const std::string ticket = json::parse(minted.value().body)["ticket"].get<std::string>();
+  if (const auto error = ErrorFromJsonBody(minted.value().body)) {
+    return refuse(*error);
+  }
+  const std::string ticket =
+      json::parse(minted.value().body)["ticket"].get<std::string>();
   const auto send = [&](const std::string& address) {
     HttpPool own;
     httplib::Request call = PostRequest(path, request.id);
@@ -99,12 +108,15 @@
     call.set_header("Limpethaven-Ticket", ticket);
     const auto answer = own.Send(address, call, kSilenceMs);
     if (!answer) return refuse(answer.error().WithRan(Ran::kUnknown));
-    if (const auto error = ErrorFromJsonBody(answer.value().body)) return refuse(*error);
+    if (const auto error = ErrorFromJsonBody(answer.value().body)) {
+      return refuse(*error);
+    }
     HistoryEvent event;
     event.once = true;
     this->Record(HistoryKind::kWhole, request, event);
   };
-  const std::array<std::string, 2> targets = {this->NextAddress(), this->NextAddress()};
+  const std::array<std::string, 2> targets = {this->NextAddress(),
+                                              this->NextAddress()};
   std::thread second([&] { send(targets[1]); });
   send(targets[0]);
   second.join();
@@ -141,7 +153,8 @@
   }
 }
 
-Caller::StreamEnd Caller::Connect(const LoadRequest& request, StreamState& state) {
+Caller::StreamEnd Caller::Connect(const LoadRequest& request,
+                                  StreamState& state) {
   const std::string address = this->NextAddress();
   const auto client = NewHttpClient(address, kSilenceMs);
   const json body = {{"model", request.model},
@@ -159,8 +172,8 @@
     status = response.status;
     return true;
   };
-  http.content_receiver = [&](const char* data, std::size_t length, std::uint64_t,
-                              std::uint64_t) {
+  http.content_receiver = [&](const char* data, std::size_t length,
+                              std::uint64_t, std::uint64_t) {
     if (status != 200) {
       refusal.append(data, length);
       return true;
@@ -179,8 +192,8 @@
         if (state.text.empty()) {
           state.on_first();
         } else {
-          state.max_gap_ms =
-              std::max(state.max_gap_ms, static_cast<double>(now - state.last_token_at));
+          state.max_gap_ms = std::max(
+              state.max_gap_ms, static_cast<double>(now - state.last_token_at));
         }
         state.last_token_at = now;
         state.text += text;
@@ -203,7 +216,8 @@
   return complete || status != 0 ? StreamEnd::kBroken : StreamEnd::kUnreachable;
 }
 
-void Caller::Record(HistoryKind kind, const LoadRequest& request, HistoryEvent event) {
+void Caller::Record(HistoryKind kind, const LoadRequest& request,
+                    HistoryEvent event) {
   event.kind = kind;
   event.request = request.id;
   event.team = request.team;
--- a/src/load/caller.h
+++ b/src/load/caller.h
@@ -26,7 +26,8 @@
 class Caller {
  public:
   /// @param seed_addresses `IP:port` of some VMs, asked for all others.
-  Caller(std::vector<std::string> seed_addresses, HistoryWriter& history_writer);
+  Caller(std::vector<std::string> seed_addresses,
+         HistoryWriter& history_writer);
 
   /// Sends a completion and follows it to its end.
   void Complete(const LoadRequest& request);
@@ -40,7 +41,8 @@
 
   [[nodiscard]] std::string NextAddress();
   void Refresh();
-  [[nodiscard]] StreamEnd Connect(const LoadRequest& request, StreamState& state);
+  [[nodiscard]] StreamEnd Connect(const LoadRequest& request,
+                                  StreamState& state);
   void Record(HistoryKind kind, const LoadRequest& request, HistoryEvent event);
 
   std::vector<std::string> seeds;
--- a/src/load/history.cc
+++ b/src/load/history.cc
@@ -11,8 +11,8 @@
 using nlohmann::json;
 
 constexpr std::array<std::string_view, 10> kNames = {
-    "sent",      "first_token", "resumed",      "whole",     "refused",
-    "lost",      "cancelled",   "endpoint_ran", "withdrawn", "fault"};
+    "sent", "first_token", "resumed",      "whole",     "refused",
+    "lost", "cancelled",   "endpoint_ran", "withdrawn", "fault"};
 
 }  // namespace
 
@@ -21,20 +21,13 @@
 }
 
 std::string EncodeHistoryEvent(const HistoryEvent& event) {
-  return json{{"kind", NameOf(event.kind)},
-              {"at_ms", event.at_ms},
-              {"wall_ms", event.wall_ms},
-              {"process", event.process},
-              {"request", event.request},
-              {"team", event.team},
-              {"error", event.error},
-              {"ran", event.ran},
-              {"digest", event.digest},
-              {"detail", event.detail},
-              {"tokens", event.tokens},
-              {"max_tokens", event.max_tokens},
-              {"count", event.count},
-              {"max_gap_ms", event.max_gap_ms},
+  return json{{"kind", NameOf(event.kind)}, {"at_ms", event.at_ms},
+              {"wall_ms", event.wall_ms},   {"process", event.process},
+              {"request", event.request},   {"team", event.team},
+              {"error", event.error},       {"ran", event.ran},
+              {"digest", event.digest},     {"detail", event.detail},
+              {"tokens", event.tokens},     {"max_tokens", event.max_tokens},
+              {"count", event.count},       {"max_gap_ms", event.max_gap_ms},
               {"once", event.once}}
       .dump();
 }
@@ -42,7 +35,8 @@
 Result<HistoryEvent> DecodeHistoryEvent(std::string_view line) {
   try {
     const json in = json::parse(line);
-    const auto found = std::ranges::find(kNames, in.at("kind").get<std::string>());
+    const auto found =
+        std::ranges::find(kNames, in.at("kind").get<std::string>());
     if (found == kNames.end()) {
       return Error::Of(ErrorKind::kBadRequest, "kind: unknown event kind");
     }
@@ -78,8 +72,9 @@
     ++number;
     auto event = DecodeHistoryEvent(line);
     if (!event) {
-      return Error::Of(ErrorKind::kBadRequest, path + ":" + std::to_string(number) + ": " +
-                                                   event.error().message);
+      return Error::Of(
+          ErrorKind::kBadRequest,
+          path + ":" + std::to_string(number) + ": " + event.error().message);
     }
     events.push_back(std::move(event.value()));
   }
--- a/src/load/history.h
+++ b/src/load/history.h
@@ -1,5 +1,6 @@
 /// @file
-/// A recorded history: one JSON object a line, written by callers and read by the checker.
+/// A recorded history: one JSON object a line, written by callers and read by
+/// the checker.
 #pragma once
 
 #include <compare>
@@ -32,20 +33,21 @@
 /// One event.
 struct HistoryEvent {
   HistoryKind kind = HistoryKind::kSent;
-  TimeMs at_ms = 0;       ///< Monotonic milliseconds on the recording machine.
-  TimeMs wall_ms = 0;     ///< Milliseconds since the Unix epoch.
-  std::string process;    ///< Who recorded it.
+  TimeMs at_ms = 0;     ///< Monotonic milliseconds on the recording machine.
+  TimeMs wall_ms = 0;   ///< Milliseconds since the Unix epoch.
+  std::string process;  ///< Who recorded it.
   std::string request;
   std::string team;
-  std::string error;      ///< Error kind of a refusal.
-  std::string ran;        ///< `no`, `unknown` or `yes`.
-  std::string digest;     ///< SHA-256 of an answer's text.
+  std::string error;   ///< Error kind of a refusal.
+  std::string ran;     ///< `no`, `unknown` or `yes`.
+  std::string digest;  ///< SHA-256 of an answer's text.
   std::string detail;
-  std::int64_t tokens = 0;     ///< Prompt tokens when sent, generated tokens when whole.
+  std::int64_t tokens =
+      0;  ///< Prompt tokens when sent, generated tokens when whole.
   std::int64_t max_tokens = 0;
   std::int64_t count = 0;
-  double max_gap_ms = 0;       ///< Longest pause between two tokens.
-  bool once = false;           ///< The request may run at most once.
+  double max_gap_ms = 0;  ///< Longest pause between two tokens.
+  bool once = false;      ///< The request may run at most once.
   friend auto operator<=>(const HistoryEvent&, const HistoryEvent&) = default;
 };
 
@@ -55,7 +57,8 @@
 [[nodiscard]] std::string EncodeHistoryEvent(const HistoryEvent& event);
 [[nodiscard]] Result<HistoryEvent> DecodeHistoryEvent(std::string_view line);
 /// Reads a file; an error names its line.
-[[nodiscard]] Result<std::vector<HistoryEvent>> ReadHistory(const std::string& path);
+[[nodiscard]] Result<std::vector<HistoryEvent>> ReadHistory(
+    const std::string& path);
 
 /// Writes events as they come. Thread safe.
 class HistoryWriter {
--- a/src/load/history_check.cc
+++ b/src/load/history_check.cc
@@ -24,13 +24,15 @@
 class Checker {
  public:
   HistoryVerdict Run(const std::vector<HistoryEvent>& events) {
-    std::ranges::for_each(events, [this](const HistoryEvent& event) { this->Take(event); });
+    std::ranges::for_each(
+        events, [this](const HistoryEvent& event) { this->Take(event); });
     std::ranges::for_each(this->rows, [this](const auto& row) {
       this->CheckEnds(row.first, row.second);
       this->CheckWhole(row.first, row.second);
       this->CheckRuns(row.first, row.second);
     });
-    std::ranges::for_each(events, [this](const HistoryEvent& event) { this->CheckKey(event); });
+    std::ranges::for_each(
+        events, [this](const HistoryEvent& event) { this->CheckKey(event); });
     return std::move(this->verdict);
   }
 
@@ -75,16 +77,19 @@
     }
   }
 
-  void Break(std::string promise, const std::string& request, std::string what) {
+  void Break(std::string promise, const std::string& request,
+             std::string what) {
     this->verdict.violations.push_back(
         Violation{std::move(promise), request, std::move(what)});
   }
 
   void CheckEnds(const std::string& request, const RequestRow& row) {
-    const bool ended = !row.whole.empty() || !row.refused.empty() || row.cancelled > 0;
+    const bool ended =
+        !row.whole.empty() || !row.refused.empty() || row.cancelled > 0;
     if (row.sent && (row.lost > 0 || !ended)) {
       ++this->verdict.lost;
-      this->Break("no work is lost", request, "it had neither an answer nor a refusal");
+      this->Break("no work is lost", request,
+                  "it had neither an answer nor a refusal");
     }
     if (row.whole.size() > 1) {
       ++this->verdict.doubled;
@@ -96,7 +101,8 @@
   void CheckWhole(const std::string& request, const RequestRow& row) {
     if (row.once) return;
     std::ranges::for_each(row.whole, [&](const HistoryEvent& event) {
-      const std::string expected = Sha256Hex(AnswerText(request, event.max_tokens));
+      const std::string expected =
+          Sha256Hex(AnswerText(request, event.max_tokens));
       if (event.digest == expected) return;
       this->Break("the whole answer to the caller's own request", request,
                   "the text differs from what the engines generate for it");
@@ -106,21 +112,27 @@
   void CheckRuns(const std::string& request, const RequestRow& row) {
     if (row.once && row.ran > 1) {
       ++this->verdict.doubled;
-      this->Break("a request that may not be repeated runs at most once", request,
-                  "it ran " + std::to_string(row.ran) + " times");
+      this->Break("a request that may not be repeated runs at most once",
+                  request, "it ran " + std::to_string(row.ran) + " times");
     }
-    // The same ticket sent twice may run once and be refused once; a refusal is false only when
-    // no sending of the request was answered and it ran all the same.
+    // The same ticket sent twice may run once and be refused once; a refusal is
+    // false only when no sending of the request was answered and it ran all the
+    // same.
     const bool answered = !row.whole.empty();
     const bool all_not_run = std::ranges::all_of(
-        row.refused, [](const HistoryEvent& event) { return event.ran == "no"; });
+        row.refused,
+        [](const HistoryEvent& event) { return event.ran == "no"; });
     if (answered || row.refused.empty() || !all_not_run || row.ran == 0) return;
-    this->Break("a refusal that says not run is true", request,
-                "refused as not run, ran " + std::to_string(row.ran) + " times");
+    this->Break(
+        "a refusal that says not run is true", request,
+        "refused as not run, ran " + std::to_string(row.ran) + " times");
   }
 
   void CheckKey(const HistoryEvent& event) {
-    if (event.kind != HistoryKind::kWhole && event.kind != HistoryKind::kFirstToken) return;
+    if (event.kind != HistoryKind::kWhole &&
+        event.kind != HistoryKind::kFirstToken) {
+      return;
+    }
     const auto withdrawn = this->withdrawn_at.find(event.team);
     if (withdrawn == this->withdrawn_at.end()) return;
     if (event.at_ms <= withdrawn->second + kWithdrawalLimitMs) return;
--- a/src/load/history_check.h
+++ b/src/load/history_check.h
@@ -34,10 +34,12 @@
 /// How long a withdrawn key may go on working.
 inline constexpr DurationMs kWithdrawalLimitMs = 5000;
 
-/// Checks every promise that callers and endpoints can witness: each request ends once, answers
-/// are whole and the request's own, refusals that say "not run" are true, requests that may run
-/// once did, and withdrawn keys stop working.
-[[nodiscard]] HistoryVerdict CheckHistory(const std::vector<HistoryEvent>& events);
+/// Checks every promise that callers and endpoints can witness: each request
+/// ends once, answers are whole and the request's own, refusals that say "not
+/// run" are true, requests that may run once did, and withdrawn keys stop
+/// working.
+[[nodiscard]] HistoryVerdict CheckHistory(
+    const std::vector<HistoryEvent>& events);
 
 /// Writes the table that the demo and `check` print.
 std::ostream& operator<<(std::ostream& out, const HistoryVerdict& verdict);
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -1,5 +1,6 @@
 /// @file
-/// `limpethaven-load`: load from a seed, a recorded history, its check and its report.
+/// `limpethaven-load`: load from a seed, a recorded history, its check and its
+/// report.
 
 #include <algorithm>
 #include <cstdlib>
@@ -37,8 +38,10 @@
   LatencyTargets targets;
 };
 
-/// Teams with their keys from `LIMPETHAVEN_KEYS`, written `team=key[=share],...`.
-Result<std::vector<TeamLoad>> ReadTeams(const std::vector<std::string>& wanted) {
+/// Teams with their keys from `LIMPETHAVEN_KEYS`, written
+/// `team=key[=share],...`.
+Result<std::vector<TeamLoad>> ReadTeams(
+    const std::vector<std::string>& wanted) {
   const char* text = std::getenv("LIMPETHAVEN_KEYS");
   std::istringstream rows(text == nullptr ? "" : text);
   std::vector<TeamLoad> teams;
@@ -50,22 +53,26 @@
     std::getline(fields, team.team, '=');
     std::getline(fields, team.key, '=');
     if (std::getline(fields, share)) team.share = std::atof(share.c_str());
-    const bool listed = wanted.empty() || std::ranges::find(wanted, team.team) != wanted.end();
+    const bool listed =
+        wanted.empty() || std::ranges::find(wanted, team.team) != wanted.end();
     if (listed && !team.key.empty() && team.share > 0) teams.push_back(team);
   }
   if (teams.empty()) {
     return Error::Of(ErrorKind::kBadRequest,
-                     "LIMPETHAVEN_KEYS: expected team=key or team=key=share, comma separated");
+                     "LIMPETHAVEN_KEYS: expected team=key or team=key=share, "
+                     "comma separated");
   }
   return teams;
 }
 
-void RecordRuns(const std::vector<std::string>& services, HistoryWriter& history) {
+void RecordRuns(const std::vector<std::string>& services,
+                HistoryWriter& history) {
   HttpPool pool;
   std::ranges::for_each(services, [&](const std::string& service) {
     const auto response = pool.Send(service, GetRequest("/runs"), 1000);
     if (!response) return;
-    const auto runs = nlohmann::json::parse(response.value().body, nullptr, false);
+    const auto runs =
+        nlohmann::json::parse(response.value().body, nullptr, false);
     for (const auto& [request, count] : runs.items()) {
       HistoryEvent event;
       event.kind = HistoryKind::kEndpointRan;
@@ -84,7 +91,8 @@
   }
   HistoryWriter history(settings.history, "load");
   Caller caller(settings.targets, history);
-  const std::vector<Arrival> arrivals = MakeTrace(settings.trace, teams.value());
+  const std::vector<Arrival> arrivals =
+      MakeTrace(settings.trace, teams.value());
   const SystemClock clock;
   const TimeMs start = clock.Now();
   std::vector<std::thread> threads;
@@ -92,10 +100,12 @@
   std::ranges::for_each(arrivals, [&](const Arrival& arrival) {
     const TimeMs now = clock.Now() - start;
     if (arrival.at_ms > now) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(arrival.at_ms - now));
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(arrival.at_ms - now));
     }
     const TeamLoad& team = teams.value()[arrival.team];
-    const LoadRequest request{arrival.id,   team.team,      team.key, settings.model,
+    const LoadRequest request{arrival.id,     team.team,
+                              team.key,       settings.model,
                               arrival.prompt, arrival.max_tokens};
     threads.emplace_back([&caller, request] { caller.Complete(request); });
     if (once_left > 0) {
@@ -108,7 +118,9 @@
     }
     if (settings.progress) {
       std::cerr << "\rsent " << threads.size() << " of "
-                << arrivals.size() + static_cast<std::size_t>(settings.once_calls) << std::flush;
+                << arrivals.size() +
+                       static_cast<std::size_t>(settings.once_calls)
+                << std::flush;
     }
   });
   std::ranges::for_each(threads, &std::thread::join);
@@ -117,7 +129,8 @@
   return 0;
 }
 
-Result<std::vector<HistoryEvent>> ReadAll(const std::vector<std::string>& paths) {
+Result<std::vector<HistoryEvent>> ReadAll(
+    const std::vector<std::string>& paths) {
   std::vector<HistoryEvent> events;
   for (const std::string& path : paths) {
     BOOST_OUTCOME_TRY(part, ReadHistory(path));
@@ -145,16 +158,19 @@
   }
   std::cout << MeasureHistory(events.value(), settings.targets);
   if (settings.output.empty()) return 0;
-  std::ofstream(settings.output)
-      << RenderReport(events.value(), settings.targets, settings.histories.front());
+  std::ofstream(settings.output) << RenderReport(
+      events.value(), settings.targets, settings.histories.front());
   return 0;
 }
 
-/// Adds an event that the load itself cannot see, such as a fault that a script induced.
-int Mark(const std::string& path, const std::string& fault, const std::string& withdrawn_team) {
+/// Adds an event that the load itself cannot see, such as a fault that a script
+/// induced.
+int Mark(const std::string& path, const std::string& fault,
+         const std::string& withdrawn_team) {
   HistoryWriter history(path, "operator");
   HistoryEvent event;
-  event.kind = withdrawn_team.empty() ? HistoryKind::kFault : HistoryKind::kWithdrawn;
+  event.kind =
+      withdrawn_team.empty() ? HistoryKind::kFault : HistoryKind::kWithdrawn;
   event.team = withdrawn_team;
   event.detail = fault;
   history.Write(event);
@@ -165,17 +181,18 @@
   TraceSettings& trace = settings.trace;
   AddFlag(app, "--seed", trace.seed, "Seed of the trace");
   AddFlag(app, "--id-prefix", trace.id_prefix, "Start of every request id");
-  AddRangedFlag<std::int64_t>(app, "--requests", trace.requests, 1, 1'000'000, "requests",
-                              "Requests to send");
-  AddRangedFlag(app, "--rate", trace.rate_per_s, 0.1, 10'000.0, "requests/s", "Arrival rate");
-  AddRangedFlag<Tokens>(app, "--prompt-min", trace.prompt_tokens_min, 1, 100'000, "tokens",
-                        "Shortest prompt");
-  AddRangedFlag<Tokens>(app, "--prompt-max", trace.prompt_tokens_max, 1, 100'000, "tokens",
-                        "Longest prompt");
-  AddRangedFlag<Tokens>(app, "--answer-min", trace.max_tokens_min, 1, 100'000, "tokens",
-                        "Smallest max_tokens");
-  AddRangedFlag<Tokens>(app, "--answer-max", trace.max_tokens_max, 1, 100'000, "tokens",
-                        "Largest max_tokens");
+  AddRangedFlag<std::int64_t>(app, "--requests", trace.requests, 1, 1'000'000,
+                              "requests", "Requests to send");
+  AddRangedFlag(app, "--rate", trace.rate_per_s, 0.1, 10'000.0, "requests/s",
+                "Arrival rate");
+  AddRangedFlag<Tokens>(app, "--prompt-min", trace.prompt_tokens_min, 1,
+                        100'000, "tokens", "Shortest prompt");
+  AddRangedFlag<Tokens>(app, "--prompt-max", trace.prompt_tokens_max, 1,
+                        100'000, "tokens", "Longest prompt");
+  AddRangedFlag<Tokens>(app, "--answer-min", trace.max_tokens_min, 1, 100'000,
+                        "tokens", "Smallest max_tokens");
+  AddRangedFlag<Tokens>(app, "--answer-max", trace.max_tokens_max, 1, 100'000,
+                        "tokens", "Largest max_tokens");
   AddRangedFlag(app, "--follow-up", trace.follow_up, 0.0, 1.0, "part",
                 "Requests that extend an earlier prompt");
 }
@@ -185,37 +202,49 @@
   app.require_subcommand(1);
 
   RunSettings run;
-  CLI::App* run_command = app.add_subcommand("run", "Send requests and record a history");
+  CLI::App* run_command =
+      app.add_subcommand("run", "Send requests and record a history");
   AddTraceFlags(*run_command, run);
-  AddFlag(*run_command, "--targets", run.targets, "IP:port of some entry VMs, comma separated")
+  AddFlag(*run_command, "--targets", run.targets,
+          "IP:port of some entry VMs, comma separated")
       ->delimiter(',')
       ->required();
-  AddFlag(*run_command, "--teams", run.teams, "Only these teams of LIMPETHAVEN_KEYS")
+  AddFlag(*run_command, "--teams", run.teams,
+          "Only these teams of LIMPETHAVEN_KEYS")
       ->delimiter(',');
   AddFlag(*run_command, "--model", run.model, "Model to ask")->required();
-  AddFlag(*run_command, "--history", run.history, "File to add the history to")->required();
-  AddFlag(*run_command, "--once-path", run.once_path, "Service route that runs at most once");
-  AddRangedFlag<std::int64_t>(*run_command, "--once-calls", run.once_calls, 0, 100'000, "calls",
+  AddFlag(*run_command, "--history", run.history, "File to add the history to")
+      ->required();
+  AddFlag(*run_command, "--once-path", run.once_path,
+          "Service route that runs at most once");
+  AddRangedFlag<std::int64_t>(*run_command, "--once-calls", run.once_calls, 0,
+                              100'000, "calls",
                               "Ticketed calls, each sent to two VMs");
-  AddFlag(*run_command, "--services", run.services, "Service stand-ins to ask for their runs")
+  AddFlag(*run_command, "--services", run.services,
+          "Service stand-ins to ask for their runs")
       ->delimiter(',');
   run_command->add_flag("--progress", run.progress, "Show a progress line");
 
   FileSettings files;
   CLI::App* check_command = app.add_subcommand("check", "Check histories");
-  check_command->add_option("histories", files.histories, "History files")->required();
+  check_command->add_option("histories", files.histories, "History files")
+      ->required();
 
-  CLI::App* report_command = app.add_subcommand("report", "Print figures and write a page");
-  report_command->add_option("histories", files.histories, "History files")->required();
+  CLI::App* report_command =
+      app.add_subcommand("report", "Print figures and write a page");
+  report_command->add_option("histories", files.histories, "History files")
+      ->required();
   AddFlag(*report_command, "--output", files.output, "HTML file to write");
 
   std::string mark_history;
   std::string mark_fault;
   std::string mark_team;
-  CLI::App* mark_command = app.add_subcommand("mark", "Add a fault or a withdrawal to a history");
+  CLI::App* mark_command =
+      app.add_subcommand("mark", "Add a fault or a withdrawal to a history");
   AddFlag(*mark_command, "--history", mark_history, "History file")->required();
   AddFlag(*mark_command, "--fault", mark_fault, "Name of the fault");
-  AddFlag(*mark_command, "--withdrawn", mark_team, "Team whose key was withdrawn");
+  AddFlag(*mark_command, "--withdrawn", mark_team,
+          "Team whose key was withdrawn");
 
   const FlagOutcome outcome = ParseFlags(app, argc, argv);
   if (!outcome.run) return outcome.exit_code;
--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -1,6 +1,7 @@
 #include "load/report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <map>
 #include <ostream>
@@ -30,9 +31,11 @@
     max_y = std::max(max_y, point.second);
   });
   std::ostringstream svg;
-  svg << "<h2>" << title << "</h2><svg width='" << kPlotWidth + 70 << "' height='"
-      << kPlotHeight + 40 << "'><g transform='translate(50,10)'><rect width='" << kPlotWidth
-      << "' height='" << kPlotHeight << "' fill='none' stroke='#999'/><polyline fill='none' "
+  svg << "<h2>" << title << "</h2><svg width='" << kPlotWidth + 70
+      << "' height='" << kPlotHeight + 40
+      << "'><g transform='translate(50,10)'><rect width='" << kPlotWidth
+      << "' height='" << kPlotHeight
+      << "' fill='none' stroke='#999'/><polyline fill='none' "
       << "stroke='#1f6f8b' stroke-width='1.5' points='";
   std::ranges::for_each(points, [&](const auto& point) {
     svg << point.first / max_x * kPlotWidth << ','
@@ -44,13 +47,15 @@
     svg << "<line x1='" << x << "' x2='" << x << "' y1='0' y2='" << kPlotHeight
         << "' stroke='#b33' stroke-dasharray='4'/>";
   });
-  svg << "<text x='-45' y='12' font-size='11'>" << max_y << "</text><text x='" << kPlotWidth - 40
-      << "' y='" << kPlotHeight + 15 << "' font-size='11'>" << max_x << "</text><text x='0' y='"
-      << kPlotHeight + 15 << "' font-size='11'>" << x_label << "</text></g></svg>";
+  svg << "<text x='-45' y='12' font-size='11'>" << max_y << "</text><text x='"
+      << kPlotWidth - 40 << "' y='" << kPlotHeight + 15 << "' font-size='11'>"
+      << max_x << "</text><text x='0' y='" << kPlotHeight + 15
+      << "' font-size='11'>" << x_label << "</text></g></svg>";
   return svg.str();
 }
 
-std::vector<std::pair<double, double>> Distribution(const std::vector<double>& sorted) {
+std::vector<std::pair<double, double>> Distribution(
+    const std::vector<double>& sorted) {
   std::vector<std::pair<double, double>> points;
   for (std::size_t index = 0; index < sorted.size(); ++index) {
     points.emplace_back(sorted[index], 100.0 * static_cast<double>(index + 1) /
@@ -59,17 +64,21 @@
   return points;
 }
 
-std::vector<std::pair<double, double>> Timeline(const std::vector<HistoryEvent>& events,
-                                                TimeMs start) {
+std::vector<std::pair<double, double>> Timeline(
+    const std::vector<HistoryEvent>& events, TimeMs start) {
   std::map<TimeMs, std::int64_t> buckets;
   std::ranges::for_each(events, [&](const HistoryEvent& event) {
-    if (event.kind == HistoryKind::kWhole) ++buckets[(event.at_ms - start) / kBucketMs];
+    if (event.kind == HistoryKind::kWhole) {
+      ++buckets[(event.at_ms - start) / kBucketMs];
+    }
   });
   std::vector<std::pair<double, double>> points;
   if (buckets.empty()) return points;
   for (TimeMs bucket = 0; bucket <= buckets.rbegin()->first; ++bucket) {
-    const double per_s = static_cast<double>(buckets[bucket]) * 1000.0 / kBucketMs;
-    points.emplace_back(static_cast<double>(bucket * kBucketMs) / 1000.0, per_s);
+    const double per_s =
+        static_cast<double>(buckets[bucket]) * 1000.0 / kBucketMs;
+    points.emplace_back(static_cast<double>(bucket * kBucketMs) / 1000.0,
+                        per_s);
   }
   return points;
 }
@@ -86,7 +95,10 @@
   std::ranges::for_each(events, [&](const HistoryEvent& event) {
     first_at = std::min(first_at, event.at_ms);
     last_at = std::max(last_at, event.at_ms);
-    if (event.request.empty() || event.once || event.kind == HistoryKind::kEndpointRan) return;
+    if (event.request.empty() || event.once ||
+        event.kind == HistoryKind::kEndpointRan) {
+      return;
+    }
     TeamFigures& team = teams[event.team];
     team.team = event.team;
     RequestTimes& times = requests[event.request];
@@ -97,7 +109,8 @@
         break;
       case HistoryKind::kFirstToken:
         times.first = event.at_ms;
-        figures.first_token_ms.push_back(static_cast<double>(event.at_ms - times.sent));
+        figures.first_token_ms.push_back(
+            static_cast<double>(event.at_ms - times.sent));
         break;
       case HistoryKind::kWhole:
         ++team.whole;
@@ -106,7 +119,8 @@
         if (times.first - times.sent <= targets.first_token_ms) ++team.good;
         break;
       case HistoryKind::kRefused:
-        ++(event.error == "team_limit" ? team.refused_by_limit : team.refused_otherwise);
+        ++(event.error == "team_limit" ? team.refused_by_limit
+                                       : team.refused_otherwise);
         break;
       default:
         break;
@@ -123,50 +137,59 @@
 double Percentile(const std::vector<double>& sorted, double percent) {
   if (sorted.empty()) return 0;
   const auto last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<std::size_t>(last * percent / 100.0 + 0.5)];
+  return sorted[static_cast<std::size_t>(std::lround(last * percent / 100.0))];
 }
 
 std::ostream& operator<<(std::ostream& out, const LoadFigures& figures) {
-  out << std::left << std::setw(12) << "team" << std::right << std::setw(8) << "sent"
-      << std::setw(8) << "whole" << std::setw(8) << "good" << std::setw(10) << "limited"
-      << std::setw(10) << "refused" << std::setw(10) << "tokens" << '\n';
+  out << std::left << std::setw(12) << "team" << std::right << std::setw(8)
+      << "sent" << std::setw(8) << "whole" << std::setw(8) << "good"
+      << std::setw(10) << "limited" << std::setw(10) << "refused"
+      << std::setw(10) << "tokens" << '\n';
   std::ranges::for_each(figures.teams, [&out](const TeamFigures& team) {
-    out << std::left << std::setw(12) << team.team << std::right << std::setw(8) << team.sent
-        << std::setw(8) << team.whole << std::setw(8) << team.good << std::setw(10)
-        << team.refused_by_limit << std::setw(10) << team.refused_otherwise << std::setw(10)
-        << team.tokens << '\n';
+    out << std::left << std::setw(12) << team.team << std::right << std::setw(8)
+        << team.sent << std::setw(8) << team.whole << std::setw(8) << team.good
+        << std::setw(10) << team.refused_by_limit << std::setw(10)
+        << team.refused_otherwise << std::setw(10) << team.tokens << '\n';
   });
-  out << "first token ms: p50 " << Percentile(figures.first_token_ms, 50) << ", p95 "
-      << Percentile(figures.first_token_ms, 95) << ", p99 "
+  out << "first token ms: p50 " << Percentile(figures.first_token_ms, 50)
+      << ", p95 " << Percentile(figures.first_token_ms, 95) << ", p99 "
       << Percentile(figures.first_token_ms, 99) << '\n';
-  out << "longest token gap ms: p50 " << Percentile(figures.max_gap_ms, 50) << ", p95 "
-      << Percentile(figures.max_gap_ms, 95) << ", p99 " << Percentile(figures.max_gap_ms, 99)
-      << '\n';
+  out << "longest token gap ms: p50 " << Percentile(figures.max_gap_ms, 50)
+      << ", p95 " << Percentile(figures.max_gap_ms, 95) << ", p99 "
+      << Percentile(figures.max_gap_ms, 99) << '\n';
   return out;
 }
 
-std::string RenderReport(const std::vector<HistoryEvent>& events, const LatencyTargets& targets,
+std::string RenderReport(const std::vector<HistoryEvent>& events,
+                         const LatencyTargets& targets,
                          const std::string& title) {
   const LoadFigures figures = MeasureHistory(events, targets);
   const TimeMs start = events.empty() ? 0 : events.front().at_ms;
   std::vector<double> faults;
   std::ranges::for_each(events, [&](const HistoryEvent& event) {
-    if (event.kind != HistoryKind::kFault && event.kind != HistoryKind::kWithdrawn) return;
+    if (event.kind != HistoryKind::kFault &&
+        event.kind != HistoryKind::kWithdrawn) {
+      return;
+    }
     faults.push_back(static_cast<double>(event.at_ms - start) / 1000.0);
   });
   std::vector<std::pair<double, double>> shares;
   std::ranges::for_each(figures.teams, [&shares](const TeamFigures& team) {
-    shares.emplace_back(static_cast<double>(shares.size()), static_cast<double>(team.tokens));
+    shares.emplace_back(static_cast<double>(shares.size()),
+                        static_cast<double>(team.tokens));
   });
   std::ostringstream page;
   page << "<!doctype html><meta charset='utf-8'><title>" << title
-       << "</title><body style='font-family:sans-serif'><h1>" << title << "</h1><pre>" << figures
-       << "</pre>" << Plot("First token: percent of requests by ms", "ms",
-                           Distribution(figures.first_token_ms), {})
+       << "</title><body style='font-family:sans-serif'><h1>" << title
+       << "</h1><pre>" << figures << "</pre>"
+       << Plot("First token: percent of requests by ms", "ms",
+               Distribution(figures.first_token_ms), {})
        << Plot("Longest gap between tokens: percent of requests by ms", "ms",
                Distribution(figures.max_gap_ms), {})
-       << Plot("Whole answers a second, faults dashed", "s", Timeline(events, start), faults)
-       << Plot("Tokens by team, in the table's order", "team", shares, {}) << "</body>";
+       << Plot("Whole answers a second, faults dashed", "s",
+               Timeline(events, start), faults)
+       << Plot("Tokens by team, in the table's order", "team", shares, {})
+       << "</body>";
   return page.str();
 }
 
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -1,5 +1,6 @@
 /// @file
-/// Reports on a history: a text table and one self-contained HTML page with plots.
+/// Reports on a history: a text table and one self-contained HTML page with
+/// plots.
 #pragma once
 
 #include <iosfwd>
@@ -36,13 +37,15 @@
   DurationMs length_ms = 0;
 };
 
-[[nodiscard]] LoadFigures MeasureHistory(const std::vector<HistoryEvent>& events,
-                                         const LatencyTargets& targets);
+[[nodiscard]] LoadFigures MeasureHistory(
+    const std::vector<HistoryEvent>& events, const LatencyTargets& targets);
 /// Value below which `percent` of a sorted list lies; 0 for an empty list.
-[[nodiscard]] double Percentile(const std::vector<double>& sorted, double percent);
+[[nodiscard]] double Percentile(const std::vector<double>& sorted,
+                                double percent);
 std::ostream& operator<<(std::ostream& out, const LoadFigures& figures);
 /// One HTML page with SVG plots and nothing fetched from elsewhere.
 [[nodiscard]] std::string RenderReport(const std::vector<HistoryEvent>& events,
-                                       const LatencyTargets& targets, const std::string& title);
+                                       const LatencyTargets& targets,
+                                       const std::string& title);
 
 }  // namespace limpethaven
--- a/src/load/trace.h
+++ b/src/load/trace.h
@@ -27,7 +27,8 @@
   Tokens prompt_tokens_max = 2000;
   Tokens max_tokens_min = 8;
   Tokens max_tokens_max = 128;
-  double follow_up = 0.3;  ///< Part of the requests that extend an earlier prompt.
+  double follow_up =
+      0.3;  ///< Part of the requests that extend an earlier prompt.
   std::string id_prefix = "load";
 };
 
@@ -41,8 +42,9 @@
   friend auto operator<=>(const Arrival&, const Arrival&) = default;
 };
 
-/// Poisson arrivals with log-uniform prompt lengths; the same settings give the same trace.
-[[nodiscard]] std::vector<Arrival> MakeTrace(const TraceSettings& settings,
-                                             const std::vector<TeamLoad>& teams);
+/// Poisson arrivals with log-uniform prompt lengths; the same settings give the
+/// same trace.
+[[nodiscard]] std::vector<Arrival> MakeTrace(
+    const TraceSettings& settings, const std::vector<TeamLoad>& teams);
 
 }  // namespace limpethaven
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -21,7 +21,8 @@
 constexpr std::int64_t kMinVariableLength = 8;
 
 void SleepMs(double milliseconds) {
-  std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(milliseconds));
+  std::this_thread::sleep_for(
+      std::chrono::duration<double, std::milli>(milliseconds));
 }
 
 void Answer(httplib::Response& response, const Result<std::string>& result) {
@@ -45,11 +46,13 @@
 }  // namespace
 
 std::string TokenText(std::string_view request_id, std::int64_t index) {
-  const std::uint64_t word = StableHash(std::string(request_id) + "/" + std::to_string(index));
+  const std::uint64_t word =
+      StableHash(std::string(request_id) + "/" + std::to_string(index));
   return " t" + std::to_string(index) + "." + std::to_string(word % 1000);
 }
 
-std::int64_t AnswerLength(std::string_view request_id, std::int64_t max_tokens) {
+std::int64_t AnswerLength(std::string_view request_id,
+                          std::int64_t max_tokens) {
   if (max_tokens <= kMinVariableLength) return max_tokens;
   const std::int64_t half = max_tokens / 2;
   const auto spread = static_cast<std::uint64_t>(max_tokens - half + 1);
@@ -58,7 +61,8 @@
 
 std::string AnswerText(std::string_view request_id, std::int64_t max_tokens) {
   std::string text;
-  for (std::int64_t index = 0; index < AnswerLength(request_id, max_tokens); ++index) {
+  for (std::int64_t index = 0; index < AnswerLength(request_id, max_tokens);
+       ++index) {
     text += TokenText(request_id, index);
   }
   return text;
@@ -66,7 +70,8 @@
 
 EngineStandin::EngineStandin(EngineStandinSettings initial)
     : settings(std::move(initial)),
-      server(HttpServerSettings{.address = this->settings.address, .port = this->settings.port}) {
+      server(HttpServerSettings{.address = this->settings.address,
+                                .port = this->settings.port}) {
   this->state.role = this->settings.role;
   this->AddRoutes();
 }
@@ -126,63 +131,79 @@
 
 void EngineStandin::AddRoutes() {
   httplib::Server& routes = this->server.Routes();
-  routes.Post("/prefill", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Post("/prefill", [this](const httplib::Request& request,
+                                 httplib::Response& response) {
     this->seen.Add(request);
     Answer(response, AsJson(this->Prefill(request.body)));
   });
-  routes.Post("/generate", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Post("/generate", [this](const httplib::Request& request,
+                                  httplib::Response& response) {
     this->seen.Add(request);
     std::int64_t offset = 0;
     const auto begun = this->Begin(request.body, offset);
     if (!begun) return WriteRefusal(response, begun.error());
     this->Stream(begun.value(), offset, response);
   });
-  routes.Post("/cancel", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Post("/cancel", [this](const httplib::Request& request,
+                                httplib::Response& response) {
     this->seen.Add(request);
     Answer(response, AsJson(this->Cancel(request.body)));
   });
-  routes.Post("/orders", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Post("/orders", [this](const httplib::Request& request,
+                                httplib::Response& response) {
     Answer(response, AsJson(this->Order(request.body)));
   });
-  routes.Get("/kv", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Get("/kv", [this](const httplib::Request& request,
+                           httplib::Response& response) {
     const std::lock_guard lock(this->mutex);
     const auto entry = this->kv.find(request.get_param_value("handle"));
-    if (entry == this->kv.end() || this->clock.Now() >= entry->second.expires_at) {
-      return WriteRefusal(response, Error::Of(ErrorKind::kStreamGone, "KV cache has expired"));
+    if (entry == this->kv.end() ||
+        this->clock.Now() >= entry->second.expires_at) {
+      return WriteRefusal(
+          response, Error::Of(ErrorKind::kStreamGone, "KV cache has expired"));
     }
-    response.set_content(std::to_string(entry->second.tokens), "application/json");
+    response.set_content(std::to_string(entry->second.tokens),
+                         "application/json");
     this->kv.erase(entry);
   });
-  routes.Get("/load", [this](const httplib::Request&, httplib::Response& response) {
-    const std::lock_guard lock(this->mutex);
-    const EngineLoad load = this->reports.empty() ? EngineLoad{} : this->reports.front().second;
-    response.set_content(WriteJson(load), "application/json");
-  });
+  routes.Get(
+      "/load", [this](const httplib::Request&, httplib::Response& response) {
+        const std::lock_guard lock(this->mutex);
+        const EngineLoad load =
+            this->reports.empty() ? EngineLoad{} : this->reports.front().second;
+        response.set_content(WriteJson(load), "application/json");
+      });
   routes.Get("/cache_events", [this](const httplib::Request& request,
                                      httplib::Response& response) {
-    const std::int64_t after = std::atoll(request.get_param_value("after").c_str());
+    const std::int64_t after =
+        std::atoll(request.get_param_value("after").c_str());
     const std::lock_guard lock(this->mutex);
     std::vector<CacheEvent> newer;
-    std::ranges::copy_if(this->events, std::back_inserter(newer),
-                         [after](const CacheEvent& event) { return event.number > after; });
+    std::ranges::copy_if(
+        this->events, std::back_inserter(newer),
+        [after](const CacheEvent& event) { return event.number > after; });
     response.set_content(WriteJson(newer), "application/json");
   });
-  routes.Get("/state", [this](const httplib::Request&, httplib::Response& response) {
-    const std::lock_guard lock(this->mutex);
-    response.set_content(WriteJson(this->state), "application/json");
-  });
-  routes.Post("/faults", [this](const httplib::Request& request, httplib::Response& response) {
-    constexpr std::array<std::string_view, 7> kNames = {"none", "stall",   "silent", "late",
-                                                        "crossed", "slow", "refuse"};
+  routes.Get("/state",
+             [this](const httplib::Request&, httplib::Response& response) {
+               const std::lock_guard lock(this->mutex);
+               response.set_content(WriteJson(this->state), "application/json");
+             });
+  routes.Post("/faults", [this](const httplib::Request& request,
+                                httplib::Response& response) {
+    constexpr std::array<std::string_view, 7> kNames = {
+        "none", "stall", "silent", "late", "crossed", "slow", "refuse"};
     if (request.body == "die") std::_Exit(137);
     const auto found = std::ranges::find(kNames, request.body);
     if (found == kNames.end()) {
-      return WriteRefusal(response, Error::Of(ErrorKind::kBadRequest, "unknown fault"));
+      return WriteRefusal(response,
+                          Error::Of(ErrorKind::kBadRequest, "unknown fault"));
     }
     this->SetFault(static_cast<EngineFault>(found - kNames.begin()));
     response.set_content("{}", "application/json");
   });
-  routes.Get("/seen", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Get("/seen", [this](const httplib::Request& request,
+                             httplib::Response& response) {
     const bool found = this->seen.Contains(request.get_param_value("text"));
     response.set_content(found ? "true" : "false", "application/json");
   });
@@ -199,9 +220,10 @@
     if (this->fault == EngineFault::kRefuse) {
       return Error::Of(ErrorKind::kCapacity, "engine refuses work");
     }
-    const auto miss = std::ranges::find_if_not(blocks, [this](std::uint64_t block) {
-      return std::ranges::find(this->cache, block) != this->cache.end();
-    });
+    const auto miss =
+        std::ranges::find_if_not(blocks, [this](std::uint64_t block) {
+          return std::ranges::find(this->cache, block) != this->cache.end();
+        });
     cached = (miss - blocks.begin()) * static_cast<Tokens>(1000);
   }
   const Tokens uncached = std::max<Tokens>(1, call.prompt_tokens - cached);
@@ -220,8 +242,9 @@
     this->cache.pop_front();
   });
   const std::string handle = RandomHex(8);
-  this->kv.emplace(handle, KvEntry{call.prompt_tokens,
-                                   this->clock.Now() + this->settings.kv_lifetime_ms});
+  this->kv.emplace(handle,
+                   KvEntry{call.prompt_tokens,
+                           this->clock.Now() + this->settings.kv_lifetime_ms});
   return PrefillAnswer{handle, std::min(cached, call.prompt_tokens),
                        this->clock.Now() - started};
 }
@@ -236,10 +259,12 @@
       return Error::Of(ErrorKind::kCapacity, "engine refuses work");
     }
     const auto found = this->running.find(call.attempt);
-    const bool known = found != this->running.end() && !found->second->cancelled;
+    const bool known =
+        found != this->running.end() && !found->second->cancelled;
     if (call.resume) {
       if (!known || call.offset < found->second->first) {
-        return Error::Of(ErrorKind::kStreamGone, "the attempt is not held here");
+        return Error::Of(ErrorKind::kStreamGone,
+                         "the attempt is not held here");
       }
       if (call.expected_attachment != 0 &&
           call.expected_attachment < found->second->attachment) {
@@ -247,7 +272,10 @@
       }
       return found->second;
     }
-    if (known) return Error::Of(ErrorKind::kTicketUsed, "the attempt was started before");
+    if (known) {
+      return Error::Of(ErrorKind::kTicketUsed,
+                       "the attempt was started before");
+    }
     if (this->cancelled.contains(call.attempt)) {
       return Error::Of(ErrorKind::kCancelled, "the attempt was cancelled");
     }
@@ -274,19 +302,23 @@
     this->running.erase(call.attempt);
     return imported.error();
   }
-  begun->length = std::max(
-      call.offset, AnswerLength(call.request_id, call.offset + call.max_tokens));
+  begun->length =
+      std::max(call.offset,
+               AnswerLength(call.request_id, call.offset + call.max_tokens));
   if (begun->Done()) begun->finished_at = this->clock.Now();
   return begun;
 }
 
-Result<void> EngineStandin::ImportKv(const std::string& source, const std::string& handle) {
+Result<void> EngineStandin::ImportKv(const std::string& source,
+                                     const std::string& handle) {
   BOOST_OUTCOME_TRY(response,
-              this->pool.Send(source, GetRequest("/kv?handle=" + handle), kKvFetchTimeoutMs));
+                    this->pool.Send(source, GetRequest("/kv?handle=" + handle),
+                                    kKvFetchTimeoutMs));
   if (response.status != 200) {
     return Error::Of(ErrorKind::kEndpointFailed, "the KV cache is gone");
   }
-  const double mbytes = std::stod(response.body) * this->settings.kv_mbytes_per_token;
+  const double mbytes =
+      std::stod(response.body) * this->settings.kv_mbytes_per_token;
   const std::lock_guard transferring(this->link);
   SleepMs(mbytes / this->settings.link_mbytes_per_s * 1000.0);
   return Success();
@@ -332,20 +364,27 @@
   }
   this->progress.notify_all();
   response.set_chunked_content_provider(
-      "text/event-stream",
-      [this, stream, attachment, number, offset](std::size_t, httplib::DataSink& sink) mutable {
+      "text/event-stream", [this, stream, attachment, number, offset](
+                               std::size_t, httplib::DataSink& sink) mutable {
         while (true) {
           std::unique_lock lock(this->mutex);
-          this->progress.wait_for(lock, std::chrono::milliseconds(kWaitMs), [&] {
-            return this->stopping || stream->cancelled || stream->attachment != attachment ||
-                   stream->produced > offset || stream->finished_at != 0;
-          });
-          if (this->stopping || stream->cancelled || number < this->dropped_before) break;
+          this->progress.wait_for(
+              lock, std::chrono::milliseconds(kWaitMs), [&] {
+                return this->stopping || stream->cancelled ||
+                       stream->attachment != attachment ||
+                       stream->produced > offset || stream->finished_at != 0;
+              });
+          if (this->stopping || stream->cancelled ||
+              number < this->dropped_before) {
+            break;
+          }
           if (stream->attachment != attachment) {
-            const StreamEvent end{stream->request_id, stream->attempt, offset, 0, "", false, true,
-                                  attachment};
+            const StreamEvent end{
+                stream->request_id, stream->attempt, offset, 0, "", false, true,
+                attachment};
             lock.unlock();
-            const std::string text = FormatSse(SseEvent{"", "", WriteJson(end)});
+            const std::string text =
+                FormatSse(SseEvent{"", "", WriteJson(end)});
             sink.write(text.data(), text.size());
             break;
           }
@@ -378,8 +417,14 @@
     if (end == offset && stream->finished_at == 0) {
       text = std::string(SseKeepAlive());
     } else {
-      event = StreamEvent{stream->request_id, stream->attempt, offset, end - offset, "",
-                          stream->finished_at != 0, false, attachment};
+      event = StreamEvent{stream->request_id,
+                          stream->attempt,
+                          offset,
+                          end - offset,
+                          "",
+                          stream->finished_at != 0,
+                          false,
+                          attachment};
       text = this->FaultyPrefix(*stream, offset);
     }
   }
@@ -395,9 +440,16 @@
   return !event.last;
 }
 
-std::string EngineStandin::FaultyPrefix(const Running& stream, std::int64_t offset) const {
-  StreamEvent event{stream.request_id, stream.attempt, 0, 1, TokenText(stream.request_id, 0),
-                    false, false, stream.attachment};
+std::string EngineStandin::FaultyPrefix(const Running& stream,
+                                        std::int64_t offset) const {
+  StreamEvent event{stream.request_id,
+                    stream.attempt,
+                    0,
+                    1,
+                    TokenText(stream.request_id, 0),
+                    false,
+                    false,
+                    stream.attachment};
   if (this->fault == EngineFault::kLate && offset > stream.first) {
     event.offset = offset - 1;
     event.text = TokenText(stream.request_id, offset - 1);
@@ -429,12 +481,15 @@
     }
     std::erase_if(this->running, [now](const auto& entry) {
       const Running& row = *entry.second;
-      return row.finished_at != 0 && !row.attached && now - row.finished_at >= kRetainFinishedMs;
+      return row.finished_at != 0 && !row.attached &&
+             now - row.finished_at >= kRetainFinishedMs;
     });
     std::erase_if(this->cancelled, [now](const auto& entry) {
       return now - entry.second >= kRetainFinishedMs;
     });
-    std::erase_if(this->kv, [now](const auto& entry) { return now >= entry.second.expires_at; });
+    std::erase_if(this->kv, [now](const auto& entry) {
+      return now >= entry.second.expires_at;
+    });
     this->reports.emplace_back(now, this->LoadNow());
     while (this->reports.size() > 1 &&
            now - this->reports[1].first >= this->settings.report_lag_ms) {
@@ -450,7 +505,9 @@
 
 void EngineStandin::RecordCacheEvent(std::uint64_t block, bool added) {
   const std::int64_t number = this->next_event++;
-  if (this->settings.event_gap > 0 && number % this->settings.event_gap == 0) return;
+  if (this->settings.event_gap > 0 && number % this->settings.event_gap == 0) {
+    return;
+  }
   this->events.push_back(CacheEvent{number, block, added});
   if (this->events.size() > kMaxEvents) this->events.pop_front();
 }
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -1,5 +1,6 @@
 /// @file
-/// `limpethaven-standin`: stand-ins of the served systems, for tests and the demo.
+/// `limpethaven-standin`: stand-ins of the served systems, for tests and the
+/// demo.
 
 #include <iostream>
 
@@ -22,29 +23,36 @@
     std::cerr << "limpethaven-standin: " << started.error() << '\n';
     return 1;
   }
-  LogEvent(EventId::kProcessReady, {{"standin", std::string(name)},
-                                    {"address", standin.Address()}});
+  LogEvent(EventId::kProcessReady,
+           {{"standin", std::string(name)}, {"address", standin.Address()}});
   WaitForStopSignal(0);
   standin.Stop();
   return 0;
 }
 
 int Main(int argc, char** argv) {
-  CLI::App app("Stand-ins of engines, services and the platform", "limpethaven-standin");
+  CLI::App app("Stand-ins of engines, services and the platform",
+               "limpethaven-standin");
   app.require_subcommand(1);
 
   EngineStandinSettings engine;
-  CLI::App* engine_command = app.add_subcommand("engine", "A prefill or decode engine");
-  AddFlag(*engine_command, "--address", engine.address, "IP number to listen on");
-  AddRangedFlag(*engine_command, "--port", engine.port, 1, kMaxPort, "port", "Port");
+  CLI::App* engine_command =
+      app.add_subcommand("engine", "A prefill or decode engine");
+  AddFlag(*engine_command, "--address", engine.address,
+          "IP number to listen on");
+  AddRangedFlag(*engine_command, "--port", engine.port, 1, kMaxPort, "port",
+                "Port");
   AddFlag(*engine_command, "--role", engine.role, "prefill, decode or mixed");
-  AddRangedFlag<std::int64_t>(*engine_command, "--pieces", engine.pieces, 1, 100'000, "pieces",
+  AddRangedFlag<std::int64_t>(*engine_command, "--pieces", engine.pieces, 1,
+                              100'000, "pieces",
                               "Memory in pieces of 1,000 tokens");
-  AddRangedFlag<DurationMs>(*engine_command, "--step-ms", engine.step_ms, 1, 1000, "ms",
-                            "Time of one decode step");
-  AddRangedFlag(*engine_command, "--prefill-ms-per-token", engine.prefill_ms_per_token, 0.0, 100.0,
-                "ms", "Prefill cost of a token that is not cached");
-  AddRangedFlag(*engine_command, "--link-mbytes-per-s", engine.link_mbytes_per_s, 1.0, 1e6, "MB/s",
+  AddRangedFlag<DurationMs>(*engine_command, "--step-ms", engine.step_ms, 1,
+                            1000, "ms", "Time of one decode step");
+  AddRangedFlag(*engine_command, "--prefill-ms-per-token",
+                engine.prefill_ms_per_token, 0.0, 100.0, "ms",
+                "Prefill cost of a token that is not cached");
+  AddRangedFlag(*engine_command, "--link-mbytes-per-s",
+                engine.link_mbytes_per_s, 1.0, 1e6, "MB/s",
                 "Rate of KV imports");
   AddFlag(*engine_command, "--checks-fencing", engine.checks_fencing,
           "Whether orders with old fencing numbers are refused");
@@ -52,18 +60,24 @@
   PlatformStandinSettings platform;
   CLI::App* platform_command =
       app.add_subcommand("platform", "Configuration service and VM list");
-  AddFlag(*platform_command, "--address", platform.address, "IP number to listen on");
-  AddRangedFlag(*platform_command, "--port", platform.port, 1, kMaxPort, "port", "Port");
-  AddFlag(*platform_command, "--directory", platform.directory, "Published values and vms.json")
+  AddFlag(*platform_command, "--address", platform.address,
+          "IP number to listen on");
+  AddRangedFlag(*platform_command, "--port", platform.port, 1, kMaxPort, "port",
+                "Port");
+  AddFlag(*platform_command, "--directory", platform.directory,
+          "Published values and vms.json")
       ->required();
-  AddRangedFlag<DurationMs>(*platform_command, "--vm-list-lag-ms", platform.vm_list_lag_ms, 0,
-                            600'000, "ms", "Lag of the VM list");
+  AddRangedFlag<DurationMs>(*platform_command, "--vm-list-lag-ms",
+                            platform.vm_list_lag_ms, 0, 600'000, "ms",
+                            "Lag of the VM list");
 
   std::string service_address = "127.0.0.1";
   int service_port = 0;
   CLI::App* service_command = app.add_subcommand("service", "A plain service");
-  AddFlag(*service_command, "--address", service_address, "IP number to listen on");
-  AddRangedFlag(*service_command, "--port", service_port, 1, kMaxPort, "port", "Port");
+  AddFlag(*service_command, "--address", service_address,
+          "IP number to listen on");
+  AddRangedFlag(*service_command, "--port", service_port, 1, kMaxPort, "port",
+                "Port");
 
   const FlagOutcome outcome = ParseFlags(app, argc, argv);
   if (!outcome.run) return outcome.exit_code;
--- a/src/standin/platform_standin.cc
+++ b/src/standin/platform_standin.cc
@@ -16,7 +16,8 @@
 
 std::string ReadFile(const std::filesystem::path& path) {
   std::ifstream in(path, std::ios::binary);
-  return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+  return std::string(std::istreambuf_iterator<char>(in),
+                     std::istreambuf_iterator<char>());
 }
 
 std::uint64_t VersionOf(const std::string& head) {
@@ -28,38 +29,47 @@
 
 PlatformStandin::PlatformStandin(PlatformStandinSettings initial)
     : settings(std::move(initial)),
-      server(HttpServerSettings{.address = this->settings.address, .port = this->settings.port}) {
+      server(HttpServerSettings{.address = this->settings.address,
+                                .port = this->settings.port}) {
   httplib::Server& routes = this->server.Routes();
   routes.Get("/v1/watch/head", [this](const httplib::Request& request,
                                       httplib::Response& response) {
     this->Watch(request, response);
   });
-  routes.Get(R"(/v1/values/([a-z0-9\-]+))", [this](const httplib::Request& request,
-                                                 httplib::Response& response) {
-    if (!this->Admit(response)) return;
-    const std::string value = this->Value(request.matches[1].str() + ".json");
-    if (value.empty() || value.size() > kMaxValueBytes) {
-      return WriteRefusal(response, Error::Of(ErrorKind::kUnknownRoute, "no such value"));
-    }
-    response.set_content(value, "application/json");
-  });
-  routes.Get("/v1/vms", [this](const httplib::Request&, httplib::Response& response) {
+  routes.Get(
+      R"(/v1/values/([a-z0-9\-]+))",
+      [this](const httplib::Request& request, httplib::Response& response) {
+        if (!this->Admit(response)) return;
+        const std::string value =
+            this->Value(request.matches[1].str() + ".json");
+        if (value.empty() || value.size() > kMaxValueBytes) {
+          return WriteRefusal(
+              response, Error::Of(ErrorKind::kUnknownRoute, "no such value"));
+        }
+        response.set_content(value, "application/json");
+      });
+  routes.Get("/v1/vms", [this](const httplib::Request&,
+                               httplib::Response& response) {
     if (!this->Admit(response)) return;
     const std::lock_guard lock(this->mutex);
     const TimeMs visible = this->clock.Now() - this->settings.vm_list_lag_ms;
     const auto newer = std::ranges::find_if(
-        this->vm_lists, [visible](const auto& list) { return list.first > visible; });
+        this->vm_lists,
+        [visible](const auto& list) { return list.first > visible; });
     const bool none = newer == this->vm_lists.begin();
-    response.set_content(none ? "[]" : std::prev(newer)->second, "application/json");
+    response.set_content(none ? "[]" : std::prev(newer)->second,
+                         "application/json");
   });
-  routes.Post("/faults", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Post("/faults", [this](const httplib::Request& request,
+                                httplib::Response& response) {
     this->SetDown(request.body == "down");
     this->SetStale(request.body == "stale");
     response.set_content("{}", "application/json");
   });
-  routes.Get("/calls", [this](const httplib::Request&, httplib::Response& response) {
-    response.set_content(std::to_string(this->Calls()), "application/json");
-  });
+  routes.Get(
+      "/calls", [this](const httplib::Request&, httplib::Response& response) {
+        response.set_content(std::to_string(this->Calls()), "application/json");
+      });
 }
 
 PlatformStandin::~PlatformStandin() { this->Stop(); }
@@ -126,9 +136,11 @@
   return ReadFile(std::filesystem::path(this->settings.directory) / name);
 }
 
-void PlatformStandin::Watch(const httplib::Request& request, httplib::Response& response) {
+void PlatformStandin::Watch(const httplib::Request& request,
+                            httplib::Response& response) {
   if (!this->Admit(response)) return;
-  const auto after = std::strtoull(request.get_param_value("after").c_str(), nullptr, 10);
+  const auto after =
+      std::strtoull(request.get_param_value("after").c_str(), nullptr, 10);
   const DurationMs wait_ms = std::clamp<DurationMs>(
       std::atoll(request.get_param_value("wait_ms").c_str()), 0, kMaxWaitMs);
   std::unique_lock lock(this->mutex);
@@ -153,7 +165,8 @@
     this->head = next_head;
     this->changed.notify_all();
   }
-  if (!vms.empty() && (this->vm_lists.empty() || this->vm_lists.back().second != vms)) {
+  if (!vms.empty() &&
+      (this->vm_lists.empty() || this->vm_lists.back().second != vms)) {
     this->vm_lists.emplace_back(this->clock.Now(), vms);
   }
 }
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -1,5 +1,6 @@
 /// @file
-/// Stand-in for the platform: a configuration service that is only read, and a lagging VM list.
+/// Stand-in for the platform: a configuration service that is only read, and a
+/// lagging VM list.
 #pragma once
 
 #include <condition_variable>
@@ -19,12 +20,14 @@
 struct PlatformStandinSettings {
   std::string address = "127.0.0.1";
   int port = 0;
-  std::string directory;                 ///< What `limpethaven-publish` wrote, and `vms.json`.
-  std::int64_t calls_per_s = 2000;       ///< Calls beyond it are refused with status 429.
+  std::string directory;  ///< What `limpethaven-publish` wrote, and `vms.json`.
+  std::int64_t calls_per_s =
+      2000;  ///< Calls beyond it are refused with status 429.
   DurationMs vm_list_lag_ms = 0;
 };
 
-/// Platform stand-in. Values are files of the directory; values over 1 MB are refused.
+/// Platform stand-in. Values are files of the directory; values over 1 MB are
+/// refused.
 class PlatformStandin {
  public:
   explicit PlatformStandin(PlatformStandinSettings settings);
--- a/src/standin/seen_log.h
+++ b/src/standin/seen_log.h
@@ -1,5 +1,6 @@
 /// @file
-/// Remembers every byte that a stand-in received, so that tests can look for what must not be.
+/// Remembers every byte that a stand-in received, so that tests can look for
+/// what must not be.
 #pragma once
 
 #include <httplib.h>
@@ -17,9 +18,15 @@
   void Add(const httplib::Request& request) {
     const std::lock_guard lock(this->mutex);
     if (this->text.size() > kMaxBytes) return;
-    this->text.append(request.method).append(" ").append(request.target).append("\n");
+    this->text.append(request.method)
+        .append(" ")
+        .append(request.target)
+        .append("\n");
     std::ranges::for_each(request.headers, [this](const auto& header) {
-      this->text.append(header.first).append(": ").append(header.second).append("\n");
+      this->text.append(header.first)
+          .append(": ")
+          .append(header.second)
+          .append("\n");
     });
     this->text.append(request.body).append("\n");
   }
--- a/src/standin/service_standin.cc
+++ b/src/standin/service_standin.cc
@@ -16,21 +16,25 @@
     : address(std::move(listen_address)),
       server(HttpServerSettings{.address = this->address, .port = port}) {
   httplib::Server& routes = this->server.Routes();
-  routes.Get("/runs", [this](const httplib::Request&, httplib::Response& response) {
+  routes.Get("/runs", [this](const httplib::Request&,
+                             httplib::Response& response) {
     const std::lock_guard lock(this->mutex);
     response.set_content(nlohmann::json(this->runs).dump(), "application/json");
   });
-  routes.Get("/seen", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Get("/seen", [this](const httplib::Request& request,
+                             httplib::Response& response) {
     const bool found = this->seen.Contains(request.get_param_value("text"));
     response.set_content(found ? "true" : "false", "application/json");
   });
-  routes.Post("/faults", [this](const httplib::Request& request, httplib::Response& response) {
+  routes.Post("/faults", [this](const httplib::Request& request,
+                                httplib::Response& response) {
     this->SetFault(request.body == "no_answer" ? ServiceFault::kNoAnswer
                    : request.body == "slow"    ? ServiceFault::kSlow
                                                : ServiceFault::kNone);
     response.set_content("{}", "application/json");
   });
-  const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
+  const auto serve = [this](const httplib::Request& request,
+                            httplib::Response& response) {
     this->Serve(request, response);
   };
   routes.Get("/s/.*", serve);
@@ -63,7 +67,8 @@
 
 const SeenLog& ServiceStandin::Seen() const noexcept { return this->seen; }
 
-void ServiceStandin::Serve(const httplib::Request& request, httplib::Response& response) {
+void ServiceStandin::Serve(const httplib::Request& request,
+                           httplib::Response& response) {
   this->seen.Add(request);
   ServiceFault present = ServiceFault::kNone;
   std::int64_t count = 0;
@@ -74,15 +79,18 @@
   }
   if (present == ServiceFault::kSlow) std::this_thread::sleep_for(kSlowAnswer);
   if (present == ServiceFault::kNoAnswer) {
-    // A provider that fails at once closes the connection after the request was read.
+    // A provider that fails at once closes the connection after the request was
+    // read.
     response.set_content_provider(
-        1, "text/plain", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+        1, "text/plain",
+        [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
     return;
   }
-  const nlohmann::json answer = {{"method", request.method},
-                                 {"path", request.target},
-                                 {"request_id", request.get_header_value("Request-Id")},
-                                 {"runs", count}};
+  const nlohmann::json answer = {
+      {"method", request.method},
+      {"path", request.target},
+      {"request_id", request.get_header_value("Request-Id")},
+      {"runs", count}};
   response.set_content(answer.dump(), "application/json");
 }
 
--- a/src/standin/service_standin.h
+++ b/src/standin/service_standin.h
@@ -15,7 +15,8 @@
 /// Faults of a service stand-in.
 enum class ServiceFault { kNone, kNoAnswer, kSlow };
 
-/// One service endpoint. Every call counts as a run of the `operation` in its body's first line.
+/// One service endpoint. Every call counts as a run of the `operation` in its
+/// body's first line.
 class ServiceStandin {
  public:
   explicit ServiceStandin(std::string address = "127.0.0.1", int port = 0);
--- a/src/tools/publish_main.cc
+++ b/src/tools/publish_main.cc
@@ -1,5 +1,6 @@
 /// @file
-/// `limpethaven-publish`: collects service files into one checked, versioned configuration.
+/// `limpethaven-publish`: collects service files into one checked, versioned
+/// configuration.
 
 #include <algorithm>
 #include <filesystem>
@@ -27,10 +28,12 @@
 
 std::string ReadFile(const fs::path& path) {
   std::ifstream in(path, std::ios::binary);
-  return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+  return std::string(std::istreambuf_iterator<char>(in),
+                     std::istreambuf_iterator<char>());
 }
 
-/// Writes next to the target and renames, so that readers never see half a file.
+/// Writes next to the target and renames, so that readers never see half a
+/// file.
 void WriteFileAtomically(const fs::path& path, const std::string& text) {
   const fs::path part = path.string() + ".part";
   {
@@ -49,14 +52,17 @@
       return;
     }
     for (const auto& entry : fs::recursive_directory_iterator(source)) {
-      if (entry.path().filename() == kServiceFileName) paths.push_back(entry.path());
+      if (entry.path().filename() == kServiceFileName) {
+        paths.push_back(entry.path());
+      }
     }
   });
   std::ranges::sort(paths);
   std::vector<ServiceFile> files;
-  std::ranges::transform(paths, std::back_inserter(files), [](const fs::path& path) {
-    return ServiceFile{path.string(), ReadFile(path)};
-  });
+  std::ranges::transform(paths, std::back_inserter(files),
+                         [](const fs::path& path) {
+                           return ServiceFile{path.string(), ReadFile(path)};
+                         });
   return files;
 }
 
@@ -64,17 +70,20 @@
 Result<EntityTable> ReadTable(const fs::path& output, const ConfigHead& head) {
   EntityTable table;
   for (const std::string& digest : head.chunks) {
-    BOOST_OUTCOME_TRY(entities,
-                DecodeEntityList(ReadFile(output / ("chunk-" + digest + ".json"))));
+    BOOST_OUTCOME_TRY(
+        entities,
+        DecodeEntityList(ReadFile(output / ("chunk-" + digest + ".json"))));
     table.Apply(entities, {});
   }
   if (table.Digest() != head.digest) {
-    return Error::Of(ErrorKind::kConfigInvalid, "the published chunks do not fit their head");
+    return Error::Of(ErrorKind::kConfigInvalid,
+                     "the published chunks do not fit their head");
   }
   return table;
 }
 
-Result<std::string> Publish(const Configuration& config, const fs::path& output) {
+Result<std::string> Publish(const Configuration& config,
+                            const fs::path& output) {
   ConfigHead head;
   EntityTable before;
   if (fs::exists(output / "head.json")) {
@@ -93,20 +102,26 @@
     const std::string text = next.ChunkText(index);
     if (text.size() > kMaxValueBytes) {
       return Error::Of(ErrorKind::kConfigInvalid,
-                       "chunk " + std::to_string(index) + " has " + std::to_string(text.size()) +
-                           " bytes, expected at most " + std::to_string(kMaxValueBytes));
+                       "chunk " + std::to_string(index) + " has " +
+                           std::to_string(text.size()) +
+                           " bytes, expected at most " +
+                           std::to_string(kMaxValueBytes));
     }
-    WriteFileAtomically(output / ("chunk-" + next.ChunkDigests()[index] + ".json"), text);
+    WriteFileAtomically(
+        output / ("chunk-" + next.ChunkDigests()[index] + ".json"), text);
   }
   head.version += 1;
   head.digest = next.Digest();
   head.chunks = next.ChunkDigests();
   change.version = head.version;
-  const std::string summary = "version " + std::to_string(head.version) + ": " +
-                              std::to_string(change.upserts.size()) + " changed, " +
-                              std::to_string(change.removals.size()) + " removed";
+  const std::string summary =
+      "version " + std::to_string(head.version) + ": " +
+      std::to_string(change.upserts.size()) + " changed, " +
+      std::to_string(change.removals.size()) + " removed";
   head.changes.push_back(std::move(change));
-  if (head.changes.size() > kHeadChanges) head.changes.erase(head.changes.begin());
+  if (head.changes.size() > kHeadChanges) {
+    head.changes.erase(head.changes.begin());
+  }
   std::string text = EncodeHead(head);
   // A change too large for the head is read from the chunks instead.
   while (text.size() > kMaxValueBytes / 4 && !head.changes.empty()) {
@@ -119,8 +134,9 @@
 
 int Run(const PublishSettings& settings) {
   const ParsedFiles parsed = ParseServiceFiles(Collect(settings.sources));
-  std::ranges::for_each(parsed.faults,
-                        [](const FileFault& fault) { std::cerr << fault << '\n'; });
+  std::ranges::for_each(parsed.faults, [](const FileFault& fault) {
+    std::cerr << fault << '\n';
+  });
   if (!parsed.faults.empty()) {
     std::cerr << parsed.faults.size() << " faults, nothing was written\n";
     return 1;
@@ -140,18 +156,22 @@
 }
 
 int Main(int argc, char** argv) {
-  CLI::App app("Collects service files into one published configuration", "limpethaven-publish");
+  CLI::App app("Collects service files into one published configuration",
+               "limpethaven-publish");
   PublishSettings settings;
-  app.add_option("sources", settings.sources,
-                 "Service files, or folders that hold files named limpethaven.toml")
+  app.add_option(
+         "sources", settings.sources,
+         "Service files, or folders that hold files named limpethaven.toml")
       ->required()
       ->check(CLI::ExistingPath);
   AddFlag(app, "--output", settings.output, "Folder for the published values");
-  app.add_flag("--check", settings.check, "Only check the files; write nothing");
+  app.add_flag("--check", settings.check,
+               "Only check the files; write nothing");
   const FlagOutcome outcome = ParseFlags(app, argc, argv);
   if (!outcome.run) return outcome.exit_code;
   if (settings.output.empty() && !settings.check) {
-    std::cerr << "limpethaven-publish: --output: expected a folder, or --check\n";
+    std::cerr
+        << "limpethaven-publish: --output: expected a folder, or --check\n";
     return 2;
   }
   return Run(settings);
--- a/tests/cell_scheduler_test.cc
+++ b/tests/cell_scheduler_test.cc
@@ -1,5 +1,8 @@
 /// @file
-/// Cell scheduler: memory before prefill, fairness, leases, cancels and ejection.
+/// Cell scheduler: memory before prefill, fairness, leases, cancels and
+/// ejection.
+#include "limpethaven/cell_scheduler.h"
+
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -7,8 +10,6 @@
 #include <map>
 #include <set>
 
-#include "limpethaven/cell_scheduler.h"
-
 namespace limpethaven {
 namespace {
 
@@ -18,7 +19,8 @@
 }
 
 PlacementRequest Ask(const std::string& id, Tokens prompt, Tokens answer,
-                     const std::string& team = "north", DurationMs budget_ms = 900) {
+                     const std::string& team = "north",
+                     DurationMs budget_ms = 900) {
   PlacementRequest request;
   request.request_id = id;
   request.team = team;
@@ -32,7 +34,9 @@
 std::vector<Command> Only(const std::vector<CellCommand>& commands) {
   std::vector<Command> chosen;
   for (const CellCommand& command : commands) {
-    if (const auto* match = std::get_if<Command>(&command)) chosen.push_back(*match);
+    if (const auto* match = std::get_if<Command>(&command)) {
+      chosen.push_back(*match);
+    }
   }
   return chosen;
 }
@@ -49,7 +53,8 @@
 }
 
 TEST_CASE("cell starts no prefill before decode memory is free") {
-  CellScheduler cell("m/0", "o", CellSettings{.max_prefill_backlog_ms = 10'000});
+  CellScheduler cell("m/0", "o",
+                     CellSettings{.max_prefill_backlog_ms = 10'000});
   cell.Configure(OneOfEach(2), 0);
   cell.Submit(Ask("r1", 1500, 400), 0);
   cell.Submit(Ask("r2", 1500, 400), 0);
@@ -60,7 +65,9 @@
   REQUIRE(Only<PlaceCommand>(cell.Tick(10)).size() == 1);
 }
 
-TEST_CASE("cell refuses at once what can never fit, and late what missed its deadline") {
+TEST_CASE(
+    "cell refuses at once what can never fit, and late what missed its "
+    "deadline") {
   CellScheduler cell("m/0", "o");
   cell.Configure(OneOfEach(2), 0);
   cell.Submit(Ask("big", 5000, 400), 0);
@@ -76,11 +83,14 @@
   REQUIRE(late[0].error.kind == ErrorKind::kDeadline);
 }
 
-TEST_CASE("cell cancels on the engine when a lease lapses, until the engine agrees") {
-  CellScheduler cell("m/0", "o", CellSettings{.lease_ms = 1000, .cancel_retry_ms = 300});
+TEST_CASE(
+    "cell cancels on the engine when a lease lapses, until the engine agrees") {
+  CellScheduler cell("m/0", "o",
+                     CellSettings{.lease_ms = 1000, .cancel_retry_ms = 300});
   cell.Configure(OneOfEach(8), 0);
   cell.Submit(Ask("r1", 500, 400), 0);
-  const std::string id = Only<PlaceCommand>(cell.Tick(0)).at(0).placement.reservation;
+  const std::string id =
+      Only<PlaceCommand>(cell.Tick(0)).at(0).placement.reservation;
   cell.Renew({{id, "r1", "d:1", 1}}, 800);
   REQUIRE(Only<CancelCommand>(cell.Tick(1500)).empty());
   const auto first = Only<CancelCommand>(cell.Tick(1800));
@@ -106,7 +116,9 @@
   REQUIRE(Only<PlaceCommand>(cell.Tick(5)).size() == 1);
 }
 
-TEST_CASE("cell counts memory that engines hold for others and cancels what nobody reads") {
+TEST_CASE(
+    "cell counts memory that engines hold for others and cancels what nobody "
+    "reads") {
   CellScheduler cell("m/0", "o", CellSettings{.orphan_grace_ms = 4000});
   cell.Configure(OneOfEach(2), 0);
   EngineLoad load{2, 2, {HeldRequest{"lost", "old-1", 2, 3000, 1000}}};
@@ -159,7 +171,8 @@
   TimeMs now = 0;
   int number = 0;
   const auto submit = [&](const std::string& team) {
-    cell.Submit(Ask("r" + std::to_string(number++), 500, 400, team, 10'000'000), now);
+    cell.Submit(Ask("r" + std::to_string(number++), 500, 400, team, 10'000'000),
+                now);
   };
   for (int count = 0; count < 500; ++count) {
     for (int copy = 0; copy < 5; ++copy) submit("large");
@@ -179,13 +192,16 @@
   REQUIRE(std::abs(served["small"] - served["large"]) <= 2);
 }
 
-TEST_CASE("cell never reserves more memory than an engine has, for any order of events") {
+TEST_CASE(
+    "cell never reserves more memory than an engine has, for any order of "
+    "events") {
   REQUIRE(rc::check("reserved <= pieces, every request answered once", [] {
     CellScheduler cell("m/0", "o", CellSettings{.lease_ms = 500});
     auto engines = OneOfEach(6);
     engines.push_back(CellEngine{"d:2", "zone", PoolRole::kDecode, 4, false});
     cell.Configure(engines, 0);
-    const auto steps = *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 10'000U));
+    const auto steps = *rc::gen::container<std::vector<unsigned>>(
+        rc::gen::inRange(0U, 10'000U));
     TimeMs now = 0;
     std::vector<std::string> open;
     std::map<std::string, int> answers;
@@ -195,7 +211,9 @@
       switch (step % 6) {
         case 0:
         case 1:
-          cell.Submit(Ask("r" + std::to_string(number++), 1 + step % 4000, 1 + step % 900), now);
+          cell.Submit(Ask("r" + std::to_string(number++), 1 + step % 4000,
+                          1 + step % 900),
+                      now);
           break;
         case 2:
           if (!open.empty()) cell.Finish(open[step % open.size()], now);
@@ -204,7 +222,8 @@
           if (!open.empty()) cell.PrefillDone(open[step % open.size()], 5, now);
           break;
         case 4:
-          if (number > 0) cell.Withdraw("r" + std::to_string(step % number), now);
+          if (number > 0)
+            cell.Withdraw("r" + std::to_string(step % number), now);
           break;
         default:
           cell.EngineFailed(engines[step % engines.size()].address, now);
--- a/tests/fleet_fixture.cc
+++ b/tests/fleet_fixture.cc
@@ -19,11 +19,13 @@
 constexpr int kPort = 18'180;
 constexpr int kPeerPort = 18'181;
 
-/// Fixtures follow each other in one process; each takes loopback addresses of its own.
+/// Loopback addresses of a fixture's own, also when two test programs run at
+/// once.
 std::string NextAddress() {
   static int next = 0;
   const int number = ++next;
-  return "127.0." + std::to_string(10 + number / 250) + "." + std::to_string(number % 250 + 1);
+  return "127." + std::to_string(20 + ::getpid() % 200) + "." +
+         std::to_string(number / 250) + "." + std::to_string(number % 250 + 1);
 }
 
 void WriteFile(const std::filesystem::path& path, const std::string& text) {
@@ -42,7 +44,8 @@
 
 }  // namespace
 
-FleetFixture::FleetFixture(FleetSettings fleet_settings) : settings(fleet_settings) {
+FleetFixture::FleetFixture(FleetSettings fleet_settings)
+    : settings(fleet_settings) {
   static int next = 0;
   this->directory = std::filesystem::temp_directory_path() /
                     ("limpethaven-test-" + std::to_string(::getpid()) + "-" +
@@ -57,7 +60,9 @@
     static_cast<void>(standin->Start());
     return standin;
   };
-  for (int index = 0; index < 2; ++index) this->prefills.push_back(start_engine("prefill"));
+  for (int index = 0; index < 2; ++index) {
+    this->prefills.push_back(start_engine("prefill"));
+  }
   for (std::size_t index = 0; index < this->settings.decoders; ++index) {
     this->decodes.push_back(start_engine("decode"));
   }
@@ -74,7 +79,9 @@
     own.fleet_secret = "a-secret-for-tests";
     own.address_ttl_ms = 200;
     own.drain_limit_ms = 10'000;
-    vms.push_back({{"address", own.address}, {"data_centre", "zone"}, {"leaving", false}});
+    vms.push_back({{"address", own.address},
+                   {"data_centre", "zone"},
+                   {"leaving", false}});
     own.platform = "filled in below";
     entry.node = std::make_unique<EntryNode>(own);
   }
@@ -85,22 +92,29 @@
   platform_settings.directory = this->directory.string();
   this->platform = std::make_unique<PlatformStandin>(platform_settings);
   static_cast<void>(this->platform->Start());
-  for (std::size_t index = 0; index < this->entries.size(); ++index) this->StartEntry(index);
+  for (std::size_t index = 0; index < this->entries.size(); ++index) {
+    this->StartEntry(index);
+  }
   static_cast<void>(this->WaitForVersion(kReadyMs));
   if (!this->settings.wait_for_shares) return;
-  // Shares earn nothing in their first second, and peers must have found each other.
+  // Shares earn nothing in their first second, and peers must have found each
+  // other.
   static_cast<void>(WaitFor(
       [this] {
-        return std::ranges::all_of(this->entries, [this](const EntryUnderTest& entry) {
-          return entry.node->gossip->Usable().size() == this->entries.size() &&
-                 entry.node->shares->View("north").available > 100;
-        });
+        return std::ranges::all_of(
+            this->entries, [this](const EntryUnderTest& entry) {
+              return entry.node->gossip->Usable().size() ==
+                         this->entries.size() &&
+                     entry.node->shares->View("north").available > 100;
+            });
       },
       kReadyMs));
 }
 
 FleetFixture::~FleetFixture() {
-  for (std::size_t index = 0; index < this->entries.size(); ++index) this->KillEntry(index);
+  for (std::size_t index = 0; index < this->entries.size(); ++index) {
+    this->KillEntry(index);
+  }
   this->platform->Stop();
   this->service->Stop();
   this->prefills.clear();
@@ -120,8 +134,9 @@
   this->head.chunks = after.ChunkDigests();
   this->head.changes = {published};
   for (std::size_t index = 0; index < kChunkCount; ++index) {
-    WriteFile(this->directory / ("chunk-" + after.ChunkDigests()[index] + ".json"),
-              after.ChunkText(index));
+    WriteFile(
+        this->directory / ("chunk-" + after.ChunkDigests()[index] + ".json"),
+        after.ChunkText(index));
   }
   WriteFile(this->directory / "head.json", EncodeHead(this->head));
 }
@@ -133,14 +148,17 @@
 bool FleetFixture::WaitForVersion(DurationMs limit_ms) {
   return WaitFor(
       [this] {
-        return std::ranges::all_of(this->entries, [this](const EntryUnderTest& entry) {
-          return !entry.node || entry.node->config->Snapshot()->version == this->head.version;
-        });
+        return std::ranges::all_of(
+            this->entries, [this](const EntryUnderTest& entry) {
+              return !entry.node || entry.node->config->Snapshot()->version ==
+                                        this->head.version;
+            });
       },
       limit_ms);
 }
 
-bool FleetFixture::WaitFor(const std::function<bool()>& condition, DurationMs limit_ms) {
+bool FleetFixture::WaitFor(const std::function<bool()>& condition,
+                           DurationMs limit_ms) {
   const SystemClock clock;
   const TimeMs give_up_at = clock.Now() + limit_ms;
   while (!condition()) {
@@ -151,12 +169,14 @@
 }
 
 std::string FleetFixture::AddressOf(std::size_t entry) const {
-  return this->entries[entry].node->settings.address + ":" + std::to_string(kPort);
+  return this->entries[entry].node->settings.address + ":" +
+         std::to_string(kPort);
 }
 
 CallerAnswer FleetFixture::Complete(std::size_t entry, const std::string& key,
-                                    const std::string& request_id, Tokens max_tokens,
-                                    std::int64_t stop_after, const std::string& last_id) const {
+                                    const std::string& request_id,
+                                    Tokens max_tokens, std::int64_t stop_after,
+                                    const std::string& last_id) const {
   const nlohmann::json body = {{"model", kModel},
                                {"prompt", "a prompt of some words"},
                                {"max_tokens", max_tokens},
@@ -172,8 +192,8 @@
     answer.status = response.status;
     return true;
   };
-  request.content_receiver = [&](const char* data, std::size_t length, std::uint64_t,
-                                 std::uint64_t) {
+  request.content_receiver = [&](const char* data, std::size_t length,
+                                 std::uint64_t, std::uint64_t) {
     if (answer.status != 200) {
       ReadRefusal(answer.body + std::string(data, length), answer);
       return true;
@@ -201,7 +221,8 @@
   return answer;
 }
 
-std::string FleetFixture::MintTicket(std::size_t entry, const std::string& key) const {
+std::string FleetFixture::MintTicket(std::size_t entry,
+                                     const std::string& key) const {
   httplib::Request request = PostRequest("/v1/tickets", "");
   request.set_header("Authorization", "Bearer " + key);
   const auto client = NewHttpClient(this->AddressOf(entry), kCallMs);
@@ -210,8 +231,10 @@
   return nlohmann::json::parse(response->body)["ticket"].get<std::string>();
 }
 
-CallerAnswer FleetFixture::CallService(std::size_t entry, const std::string& key,
-                                       const std::string& path, const std::string& body,
+CallerAnswer FleetFixture::CallService(std::size_t entry,
+                                       const std::string& key,
+                                       const std::string& path,
+                                       const std::string& body,
                                        const std::string& ticket) const {
   httplib::Request request = PostRequest(path, body);
   if (!key.empty()) request.set_header("Authorization", "Bearer " + key);
@@ -242,8 +265,11 @@
 }
 
 bool FleetFixture::AnyEndpointSaw(std::string_view text) const {
-  const auto saw = [text](const auto& endpoint) { return endpoint->Seen().Contains(text); };
-  return std::ranges::any_of(this->prefills, saw) || std::ranges::any_of(this->decodes, saw) ||
+  const auto saw = [text](const auto& endpoint) {
+    return endpoint->Seen().Contains(text);
+  };
+  return std::ranges::any_of(this->prefills, saw) ||
+         std::ranges::any_of(this->decodes, saw) ||
          this->service->Seen().Contains(text);
 }
 
@@ -264,13 +290,15 @@
   Configuration base;
   base.fleet.share_slots = static_cast<std::int64_t>(this->settings.entries);
   const auto add_team = [&](const std::string& name, const std::string& key) {
-    base.teams.emplace(name, TeamSpec{name, this->settings.rate, this->settings.burst, 1});
+    base.teams.emplace(
+        name, TeamSpec{name, this->settings.rate, this->settings.burst, 1});
     const std::string digest = Sha256Hex(key);
     base.keys.emplace(digest, KeySpec{digest, name});
   };
   add_team("north", kNorthKey);
   add_team("south", kSouthKey);
-  const auto add_pool = [&](const std::string& name, PoolRole role, const auto& engines) {
+  const auto add_pool = [&](const std::string& name, PoolRole role,
+                            const auto& engines) {
     PoolSpec pool{name, role, kModel, this->settings.pieces, true, {}};
     for (const auto& engine : engines) {
       pool.endpoints.push_back(EndpointSpec{engine->Address(), "zone", false});
@@ -279,9 +307,14 @@
   };
   add_pool("prefill", PoolRole::kPrefill, this->prefills);
   add_pool("decode", PoolRole::kDecode, this->decodes);
-  base.pools.emplace("ledger",
-                     PoolSpec{"ledger", PoolRole::kService, "", 0, false,
-                              {EndpointSpec{this->service->Address(), "zone", false}}});
+  base.pools.emplace(
+      "ledger",
+      PoolSpec{"ledger",
+               PoolRole::kService,
+               "",
+               0,
+               false,
+               {EndpointSpec{this->service->Address(), "zone", false}}});
   RouteSpec completions;
   completions.path = "/v1/completions";
   completions.model = kModel;
--- a/tests/fleet_fixture.h
+++ b/tests/fleet_fixture.h
@@ -1,5 +1,6 @@
 /// @file
-/// A whole fleet in one process on loopback: platform, engines, a service and entry nodes.
+/// A whole fleet in one process on loopback: platform, engines, a service and
+/// entry nodes.
 #pragma once
 
 #include <filesystem>
@@ -57,25 +58,32 @@
   FleetFixture(const FleetFixture&) = delete;
   FleetFixture& operator=(const FleetFixture&) = delete;
 
-  /// Publishes a configuration of the fixture's own with these changes applied to it.
+  /// Publishes a configuration of the fixture's own with these changes applied
+  /// to it.
   void Publish(const std::function<void(Configuration&)>& change);
   /// Changes of the last publication.
   [[nodiscard]] const std::vector<ConfigChange>& LatestChanges() const;
   /// Waits until every entry has the published version.
   [[nodiscard]] bool WaitForVersion(DurationMs limit_ms);
   /// Waits until a condition holds.
-  [[nodiscard]] static bool WaitFor(const std::function<bool()>& condition, DurationMs limit_ms);
+  [[nodiscard]] static bool WaitFor(const std::function<bool()>& condition,
+                                    DurationMs limit_ms);
 
   [[nodiscard]] std::string AddressOf(std::size_t entry) const;
-  /// Sends a streamed completion and reads up to `stop_after` tokens, then hangs up.
+  /// Sends a streamed completion and reads up to `stop_after` tokens, then
+  /// hangs up.
   /// @param last_id Resumes when it is not empty.
   [[nodiscard]] CallerAnswer Complete(std::size_t entry, const std::string& key,
-                                      const std::string& request_id, Tokens max_tokens,
+                                      const std::string& request_id,
+                                      Tokens max_tokens,
                                       std::int64_t stop_after = -1,
                                       const std::string& last_id = {}) const;
-  [[nodiscard]] std::string MintTicket(std::size_t entry, const std::string& key) const;
-  [[nodiscard]] CallerAnswer CallService(std::size_t entry, const std::string& key,
-                                         const std::string& path, const std::string& body,
+  [[nodiscard]] std::string MintTicket(std::size_t entry,
+                                       const std::string& key) const;
+  [[nodiscard]] CallerAnswer CallService(std::size_t entry,
+                                         const std::string& key,
+                                         const std::string& path,
+                                         const std::string& body,
                                          const std::string& ticket = {}) const;
   /// Ends an entry at once, as a crash would.
   void KillEntry(std::size_t entry);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -28,42 +28,51 @@
     REQUIRE(answer.done);
     REQUIRE(answer.text == AnswerText(id, 30));
   }
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
   REQUIRE_FALSE(fleet.AnyEndpointSaw(kNorthKey));
 }
 
 TEST_CASE("fleet refuses callers without a key that stands") {
   FleetFixture fleet(FleetSettings{});
-  REQUIRE(fleet.Complete(0, "no-such-key-0001", "r1", 10).error_kind == "key_rejected");
-  REQUIRE(fleet.CallService(0, "", "/s/ledger/read", "x").error_kind == "key_missing");
+  REQUIRE(fleet.Complete(0, "no-such-key-0001", "r1", 10).error_kind ==
+          "key_rejected");
+  REQUIRE(fleet.CallService(0, "", "/s/ledger/read", "x").error_kind ==
+          "key_missing");
   REQUIRE(fleet.CallService(0, "", "/s/ledger/open", "x").status == 200);
-  REQUIRE(fleet.CallService(0, kNorthKey, "/s/nowhere", "x").error_kind == "unknown_route");
-  const CallerAnswer leak =
-      fleet.CallService(0, kNorthKey, "/s/ledger/read", std::string("my key is ") + kNorthKey);
+  REQUIRE(fleet.CallService(0, kNorthKey, "/s/nowhere", "x").error_kind ==
+          "unknown_route");
+  const CallerAnswer leak = fleet.CallService(
+      0, kNorthKey, "/s/ledger/read", std::string("my key is ") + kNorthKey);
   REQUIRE(leak.error_kind == "bad_request");
   REQUIRE_FALSE(fleet.AnyEndpointSaw(kNorthKey));
 }
 
-TEST_CASE("fleet goes on with a stream at another entry without loss or repetition") {
+TEST_CASE(
+    "fleet goes on with a stream at another entry without loss or repetition") {
   FleetFixture fleet(FleetSettings{.entries = 3});
   const CallerAnswer first = fleet.Complete(0, kNorthKey, "resume-1", 120, 10);
   REQUIRE_FALSE(first.done);
-  const CallerAnswer second = fleet.Complete(1, kNorthKey, "resume-1", 120, -1, first.last_id);
+  const CallerAnswer second =
+      fleet.Complete(1, kNorthKey, "resume-1", 120, -1, first.last_id);
   REQUIRE(second.done);
   REQUIRE(first.text + second.text == AnswerText("resume-1", 120));
   std::int64_t attempts = 0;
-  for (const auto& engine : fleet.decodes) attempts += engine->AttemptsOf("resume-1");
+  for (const auto& engine : fleet.decodes) {
+    attempts += engine->AttemptsOf("resume-1");
+  }
   REQUIRE(attempts == 1);
   // The stream belongs to the team of the key it began with.
-  REQUIRE(fleet.Complete(1, kSouthKey, "resume-1", 120, -1, first.last_id).error_kind ==
-          "team_mismatch");
+  REQUIRE(fleet.Complete(1, kSouthKey, "resume-1", 120, -1, first.last_id)
+              .error_kind == "team_mismatch");
 }
 
 TEST_CASE("fleet goes on with a stream whose entry is gone") {
   FleetFixture fleet(FleetSettings{.entries = 3});
   const CallerAnswer first = fleet.Complete(0, kNorthKey, "crash-1", 200, 30);
   fleet.KillEntry(0);
-  const CallerAnswer second = fleet.Complete(2, kNorthKey, "crash-1", 200, -1, first.last_id);
+  const CallerAnswer second =
+      fleet.Complete(2, kNorthKey, "crash-1", 200, -1, first.last_id);
   REQUIRE(second.done);
   REQUIRE(first.text + second.text == AnswerText("crash-1", 200));
 }
@@ -72,7 +81,8 @@
   FleetFixture fleet(FleetSettings{});
   const CallerAnswer answer = fleet.Complete(0, kNorthKey, "gone-1", 4000, 5);
   REQUIRE_FALSE(answer.done);
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
 }
 
 /// Hangs up after the first event.
@@ -84,10 +94,12 @@
 
 TEST_CASE("fleet frees engine memory that no process knows of") {
   FleetFixture fleet(FleetSettings{});
-  // Makes one entry the owner of the cell, so that it reads the engines' reports.
+  // Makes one entry the owner of the cell, so that it reads the engines'
+  // reports.
   REQUIRE(fleet.Complete(0, kNorthKey, "owner-1", 5).done);
   HttpEngineClient engines;
-  PrefillCall prefill{fleet.prefills[0]->Address(), "lost-1", "lost-attempt", "p", 1, 1000};
+  PrefillCall prefill{
+      fleet.prefills[0]->Address(), "lost-1", "lost-attempt", "p", 1, 1000};
   const auto kv = engines.Prefill(prefill);
   REQUIRE(kv);
   GenerateCall call;
@@ -102,28 +114,34 @@
   HangUp observer;
   REQUIRE(engines.Generate(call, observer));
   REQUIRE(fleet.PiecesHeld() == 7);
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
 }
 
 TEST_CASE("fleet cancels a request at whichever entry serves it") {
   FleetFixture fleet(FleetSettings{});
   CallerAnswer answer;
-  std::thread caller([&] { answer = fleet.Complete(0, kNorthKey, "cancel-1", 4000); });
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
+  std::thread caller(
+      [&] { answer = fleet.Complete(0, kNorthKey, "cancel-1", 4000); });
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
   const auto cancel = [&](const char* key) {
     const auto client = NewHttpClient(fleet.AddressOf(1), kLimitMs);
     const auto response = client->Delete(
-        "/v1/requests/cancel-1", httplib::Headers{{"Authorization", std::string("Bearer ") + key}});
+        "/v1/requests/cancel-1",
+        httplib::Headers{{"Authorization", std::string("Bearer ") + key}});
     return response ? response->status : 0;
   };
   REQUIRE(cancel(kSouthKey) == 404);
   REQUIRE(cancel(kNorthKey) == 200);
   caller.join();
   REQUIRE(answer.error_kind == "cancelled");
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() == 0; }, kLimitMs));
 }
 
-TEST_CASE("fleet drops crossed and late events and still delivers the whole answer") {
+TEST_CASE(
+    "fleet drops crossed and late events and still delivers the whole answer") {
   for (const EngineFault fault : {EngineFault::kCrossed, EngineFault::kLate}) {
     FleetFixture fleet(FleetSettings{});
     for (const auto& engine : fleet.decodes) engine->SetFault(fault);
@@ -136,24 +154,34 @@
 TEST_CASE("fleet replaces a connection that went silent") {
   FleetFixture fleet(FleetSettings{});
   CallerAnswer answer;
-  std::thread caller([&] { answer = fleet.Complete(0, kNorthKey, "silent-1", 400); });
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
-  for (const auto& engine : fleet.decodes) engine->SetFault(EngineFault::kSilent);
+  std::thread caller(
+      [&] { answer = fleet.Complete(0, kNorthKey, "silent-1", 400); });
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
+  for (const auto& engine : fleet.decodes) {
+    engine->SetFault(EngineFault::kSilent);
+  }
   caller.join();
   REQUIRE(answer.done);
   REQUIRE(answer.text == AnswerText("silent-1", 400));
   std::int64_t attempts = 0;
-  for (const auto& engine : fleet.decodes) attempts += engine->AttemptsOf("silent-1");
+  for (const auto& engine : fleet.decodes) {
+    attempts += engine->AttemptsOf("silent-1");
+  }
   REQUIRE(attempts == 1);
 }
 
 TEST_CASE("fleet moves an answer from an engine that stalls to another") {
   FleetFixture fleet(FleetSettings{});
   CallerAnswer answer;
-  std::thread caller([&] { answer = fleet.Complete(0, kNorthKey, "stall-1", 300); });
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
+  std::thread caller(
+      [&] { answer = fleet.Complete(0, kNorthKey, "stall-1", 300); });
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
   for (const auto& engine : fleet.decodes) {
-    if (engine->AttemptsOf("stall-1") > 0) engine->SetFault(EngineFault::kStall);
+    if (engine->AttemptsOf("stall-1") > 0) {
+      engine->SetFault(EngineFault::kStall);
+    }
   }
   caller.join();
   REQUIRE(answer.done);
@@ -173,16 +201,19 @@
   FleetFixture fleet(FleetSettings{.entries = 3});
   const std::string ticket = fleet.MintTicket(0, kNorthKey);
   REQUIRE_FALSE(ticket.empty());
-  REQUIRE(fleet.CallService(0, kNorthKey, "/s/ledger/transfer", "t1").error_kind ==
-          "ticket_required");
-  REQUIRE(fleet.CallService(1, kSouthKey, "/s/ledger/transfer", "t1", ticket).error_kind ==
-          "team_mismatch");
+  REQUIRE(
+      fleet.CallService(0, kNorthKey, "/s/ledger/transfer", "t1").error_kind ==
+      "ticket_required");
+  REQUIRE(fleet.CallService(1, kSouthKey, "/s/ledger/transfer", "t1", ticket)
+              .error_kind == "team_mismatch");
   std::vector<std::thread> callers;
   std::atomic<int> succeeded = 0;
   for (std::size_t copy = 0; copy < 9; ++copy) {
     callers.emplace_back([&, copy] {
-      if (fleet.CallService(copy % 3, kNorthKey, "/s/ledger/transfer", "t1", ticket).status ==
-          200) {
+      if (fleet
+              .CallService(copy % 3, kNorthKey, "/s/ledger/transfer", "t1",
+                           ticket)
+              .status == 200) {
         ++succeeded;
       }
     });
@@ -192,7 +223,8 @@
   REQUIRE(fleet.service->RunsOf("t1") == 1);
 }
 
-TEST_CASE("fleet never runs a ticketed call again after the endpoint closed on it") {
+TEST_CASE(
+    "fleet never runs a ticketed call again after the endpoint closed on it") {
   FleetFixture fleet(FleetSettings{});
   fleet.service->SetFault(ServiceFault::kNoAnswer);
   const std::string ticket = fleet.MintTicket(0, kNorthKey);
@@ -200,12 +232,13 @@
       fleet.CallService(0, kNorthKey, "/s/ledger/transfer", "t2", ticket);
   REQUIRE(answer.error_kind == "outcome_unknown");
   REQUIRE(answer.ran == "unknown");
-  REQUIRE(fleet.CallService(1, kNorthKey, "/s/ledger/transfer", "t2", ticket).error_kind ==
-          "ticket_used");
+  REQUIRE(fleet.CallService(1, kNorthKey, "/s/ledger/transfer", "t2", ticket)
+              .error_kind == "ticket_used");
   REQUIRE(fleet.service->RunsOf("t2") == 1);
 }
 
-TEST_CASE("fleet never runs a ticketed call elsewhere when its minter is gone") {
+TEST_CASE(
+    "fleet never runs a ticketed call elsewhere when its minter is gone") {
   FleetFixture fleet(FleetSettings{.entries = 3});
   const std::string ticket = fleet.MintTicket(0, kNorthKey);
   fleet.KillEntry(0);
@@ -226,29 +259,37 @@
   REQUIRE(fleet.service->RunsOf("t4") == 0);
 }
 
-TEST_CASE("fleet cuts the streams of a withdrawn key and refuses it from then on") {
+TEST_CASE(
+    "fleet cuts the streams of a withdrawn key and refuses it from then on") {
   FleetFixture fleet(FleetSettings{});
   CallerAnswer cut;
   CallerAnswer kept;
   std::thread south([&] { cut = fleet.Complete(0, kSouthKey, "cut-1", 6000); });
-  std::thread north([&] { kept = fleet.Complete(0, kNorthKey, "kept-1", 200); });
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() >= 7; }, kLimitMs));
-  fleet.Publish([](Configuration& config) { config.keys.erase(Sha256Hex(kSouthKey)); });
+  std::thread north(
+      [&] { kept = fleet.Complete(0, kNorthKey, "kept-1", 200); });
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() >= 7; }, kLimitMs));
+  fleet.Publish(
+      [](Configuration& config) { config.keys.erase(Sha256Hex(kSouthKey)); });
   south.join();
   north.join();
   REQUIRE(cut.error_kind == "key_withdrawn");
   REQUIRE(kept.done);
   REQUIRE(fleet.WaitForVersion(kLimitMs));
-  REQUIRE(fleet.Complete(1, kSouthKey, "after-1", 10).error_kind == "key_rejected");
+  REQUIRE(fleet.Complete(1, kSouthKey, "after-1", 10).error_kind ==
+          "key_rejected");
 }
 
-TEST_CASE("fleet spreads a change from peer to peer while the platform is down") {
+TEST_CASE(
+    "fleet spreads a change from peer to peer while the platform is down") {
   FleetFixture fleet(FleetSettings{.entries = 3});
   REQUIRE(fleet.WaitForVersion(kLimitMs));
   fleet.platform->SetDown(true);
-  const std::uint64_t before = fleet.entries[1].node->config->Snapshot()->version;
+  const std::uint64_t before =
+      fleet.entries[1].node->config->Snapshot()->version;
   // One entry learns of a version that nobody else can read.
-  fleet.Publish([](Configuration& config) { config.teams.at("north").weight = 7; });
+  fleet.Publish(
+      [](Configuration& config) { config.teams.at("north").weight = 7; });
   REQUIRE(fleet.entries[0].node->config->Offer(fleet.LatestChanges()));
   REQUIRE(fleet.WaitForVersion(kLimitMs));
   REQUIRE(fleet.entries[2].node->config->Snapshot()->version == before + 1);
@@ -256,7 +297,9 @@
   REQUIRE(fleet.Complete(2, kNorthKey, "down-1", 10).done);
 }
 
-TEST_CASE("fleet holds a team to its burst over all entries, and borrows before it refuses") {
+TEST_CASE(
+    "fleet holds a team to its burst over all entries, and borrows before it "
+    "refuses") {
   FleetFixture fleet(FleetSettings{.entries = 3, .burst = 3000, .rate = 3000});
   REQUIRE(FleetFixture::WaitFor(
       [&] {
@@ -268,15 +311,19 @@
   // More than one entry's share of 1000, so it must borrow.
   REQUIRE(fleet.Complete(0, kNorthKey, "borrow-1", 2500, 1).error_kind.empty());
   REQUIRE(fleet.entries[0].node->shares->Borrowed() > 0);
-  REQUIRE(fleet.Complete(1, kNorthKey, "limit-1", 2900).error_kind == "team_limit");
-  REQUIRE(fleet.Complete(1, kNorthKey, "limit-2", 5000).error_kind == "request_over_burst");
+  REQUIRE(fleet.Complete(1, kNorthKey, "limit-1", 2900).error_kind ==
+          "team_limit");
+  REQUIRE(fleet.Complete(1, kNorthKey, "limit-2", 5000).error_kind ==
+          "request_over_burst");
 }
 
 TEST_CASE("fleet stops an entry without cutting its streams") {
   FleetFixture fleet(FleetSettings{.entries = 3});
   CallerAnswer answer;
-  std::thread caller([&] { answer = fleet.Complete(0, kNorthKey, "drain-1", 300); });
-  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
+  std::thread caller(
+      [&] { answer = fleet.Complete(0, kNorthKey, "drain-1", 300); });
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
   fleet.entries[0].node->Drain([] { return false; });
   REQUIRE(fleet.entries[0].node->active.Size() == 0);
   caller.join();
@@ -302,7 +349,9 @@
   REQUIRE(fleet.WaitForVersion(kLimitMs));
   for (int index = 0; index < 8; ++index) {
     const std::string id = "leave-" + std::to_string(index);
-    REQUIRE(fleet.Complete(static_cast<std::size_t>(index) % 2, kNorthKey, id, 10).done);
+    REQUIRE(
+        fleet.Complete(static_cast<std::size_t>(index) % 2, kNorthKey, id, 10)
+            .done);
     REQUIRE(fleet.decodes[0]->AttemptsOf(id) == 0);
   }
 }
--- a/tests/membership_fleet.cc
+++ b/tests/membership_fleet.cc
@@ -9,12 +9,14 @@
 
 }  // namespace
 
-MembershipFleet::MembershipFleet(std::size_t size, FleetNetwork fleet_network, std::uint64_t seed)
+MembershipFleet::MembershipFleet(std::size_t size, FleetNetwork fleet_network,
+                                 std::uint64_t seed)
     : network(fleet_network), random(seed), processes(size) {
   for (std::size_t index = 0; index < size; ++index) {
     this->index_of.emplace(this->AddressOf(index), index);
-    this->processes[index].membership = std::make_unique<Membership>(
-        VmId{this->AddressOf(index), 1}, "zone", MembershipSettings{}, seed + index);
+    this->processes[index].membership =
+        std::make_unique<Membership>(VmId{this->AddressOf(index), 1}, "zone",
+                                     MembershipSettings{}, seed + index);
     this->processes[index].membership->SetListed(this->Listed(), 0);
   }
 }
@@ -29,7 +31,9 @@
     }
     for (std::size_t index = 0; index < this->processes.size(); ++index) {
       // Processes tick at different moments, as real ones do.
-      if ((this->now + static_cast<TimeMs>(index)) % kTickMs == 0) this->Tick(index);
+      if ((this->now + static_cast<TimeMs>(index)) % kTickMs == 0) {
+        this->Tick(index);
+      }
     }
   }
 }
@@ -45,8 +49,8 @@
   process.running = true;
   ++process.incarnation;
   process.membership = std::make_unique<Membership>(
-      VmId{this->AddressOf(index), process.incarnation}, "zone", MembershipSettings{},
-      this->random());
+      VmId{this->AddressOf(index), process.incarnation}, "zone",
+      MembershipSettings{}, this->random());
   process.membership->SetListed(this->Listed(), this->now);
 }
 
@@ -60,23 +64,27 @@
   this->processes[index].membership->Leave();
 }
 
-void MembershipFleet::SetCut(std::function<bool(std::size_t, std::size_t)> cut_between) {
+void MembershipFleet::SetCut(
+    std::function<bool(std::size_t, std::size_t)> cut_between) {
   this->cut = std::move(cut_between);
 }
 
 MemberState MembershipFleet::StateSeen(std::size_t by, std::size_t of) const {
   const auto members = this->processes[by].membership->Members();
   const std::string address = this->AddressOf(of);
-  const auto found = std::ranges::find_if(
-      members, [&](const Member& member) { return member.news.address == address; });
+  const auto found = std::ranges::find_if(members, [&](const Member& member) {
+    return member.news.address == address;
+  });
   return found == members.end() ? MemberState::kUnknown : found->news.state;
 }
 
-std::uint64_t MembershipFleet::IncarnationSeen(std::size_t by, std::size_t of) const {
+std::uint64_t MembershipFleet::IncarnationSeen(std::size_t by,
+                                               std::size_t of) const {
   const auto members = this->processes[by].membership->Members();
   const std::string address = this->AddressOf(of);
-  const auto found = std::ranges::find_if(
-      members, [&](const Member& member) { return member.news.address == address; });
+  const auto found = std::ranges::find_if(members, [&](const Member& member) {
+    return member.news.address == address;
+  });
   return found == members.end() ? 0 : found->news.incarnation;
 }
 
@@ -93,13 +101,22 @@
 }
 
 TimeMs MembershipFleet::Now() const noexcept { return this->now; }
-std::uint64_t MembershipFleet::BytesSent() const noexcept { return this->bytes; }
-std::uint64_t MembershipFleet::MessagesSent() const noexcept { return this->messages_sent; }
-std::int64_t MembershipFleet::FalseSuspicions() const noexcept { return this->false_suspicions; }
-std::int64_t MembershipFleet::FalseDeaths() const noexcept { return this->false_deaths; }
+std::uint64_t MembershipFleet::BytesSent() const noexcept {
+  return this->bytes;
+}
+std::uint64_t MembershipFleet::MessagesSent() const noexcept {
+  return this->messages_sent;
+}
+std::int64_t MembershipFleet::FalseSuspicions() const noexcept {
+  return this->false_suspicions;
+}
+std::int64_t MembershipFleet::FalseDeaths() const noexcept {
+  return this->false_deaths;
+}
 
 std::string MembershipFleet::AddressOf(std::size_t index) const {
-  return "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1);
+  return "10.0." + std::to_string(index / 250) + "." +
+         std::to_string(index % 250 + 1);
 }
 
 std::vector<ListedVm> MembershipFleet::Listed() const {
@@ -110,7 +127,8 @@
   return vms;
 }
 
-void MembershipFleet::Send(std::size_t from, const std::vector<OutgoingGossip>& messages) {
+void MembershipFleet::Send(std::size_t from,
+                           const std::vector<OutgoingGossip>& messages) {
   std::ranges::for_each(messages, [&](const OutgoingGossip& outgoing) {
     const auto target = this->index_of.find(outgoing.address);
     if (target == this->index_of.end()) return;
@@ -122,8 +140,9 @@
     if (chance(this->random) < this->network.loss) return;
     std::uniform_int_distribution<DurationMs> delay(this->network.min_delay_ms,
                                                     this->network.max_delay_ms);
-    this->in_flight.push(Datagram{this->now + delay(this->random), this->next_order++,
-                                  target->second, std::move(encoded)});
+    this->in_flight.push(Datagram{this->now + delay(this->random),
+                                  this->next_order++, target->second,
+                                  std::move(encoded)});
   });
 }
 
@@ -154,10 +173,18 @@
 
 void MembershipFleet::CountChanges(std::size_t index) {
   std::ranges::for_each(
-      this->processes[index].membership->TakeChanges(), [this](const MemberChange& change) {
-        if (this->processes[this->index_of.at(change.member.news.address)].disturbed) return;
-        if (change.member.news.state == MemberState::kSuspect) ++this->false_suspicions;
-        if (change.member.news.state == MemberState::kDead) ++this->false_deaths;
+      this->processes[index].membership->TakeChanges(),
+      [this](const MemberChange& change) {
+        if (this->processes[this->index_of.at(change.member.news.address)]
+                .disturbed) {
+          return;
+        }
+        if (change.member.news.state == MemberState::kSuspect) {
+          ++this->false_suspicions;
+        }
+        if (change.member.news.state == MemberState::kDead) {
+          ++this->false_deaths;
+        }
       });
 }
 
--- a/tests/membership_fleet.h
+++ b/tests/membership_fleet.h
@@ -1,5 +1,6 @@
 /// @file
-/// Many memberships in one process over a simulated network with loss, cuts and pauses.
+/// Many memberships in one process over a simulated network with loss, cuts and
+/// pauses.
 #pragma once
 
 #include <cstdint>
@@ -35,10 +36,12 @@
   void Pause(std::size_t index, DurationMs duration_ms);
   void Leave(std::size_t index);
   /// Messages for which this returns true are lost.
-  void SetCut(std::function<bool(std::size_t from, std::size_t to)> cut_between);
+  void SetCut(
+      std::function<bool(std::size_t from, std::size_t to)> cut_between);
 
   [[nodiscard]] MemberState StateSeen(std::size_t by, std::size_t of) const;
-  [[nodiscard]] std::uint64_t IncarnationSeen(std::size_t by, std::size_t of) const;
+  [[nodiscard]] std::uint64_t IncarnationSeen(std::size_t by,
+                                              std::size_t of) const;
   /// Whether every running process sees `of` in this state.
   [[nodiscard]] bool AllSee(std::size_t of, MemberState state) const;
   [[nodiscard]] bool WasPaused(std::size_t index) const;
@@ -55,7 +58,8 @@
   struct Process {
     std::unique_ptr<Membership> membership;
     bool running = true;
-    bool disturbed = false;  ///< Killed, restarted, paused or leaving at some time.
+    bool disturbed =
+        false;  ///< Killed, restarted, paused or leaving at some time.
     bool paused_seen = false;
     TimeMs paused_until = 0;
     std::uint64_t incarnation = 1;
@@ -81,7 +85,8 @@
   std::mt19937_64 random;
   std::vector<Process> processes;
   std::map<std::string, std::size_t> index_of;
-  std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>> in_flight;
+  std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>>
+      in_flight;
   std::function<bool(std::size_t, std::size_t)> cut;
   TimeMs now = 0;
   std::uint64_t next_order = 0;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -1,8 +1,9 @@
 /// @file
 /// Membership: detection, refutation, restarts, pauses and partitions.
+#include "limpethaven/membership.h"
+
 #include <catch2/catch.hpp>
 
-#include "limpethaven/membership.h"
 #include "membership_fleet.h"
 
 namespace limpethaven {
@@ -17,7 +18,9 @@
 TEST_CASE("membership finds every listed process alive") {
   MembershipFleet fleet(8, FleetNetwork{}, 1);
   fleet.RunFor(kSettleMs);
-  for (std::size_t of = 0; of < 8; ++of) REQUIRE(fleet.AllSee(of, MemberState::kAlive));
+  for (std::size_t of = 0; of < 8; ++of) {
+    REQUIRE(fleet.AllSee(of, MemberState::kAlive));
+  }
   REQUIRE(fleet.FalseSuspicions() == 0);
 }
 
@@ -30,6 +33,17 @@
   REQUIRE(fleet.FalseDeaths() == 0);
 }
 
+TEST_CASE(
+    "membership spreads a death at once in a fleet that has just started") {
+  // Found by the benchmark at 460 members: first contacts filled the messages
+  // for minutes.
+  MembershipFleet fleet(300, FleetNetwork{}, 9);
+  fleet.RunFor(2 * kSettleMs);
+  fleet.Kill(50);
+  fleet.RunFor(kDetectMs);
+  REQUIRE(fleet.AllSee(50, MemberState::kDead));
+}
+
 TEST_CASE("membership takes a restarted process as a new incarnation") {
   MembershipFleet fleet(8, FleetNetwork{}, 3);
   fleet.RunFor(kSettleMs);
@@ -70,19 +84,23 @@
 TEST_CASE("membership heals after a partition") {
   MembershipFleet fleet(8, FleetNetwork{}, 6);
   fleet.RunFor(kSettleMs);
-  fleet.SetCut([](std::size_t from, std::size_t to) { return (from < 4) != (to < 4); });
+  fleet.SetCut(
+      [](std::size_t from, std::size_t to) { return (from < 4) != (to < 4); });
   fleet.RunFor(kDetectMs);
   REQUIRE(fleet.StateSeen(0, 7) == MemberState::kDead);
   REQUIRE(fleet.StateSeen(0, 1) == MemberState::kAlive);
   fleet.SetCut(nullptr);
   fleet.RunFor(kDetectMs);
-  for (std::size_t of = 0; of < 8; ++of) REQUIRE(fleet.AllSee(of, MemberState::kAlive));
+  for (std::size_t of = 0; of < 8; ++of) {
+    REQUIRE(fleet.AllSee(of, MemberState::kAlive));
+  }
 }
 
 TEST_CASE("membership reaches round a link that loses messages one way") {
   MembershipFleet fleet(8, FleetNetwork{}, 7);
   fleet.RunFor(kSettleMs);
-  fleet.SetCut([](std::size_t from, std::size_t to) { return from == 0 && to == 1; });
+  fleet.SetCut(
+      [](std::size_t from, std::size_t to) { return from == 0 && to == 1; });
   fleet.RunFor(60'000);
   REQUIRE(fleet.FalseDeaths() == 0);
 }
@@ -108,10 +126,12 @@
   REQUIRE_FALSE(membership.Receive(message, 0));
 }
 
-TEST_CASE("gossip codec refuses what another secret signed and what was changed") {
+TEST_CASE(
+    "gossip codec refuses what another secret signed and what was changed") {
   GossipMessage message;
   message.from = VmId{"10.0.0.2", 5};
-  message.updates.push_back(MemberUpdate{"10.0.0.3", "zone", 9, 1, MemberState::kSuspect});
+  message.updates.push_back(
+      MemberUpdate{"10.0.0.3", "zone", 9, 1, MemberState::kSuspect});
   const std::string bytes = EncodeGossip("a-secret-for-tests", message);
   REQUIRE(DecodeGossip("a-secret-for-tests", bytes).value() == message);
   REQUIRE_FALSE(DecodeGossip("another-secret-text", bytes));
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -1,5 +1,6 @@
 /// @file
-/// Smaller parts: fair queue, stream guard, resume tokens, health, budgets, crypto, SSE, tables.
+/// Smaller parts: fair queue, stream guard, resume tokens, health, budgets,
+/// crypto, SSE, tables.
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
@@ -16,7 +17,9 @@
 
 constexpr const char* kSecret = "a-secret-for-tests";
 
-TEST_CASE("fair queue orders a team by deadline and gives up items past their latest start") {
+TEST_CASE(
+    "fair queue orders a team by deadline and gives up items past their latest "
+    "start") {
   FairQueue queue;
   queue.Push(QueueItem{"b", "north", 1, 10, 200, 150});
   queue.Push(QueueItem{"a", "north", 1, 10, 100, 50});
@@ -30,7 +33,8 @@
   FairQueue queue(3);
   queue.Push(QueueItem{"large", "a", 1, 1000, 1, 1'000'000});
   for (int index = 0; index < 10; ++index) {
-    queue.Push(QueueItem{"s" + std::to_string(index), "b", 1, 1, index, 1'000'000});
+    queue.Push(
+        QueueItem{"s" + std::to_string(index), "b", 1, 1, index, 1'000'000});
   }
   const auto small_only = [](const QueueItem& item) { return item.cost < 10; };
   int passed = 0;
@@ -39,33 +43,44 @@
   REQUIRE(queue.PopFirst([](const QueueItem&) { return true; })->id == "large");
 }
 
-TEST_CASE("stream guard drops crossed, late and repeated events and finds gaps") {
+TEST_CASE(
+    "stream guard drops crossed, late and repeated events and finds gaps") {
   StreamGuard guard("r1", "a1", 0);
-  REQUIRE(guard.Judge({"r1", "a1", 0, 2, "x y", false, false, 1}) == EventVerdict::kDeliver);
-  REQUIRE(guard.Judge({"r2", "a1", 2, 1, "z", false, false, 1}) == EventVerdict::kForeign);
-  REQUIRE(guard.Judge({"r1", "a0", 2, 1, "z", false, false, 1}) == EventVerdict::kForeign);
-  REQUIRE(guard.Judge({"r1", "a1", 1, 1, "y", false, false, 1}) == EventVerdict::kRepeat);
-  REQUIRE(guard.Judge({"r1", "a1", 3, 1, "w", false, false, 1}) == EventVerdict::kGap);
+  REQUIRE(guard.Judge({"r1", "a1", 0, 2, "x y", false, false, 1}) ==
+          EventVerdict::kDeliver);
+  REQUIRE(guard.Judge({"r2", "a1", 2, 1, "z", false, false, 1}) ==
+          EventVerdict::kForeign);
+  REQUIRE(guard.Judge({"r1", "a0", 2, 1, "z", false, false, 1}) ==
+          EventVerdict::kForeign);
+  REQUIRE(guard.Judge({"r1", "a1", 1, 1, "y", false, false, 1}) ==
+          EventVerdict::kRepeat);
+  REQUIRE(guard.Judge({"r1", "a1", 3, 1, "w", false, false, 1}) ==
+          EventVerdict::kGap);
   REQUIRE_FALSE(guard.Whole());
-  REQUIRE(guard.Judge({"r1", "a1", 2, 0, "", true, false, 1}) == EventVerdict::kDeliver);
+  REQUIRE(guard.Judge({"r1", "a1", 2, 0, "", true, false, 1}) ==
+          EventVerdict::kDeliver);
   REQUIRE(guard.Whole());
   REQUIRE(guard.NextOffset() == 2);
   REQUIRE(guard.Dropped() == 4);
 }
 
 TEST_CASE("resume ids come back and refuse changes") {
-  const ResumeToken token{"r1", "a1", "north", "m", "10.0.0.1:9", "m/0", "a1", 3, 17};
+  const ResumeToken token{"r1",  "a1", "north", "m", "10.0.0.1:9",
+                          "m/0", "a1", 3,       17};
   const std::string id = EncodeResumeId(EncodeResumeBase(kSecret, token), 17);
   REQUIRE(DecodeResumeId(kSecret, id) == token);
   REQUIRE_FALSE(DecodeResumeId("another-secret-text", id));
   REQUIRE_FALSE(DecodeResumeId(kSecret, "17"));
   REQUIRE_FALSE(DecodeResumeId(kSecret, "-1~" + id.substr(3)));
   // A ticket is signed with the same secret, but is no resume id.
-  REQUIRE_FALSE(DecodeResumeId(kSecret, "0~" + EncodeTicket(kSecret, Ticket{"n", "t", {}})));
+  REQUIRE_FALSE(DecodeResumeId(
+      kSecret, "0~" + EncodeTicket(kSecret, Ticket{"n", "t", {}})));
   REQUIRE_FALSE(DecodeTicket(kSecret, id.substr(3)));
 }
 
-TEST_CASE("endpoint health ejects after repeated failures and probes before it trusts again") {
+TEST_CASE(
+    "endpoint health ejects after repeated failures and probes before it "
+    "trusts again") {
   EndpointHealth health;
   REQUIRE_FALSE(health.OnFailure("a", 0));
   REQUIRE_FALSE(health.OnFailure("a", 1));
@@ -83,7 +98,9 @@
 
 TEST_CASE("endpoint health forgets old failures") {
   EndpointHealth health;
-  for (TimeMs now = 0; now < 600'000; now += 20'000) REQUIRE_FALSE(health.OnFailure("a", now));
+  for (TimeMs now = 0; now < 600'000; now += 20'000) {
+    REQUIRE_FALSE(health.OnFailure("a", now));
+  }
 }
 
 TEST_CASE("retry budget bounds retries to a part of the requests") {
@@ -114,6 +131,7 @@
 
 TEST_CASE("rendezvous moves only what its lost member held") {
   std::vector<std::string> vms;
+  vms.reserve(8);
   for (int vm = 0; vm < 8; ++vm) vms.push_back("10.0.0." + std::to_string(vm));
   std::vector<std::string> fewer(vms.begin(), vms.end() - 1);
   int moved = 0;
@@ -134,35 +152,41 @@
 
 TEST_CASE("SSE parser reads events whose bytes arrive in any pieces") {
   const std::string text = FormatSse({"1", "", "one"}) + ": note\n\n" +
-                           FormatSse({"", "error", "two"}) + "data: a\ndata: b\r\n\r\n";
+                           FormatSse({"", "error", "two"}) +
+                           "data: a\ndata: b\r\n\r\n";
   for (std::size_t piece = 1; piece < text.size(); ++piece) {
     SseParser parser;
     std::vector<SseEvent> events;
     for (std::size_t at = 0; at < text.size(); at += piece) {
-      for (auto& event : parser.Feed(std::string_view(text).substr(at, piece))) {
+      for (auto& event :
+           parser.Feed(std::string_view(text).substr(at, piece))) {
         events.push_back(event);
       }
     }
-    REQUIRE(events == std::vector<SseEvent>{{"1", "", "one"}, {"", "error", "two"},
+    REQUIRE(events == std::vector<SseEvent>{{"1", "", "one"},
+                                            {"", "error", "two"},
                                             {"", "", "a\nb"}});
   }
   SseParser endless;
-  static_cast<void>(endless.Feed("data: " + std::string(SseParser::kMaxEventBytes + 1, 'x')));
+  static_cast<void>(
+      endless.Feed("data: " + std::string(SseParser::kMaxEventBytes + 1, 'x')));
   REQUIRE(endless.Failed());
 }
 
 TEST_CASE("completion bodies are checked field by field") {
-  REQUIRE(ParseCompletionRequest(R"({"model":"m","prompt":"p","max_tokens":5,"stream":true})")
+  REQUIRE(ParseCompletionRequest(
+              R"({"model":"m","prompt":"p","max_tokens":5,"stream":true})")
               .value() == CompletionRequest{"m", "p", 5, true});
-  REQUIRE(ParseCompletionRequest(R"({"model":"m","messages":[{"role":"user","content":"hi"}]})")
+  REQUIRE(ParseCompletionRequest(
+              R"({"model":"m","messages":[{"role":"user","content":"hi"}]})")
               .value()
               .prompt == "user: hi\n");
-  for (const char* body :
-       {"", "[]", "{}", R"({"model":1,"prompt":"p"})", R"({"model":"m","prompt":""})",
-        R"({"model":"m","prompt":"p","max_tokens":0})",
-        R"({"model":"m","prompt":"p","max_tokens":1e9})",
-        R"({"model":"m","messages":[{"role":"user"}]})",
-        R"({"model":"m","prompt":"p","stream":"yes"})"}) {
+  for (const char* body : {"", "[]", "{}", R"({"model":1,"prompt":"p"})",
+                           R"({"model":"m","prompt":""})",
+                           R"({"model":"m","prompt":"p","max_tokens":0})",
+                           R"({"model":"m","prompt":"p","max_tokens":1e9})",
+                           R"({"model":"m","messages":[{"role":"user"}]})",
+                           R"({"model":"m","prompt":"p","stream":"yes"})"}) {
     const auto parsed = ParseCompletionRequest(body);
     INFO(body);
     REQUIRE_FALSE(parsed);
@@ -170,7 +194,8 @@
   }
 }
 
-TEST_CASE("error table has one row for each kind, in order, and bodies come back") {
+TEST_CASE(
+    "error table has one row for each kind, in order, and bodies come back") {
   for (std::size_t index = 0; index < ErrorTable().size(); ++index) {
     const ErrorRow& row = ErrorTable()[index];
     REQUIRE(static_cast<std::size_t>(row.kind) == index);
@@ -186,28 +211,37 @@
   std::vector<std::string> documented;
   std::string line;
   while (std::getline(in, line)) {
-    if (!line.starts_with("| ") || line.size() < 4 || std::isdigit(line[2]) == 0) continue;
-    documented.push_back(line.substr(2, line.find(" |", line.find(" | ") + 3) - 2));
+    if (!line.starts_with("| ") || line.size() < 4 ||
+        std::isdigit(line[2]) == 0) {
+      continue;
+    }
+    documented.push_back(
+        line.substr(2, line.find(" |", line.find(" | ") + 3) - 2));
   }
   std::vector<std::string> coded;
   for (const EventRow& row : EventTable()) {
-    coded.push_back(std::to_string(static_cast<int>(row.id)) + " | " + std::string(row.name));
+    coded.push_back(std::to_string(static_cast<int>(row.id)) + " | " +
+                    std::string(row.name));
   }
   REQUIRE(documented == coded);
 }
 
-HistoryEvent Event(HistoryKind kind, const std::string& request, TimeMs at = 0) {
+HistoryEvent Event(HistoryKind kind, const std::string& request,
+                   TimeMs at = 0) {
   HistoryEvent event;
   event.kind = kind;
   event.request = request;
   event.team = "north";
   event.at_ms = at;
   event.max_tokens = 10;
-  if (kind == HistoryKind::kWhole) event.digest = Sha256Hex(AnswerText(request, 10));
+  if (kind == HistoryKind::kWhole) {
+    event.digest = Sha256Hex(AnswerText(request, 10));
+  }
   return event;
 }
 
-TEST_CASE("history checker accepts a good history and finds each broken promise") {
+TEST_CASE(
+    "history checker accepts a good history and finds each broken promise") {
   const HistoryEvent sent = Event(HistoryKind::kSent, "r1");
   const HistoryEvent whole = Event(HistoryKind::kWhole, "r1");
   HistoryEvent refused = Event(HistoryKind::kRefused, "r1");
@@ -231,10 +265,13 @@
   REQUIRE(violations({sent, foreign}) == 1);
   REQUIRE(violations({sent, refused, ran}) == 1);
   REQUIRE(violations({once, refused, ran}) == 1);
-  REQUIRE(violations({once, ran_twice, Event(HistoryKind::kCancelled, "r1")}) == 1);
+  REQUIRE(violations({once, ran_twice, Event(HistoryKind::kCancelled, "r1")}) ==
+          1);
   const HistoryEvent withdrawn = Event(HistoryKind::kWithdrawn, "", 1000);
-  REQUIRE(violations({sent, withdrawn, Event(HistoryKind::kWhole, "r1", 6000)}) == 0);
-  REQUIRE(violations({sent, withdrawn, Event(HistoryKind::kWhole, "r1", 6001)}) == 1);
+  REQUIRE(violations(
+              {sent, withdrawn, Event(HistoryKind::kWhole, "r1", 6000)}) == 0);
+  REQUIRE(violations(
+              {sent, withdrawn, Event(HistoryKind::kWhole, "r1", 6001)}) == 1);
 }
 
 TEST_CASE("history events come back from their lines") {
