--- a/tests/share_fleet.cc
+++ b/tests/share_fleet.cc
@@ -35,9 +35,11 @@
 
 class Fleet {
  public:
-  explicit Fleet(const ShareFleetSettings& initial) : settings(initial), vms(initial.vms) {
+  explicit Fleet(const ShareFleetSettings& initial)
+      : settings(initial), vms(initial.vms) {
     this->config.fleet.share_slots = static_cast<std::int64_t>(initial.vms);
-    this->config.teams.emplace(kTeam, TeamSpec{kTeam, initial.rate, initial.burst, 1});
+    this->config.teams.emplace(kTeam,
+                               TeamSpec{kTeam, initial.rate, initial.burst, 1});
     for (Vm& vm : this->vms) vm.ledger.Configure(this->config, 0);
   }
 
@@ -97,18 +99,23 @@
   void Ask(std::size_t index, const ShareStep& step) {
     const std::size_t lender = step.other % this->vms.size();
     if (lender == index || this->now < this->vms[lender].paused_until) return;
-    const std::string id = std::to_string(index) + "-" + std::to_string(this->next_id++);
+    const std::string id =
+        std::to_string(index) + "-" + std::to_string(this->next_id++);
     const Tokens wanted = 1 + step.amount % (this->settings.burst / 2);
-    const Tokens lent = this->vms[lender].ledger.Lend(kTeam, id, wanted, this->now);
+    const Tokens lent =
+        this->vms[lender].ledger.Lend(kTeam, id, wanted, this->now);
     if (lent == 0) return;
-    this->messages.push_back(Message{Transfer{id, kTeam, lent, this->now}, lender, index,
+    this->messages.push_back(Message{Transfer{id, kTeam, lent, this->now},
+                                     lender, index,
                                      this->vms[index].incarnation});
   }
 
-  /// A message stays in the list after delivery, so that it may be delivered twice, or never.
+  /// A message stays in the list after delivery, so that it may be delivered
+  /// twice, or never.
   void Deliver(const ShareStep& step) {
     if (this->messages.empty()) return;
-    const Message& message = this->messages[step.amount % this->messages.size()];
+    const Message& message =
+        this->messages[step.amount % this->messages.size()];
     Vm& vm = this->vms[message.borrower];
     if (vm.incarnation != message.borrower_incarnation) return;
     vm.received.push_back(message.transfer);
@@ -118,16 +125,20 @@
     Vm& vm = this->vms[index];
     if (this->now < vm.paused_until) return;
     Tokens all = vm.ledger.View(kTeam, this->now).available;
-    std::ranges::for_each(vm.received,
-                          [&all](const Transfer& transfer) { all += transfer.tokens; });
+    std::ranges::for_each(vm.received, [&all](const Transfer& transfer) {
+      all += transfer.tokens;
+    });
     this->Spend(index, all);
-    // Some of what was received may be late or doubled: then what is left is spent without it.
+    // Some of what was received may be late or doubled: then what is left is
+    // spent without it.
     this->Spend(index, vm.ledger.View(kTeam, this->now).available);
   }
 
   void Charge(std::size_t index, const ShareStep& step) {
-    // Mostly charges that one share can cover, now and then up to the whole burst.
-    const Tokens largest = step.other % 4 == 0 ? this->settings.burst : this->settings.burst / 8;
+    // Mostly charges that one share can cover, now and then up to the whole
+    // burst.
+    const Tokens largest =
+        step.other % 4 == 0 ? this->settings.burst : this->settings.burst / 8;
     this->Spend(index, 1 + step.amount % largest);
   }
 
@@ -135,7 +146,8 @@
     if (tokens <= 0) return;
     Vm& vm = this->vms[index];
     const std::string id = "r" + std::to_string(this->next_id++);
-    const auto outcome = vm.ledger.TryCharge(kTeam, id, tokens, vm.received, this->now);
+    const auto outcome =
+        vm.ledger.TryCharge(kTeam, id, tokens, vm.received, this->now);
     vm.received.clear();
     if (!outcome.charged) return;
     this->history.push_back(testing::Spend{this->now, tokens});
@@ -147,10 +159,13 @@
     if (this->in_service.empty()) return;
     const std::size_t index = step.other % this->in_service.size();
     const InService ended = this->in_service[index];
-    this->in_service.erase(this->in_service.begin() + static_cast<std::ptrdiff_t>(index));
+    this->in_service.erase(this->in_service.begin() +
+                           static_cast<std::ptrdiff_t>(index));
     Vm& vm = this->vms[ended.vm];
     // A charge of a process that is gone is never given back.
-    if (vm.incarnation != ended.incarnation || this->now < vm.paused_until) return;
+    if (vm.incarnation != ended.incarnation || this->now < vm.paused_until) {
+      return;
+    }
     const Tokens used = step.amount % (ended.charged + 1);
     vm.ledger.Settle(ended.id, used, this->now);
     this->history[ended.spend].tokens = used;
@@ -158,12 +173,15 @@
 
   void Confirm(const ShareStep& step) {
     if (this->messages.empty()) return;
-    const Message& message = this->messages[step.amount % this->messages.size()];
-    // Only a borrower that has taken the transfer in confirms it, and it confirms at once.
+    const Message& message =
+        this->messages[step.amount % this->messages.size()];
+    // Only a borrower that has taken the transfer in confirms it, and it
+    // confirms at once.
     Vm& borrower = this->vms[message.borrower];
     if (borrower.incarnation != message.borrower_incarnation) return;
     borrower.received.push_back(message.transfer);
-    static_cast<void>(borrower.ledger.TryCharge(kTeam, "deposit", this->settings.burst * 2,
+    static_cast<void>(borrower.ledger.TryCharge(kTeam, "deposit",
+                                                this->settings.burst * 2,
                                                 borrower.received, this->now));
     borrower.received.clear();
     this->vms[message.lender].ledger.Confirm(message.transfer.id, this->now);
@@ -182,12 +200,12 @@
 }  // namespace
 
 std::ostream& operator<<(std::ostream& out, const ShareStep& step) {
-  return out << "{" << static_cast<int>(step.kind) << "," << step.vm << "," << step.other << ","
-             << step.amount << "}";
+  return out << "{" << static_cast<int>(step.kind) << "," << step.vm << ","
+             << step.other << "," << step.amount << "}";
 }
 
-std::optional<std::string> CheckShareBound(std::vector<Spend> history, std::int64_t rate,
-                                           Tokens burst) {
+std::optional<std::string> CheckShareBound(std::vector<Spend> history,
+                                           std::int64_t rate, Tokens burst) {
   std::ranges::stable_sort(history, {}, &Spend::at);
   for (std::size_t first = 0; first < history.size(); ++first) {
     Tokens sum = 0;
@@ -207,22 +225,28 @@
 std::vector<Spend> RunShareSchedule(const ShareFleetSettings& settings,
                                     const std::vector<ShareStep>& steps) {
   Fleet fleet(settings);
-  std::ranges::for_each(steps, [&fleet](const ShareStep& step) { fleet.Run(step); });
+  std::ranges::for_each(steps,
+                        [&fleet](const ShareStep& step) { fleet.Run(step); });
   return fleet.TakeHistory();
 }
 
-std::vector<ShareStep> MakeShareSchedule(std::uint64_t seed, std::size_t length) {
+std::vector<ShareStep> MakeShareSchedule(std::uint64_t seed,
+                                         std::size_t length) {
   std::mt19937_64 random(seed);
-  // Time and charges are commoner than faults, so that buckets fill and drain between them.
+  // Time and charges are commoner than faults, so that buckets fill and drain
+  // between them.
   const std::vector<StepKind> kinds = {
-      StepKind::kAdvance, StepKind::kAdvance, StepKind::kAdvance, StepKind::kAsk,
-      StepKind::kAsk,     StepKind::kDeliver, StepKind::kDeliver, StepKind::kCharge,
-      StepKind::kCharge,  StepKind::kCharge,  StepKind::kSettle,  StepKind::kSettle,
-      StepKind::kDrainAll, StepKind::kConfirm, StepKind::kRestart, StepKind::kPause};
+      StepKind::kAdvance,  StepKind::kAdvance, StepKind::kAdvance,
+      StepKind::kAsk,      StepKind::kAsk,     StepKind::kDeliver,
+      StepKind::kDeliver,  StepKind::kCharge,  StepKind::kCharge,
+      StepKind::kCharge,   StepKind::kSettle,  StepKind::kSettle,
+      StepKind::kDrainAll, StepKind::kConfirm, StepKind::kRestart,
+      StepKind::kPause};
   std::vector<ShareStep> steps(length);
   std::ranges::generate(steps, [&] {
     const StepKind kind = kinds[random() % kinds.size()];
-    return ShareStep{kind, static_cast<unsigned>(random()), static_cast<unsigned>(random()),
+    return ShareStep{kind, static_cast<unsigned>(random()),
+                     static_cast<unsigned>(random()),
                      static_cast<unsigned>(random())};
   });
   return steps;
--- a/tests/share_fleet.h
+++ b/tests/share_fleet.h
@@ -1,5 +1,6 @@
 /// @file
-/// A fleet of share ledgers under a schedule of faults, and the check of its history.
+/// A fleet of share ledgers under a schedule of faults, and the check of its
+/// history.
 #pragma once
 
 #include <cstdint>
@@ -50,15 +51,16 @@
 
 /// Checks spent <= rate * window + burst for every window of a history.
 /// @returns a description of the first violation.
-[[nodiscard]] std::optional<std::string> CheckShareBound(std::vector<Spend> history,
-                                                         std::int64_t rate, Tokens burst);
+[[nodiscard]] std::optional<std::string> CheckShareBound(
+    std::vector<Spend> history, std::int64_t rate, Tokens burst);
 
-/// Runs a schedule over a fleet whose messages may be lost, late and doubled, and whose
-/// processes pause and restart. @returns what each admission used.
-[[nodiscard]] std::vector<Spend> RunShareSchedule(const ShareFleetSettings& settings,
-                                                  const std::vector<ShareStep>& steps);
+/// Runs a schedule over a fleet whose messages may be lost, late and doubled,
+/// and whose processes pause and restart. @returns what each admission used.
+[[nodiscard]] std::vector<Spend> RunShareSchedule(
+    const ShareFleetSettings& settings, const std::vector<ShareStep>& steps);
 
 /// A schedule from a seed.
-[[nodiscard]] std::vector<ShareStep> MakeShareSchedule(std::uint64_t seed, std::size_t length);
+[[nodiscard]] std::vector<ShareStep> MakeShareSchedule(std::uint64_t seed,
+                                                       std::size_t length);
 
 }  // namespace limpethaven::testing
--- a/tests/share_ledger_test.cc
+++ b/tests/share_ledger_test.cc
@@ -1,10 +1,11 @@
 /// @file
 /// Share ledger: rate and burst over a fleet under faults.
+#include "limpethaven/share_ledger.h"
+
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 
-#include "limpethaven/share_ledger.h"
 #include "share_fleet.h"
 
 namespace limpethaven {
@@ -41,8 +42,10 @@
   ShareLedger ledger;
   ledger.Configure(OneTeam(1000, 4000, 4), 0);
   const TimeMs now = kFirstAccrual + 1000;
-  REQUIRE(ledger.TryCharge("north", "r1", 300, {}, now) == ChargeOutcome{false, 50});
-  REQUIRE(ledger.TryCharge("north", "r1", 250, {}, now) == ChargeOutcome{true, 0});
+  REQUIRE(ledger.TryCharge("north", "r1", 300, {}, now) ==
+          ChargeOutcome{false, 50});
+  REQUIRE(ledger.TryCharge("north", "r1", 250, {}, now) ==
+          ChargeOutcome{true, 0});
   REQUIRE_FALSE(ledger.TryCharge("unknown", "r2", 1, {}, now).charged);
 }
 
@@ -56,12 +59,14 @@
   REQUIRE(ledger.Settle("r1", 0, now) == 0);
 }
 
-TEST_CASE("share ledger gives back no more than a true charge would have left") {
+TEST_CASE(
+    "share ledger gives back no more than a true charge would have left") {
   ShareLedger ledger;
   ledger.Configure(OneTeam(1000, 4000, 1), 0);
   const TimeMs now = kFirstAccrual + 4000;
   REQUIRE(ledger.TryCharge("north", "r1", 2000, {}, now).charged);
-  // Two seconds later the bucket is full again: what comes back would have overflowed.
+  // Two seconds later the bucket is full again: what comes back would have
+  // overflowed.
   REQUIRE(ledger.View("north", now + 2000).available == 4000);
   REQUIRE(ledger.TryCharge("north", "r2", 4000, {}, now + 2000).charged);
   REQUIRE(ledger.Settle("r1", 0, now + 2000) == 0);
@@ -77,15 +82,19 @@
   REQUIRE(lent == 900);
   REQUIRE(lender.Lend("north", "t1", 900, now) == 0);
   const Transfer transfer{"t1", "north", lent, now};
-  REQUIRE(borrower.TryCharge("north", "r1", 1900, {transfer}, now + 500).charged);
-  REQUIRE_FALSE(borrower.TryCharge("north", "r2", 600, {transfer}, now + 501).charged);
+  REQUIRE(
+      borrower.TryCharge("north", "r1", 1900, {transfer}, now + 500).charged);
+  REQUIRE_FALSE(
+      borrower.TryCharge("north", "r2", 600, {transfer}, now + 501).charged);
   const Transfer late{"t2", "north", 900, now};
-  REQUIRE_FALSE(borrower.TryCharge("north", "r3", 800, {late}, now + 1000).charged);
+  REQUIRE_FALSE(
+      borrower.TryCharge("north", "r3", 800, {late}, now + 1000).charged);
 }
 
-TEST_CASE("share ledger of a restarted lender does not count lent tokens twice") {
-  // Found by the seeded schedules: a lender that restarted forgot what it had lent and earned it
-  // again before the borrower spent it.
+TEST_CASE(
+    "share ledger of a restarted lender does not count lent tokens twice") {
+  // Found by the seeded schedules: a lender that restarted forgot what it had
+  // lent and earned it again before the borrower spent it.
   const Configuration config = OneTeam(8000, 4000, 2);
   ShareLedger borrower;
   borrower.Configure(config, 0);
@@ -96,13 +105,18 @@
   ShareLedger restarted;
   restarted.Configure(config, now);
   const TimeMs later = now + 400;
-  REQUIRE(borrower.TryCharge("north", "r1", 2000 + lent, {{"t1", "north", lent, now}}, later)
+  REQUIRE(borrower
+              .TryCharge("north", "r1", 2000 + lent,
+                         {{"t1", "north", lent, now}}, later)
               .charged);
   REQUIRE(restarted.View("north", later).available == 0);
 }
 
-TEST_CASE("share ledger releases a transfer once when it is confirmed as it expires") {
-  // Found by the seeded schedules: expiry ran inside Confirm and both took the transfer off.
+TEST_CASE(
+    "share ledger releases a transfer once when it is confirmed as it "
+    "expires") {
+  // Found by the seeded schedules: expiry ran inside Confirm and both took the
+  // transfer off.
   ShareLedger lender;
   lender.Configure(OneTeam(8000, 4000, 2), 0);
   REQUIRE(lender.Lend("north", "t1", 1500, 10'000) == 1500);
@@ -111,9 +125,11 @@
 }
 
 TEST_CASE("share bound check finds a history that breaks it") {
-  REQUIRE_FALSE(CheckShareBound({{0, 4000}, {1000, 1000}}, 1000, 4000).has_value());
+  REQUIRE_FALSE(
+      CheckShareBound({{0, 4000}, {1000, 1000}}, 1000, 4000).has_value());
   REQUIRE(CheckShareBound({{0, 4000}, {999, 1000}}, 1000, 4000).has_value());
-  REQUIRE(CheckShareBound({{0, 1}, {5000, 4000}, {5000, 1}}, 1000, 4000).has_value());
+  REQUIRE(CheckShareBound({{0, 1}, {5000, 4000}, {5000, 1}}, 1000, 4000)
+              .has_value());
 }
 
 TEST_CASE("share bound holds in 10000 seeded schedules of faults") {
@@ -121,10 +137,13 @@
   constexpr std::size_t kSteps = 300;
   std::size_t admissions = 0;
   for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
-    const ShareFleetSettings settings{2 + seed % 7, seed % 3 == 0 ? 1000 : 8000, 4000};
-    const auto history = RunShareSchedule(settings, MakeShareSchedule(seed, kSteps));
+    const ShareFleetSettings settings{2 + seed % 7, seed % 3 == 0 ? 1000 : 8000,
+                                      4000};
+    const auto history =
+        RunShareSchedule(settings, MakeShareSchedule(seed, kSteps));
     admissions += history.size();
-    const auto violation = CheckShareBound(history, settings.rate, settings.burst);
+    const auto violation =
+        CheckShareBound(history, settings.rate, settings.burst);
     INFO("seed " << seed);
     if (violation) FAIL(*violation);
   }
@@ -134,15 +153,17 @@
 
 TEST_CASE("share bound holds for any schedule") {
   const auto step = rc::gen::construct<ShareStep>(
-      rc::gen::element(StepKind::kAdvance, StepKind::kAsk, StepKind::kDeliver, StepKind::kCharge,
-                       StepKind::kDrainAll, StepKind::kSettle, StepKind::kConfirm, StepKind::kRestart,
-                       StepKind::kPause),
-      rc::gen::inRange(0U, 8U), rc::gen::inRange(0U, 8U), rc::gen::inRange(0U, 5000U));
+      rc::gen::element(StepKind::kAdvance, StepKind::kAsk, StepKind::kDeliver,
+                       StepKind::kCharge, StepKind::kDrainAll,
+                       StepKind::kSettle, StepKind::kConfirm,
+                       StepKind::kRestart, StepKind::kPause),
+      rc::gen::inRange(0U, 8U), rc::gen::inRange(0U, 8U),
+      rc::gen::inRange(0U, 5000U));
   REQUIRE(rc::check("spent <= rate * window + burst", [&step] {
     const auto steps = *rc::gen::container<std::vector<ShareStep>>(step);
     const ShareFleetSettings settings{3, 8000, 4000};
-    const auto violation =
-        CheckShareBound(RunShareSchedule(settings, steps), settings.rate, settings.burst);
+    const auto violation = CheckShareBound(RunShareSchedule(settings, steps),
+                                           settings.rate, settings.burst);
     if (violation) RC_FAIL(*violation);
   }));
 }
--- a/tests/ticket_book_test.cc
+++ b/tests/ticket_book_test.cc
@@ -1,11 +1,11 @@
 /// @file
 /// Tickets: one run at most, under expiry, restarts and forgery.
+#include "limpethaven/ticket_book.h"
+
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 
-#include "limpethaven/ticket_book.h"
-
 namespace limpethaven {
 namespace {
 
@@ -38,13 +38,16 @@
   REQUIRE(book.Begin(ticket, "north", 2));
 }
 
-TEST_CASE("ticket of another team, of another process or of an earlier start is refused") {
+TEST_CASE(
+    "ticket of another team, of another process or of an earlier start is "
+    "refused") {
   TicketBook book(kSelf);
   const Ticket ticket = book.Mint("north", "n1", 0).value();
   REQUIRE(KindOf(book.Begin(ticket, "south", 1)) == ErrorKind::kTeamMismatch);
   Ticket foreign = ticket;
   foreign.minter = VmId{"10.0.0.2", 7};
-  REQUIRE(KindOf(book.Begin(foreign, "north", 1)) == ErrorKind::kTicketMinterUnreachable);
+  REQUIRE(KindOf(book.Begin(foreign, "north", 1)) ==
+          ErrorKind::kTicketMinterUnreachable);
   TicketBook restarted(VmId{"10.0.0.1", 8});
   const auto outcome = restarted.Begin(ticket, "north", 1);
   REQUIRE(KindOf(outcome) == ErrorKind::kTicketMinterUnreachable);
@@ -52,7 +55,8 @@
 }
 
 TEST_CASE("ticket that expired unused says that it did not run") {
-  TicketBook book(kSelf, TicketSettings{.lifetime_ms = 100, .remember_ms = 1000});
+  TicketBook book(kSelf,
+                  TicketSettings{.lifetime_ms = 100, .remember_ms = 1000});
   const Ticket ticket = book.Mint("north", "n1", 0).value();
   const auto expired = book.Begin(ticket, "north", 100);
   REQUIRE(KindOf(expired) == ErrorKind::kTicketExpired);
@@ -65,14 +69,17 @@
 }
 
 TEST_CASE("ticket of a running request is never forgotten") {
-  TicketBook book(kSelf, TicketSettings{.lifetime_ms = 100, .remember_ms = 1000});
+  TicketBook book(kSelf,
+                  TicketSettings{.lifetime_ms = 100, .remember_ms = 1000});
   const Ticket ticket = book.Mint("north", "n1", 0).value();
   REQUIRE(book.Begin(ticket, "north", 1));
   book.Tick(1'000'000);
-  REQUIRE(KindOf(book.Begin(ticket, "north", 1'000'000)) == ErrorKind::kTicketUsed);
+  REQUIRE(KindOf(book.Begin(ticket, "north", 1'000'000)) ==
+          ErrorKind::kTicketUsed);
 }
 
-TEST_CASE("ticket text that was changed or signed with another secret is refused") {
+TEST_CASE(
+    "ticket text that was changed or signed with another secret is refused") {
   const std::string text = EncodeTicket(kSecret, Ticket{"n1", "north", kSelf});
   REQUIRE(DecodeTicket(kSecret, text) == Ticket{"n1", "north", kSelf});
   REQUIRE_FALSE(DecodeTicket("another-secret-text", text));
@@ -85,10 +92,12 @@
 
 TEST_CASE("ticket runs at most once for any order of calls") {
   REQUIRE(rc::check("at most one successful run", [] {
-    TicketBook book(kSelf, TicketSettings{.lifetime_ms = 50, .remember_ms = 100});
+    TicketBook book(kSelf,
+                    TicketSettings{.lifetime_ms = 50, .remember_ms = 100});
     const Ticket ticket = book.Mint("north", "n1", 0).value();
     const auto steps =
-        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5)).as("begin, finish, tick");
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5))
+             .as("begin, finish, tick");
     TimeMs now = 0;
     int sent = 0;
     bool running = false;
