--- a/include/limpethaven/fwd.h
+++ b/include/limpethaven/fwd.h
@@ -37,6 +37,7 @@
 class EndpointHealth;
 class FairQueue;
 class Membership;
+class OrderPlanner;
 class PeerTransport;
 class RetryBudget;
 class ServiceClient;
--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -17,6 +17,7 @@
 #include "limpethaven/fwd.h"
 #include "limpethaven/interfaces.h"
 #include "limpethaven/membership.h"
+#include "limpethaven/order_planner.h"
 #include "limpethaven/prompt.h"
 #include "limpethaven/rendezvous.h"
 #include "limpethaven/resume_token.h"
--- /dev/null
+++ b/src/core/order_planner.cc
@@ -0,0 +1,108 @@
+#include "limpethaven/order_planner.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace limpethaven {
+namespace {
+
+constexpr unsigned kVersionShift = 38;
+constexpr unsigned kStartShift = 12;
+constexpr std::uint64_t kStartMask = (1ULL << 26U) - 1;
+constexpr std::uint64_t kCounterMask = (1ULL << kStartShift) - 1;
+constexpr std::uint64_t kIncarnationMsShift = 16;
+constexpr std::uint64_t kMsPerMinute = 60'000;
+
+bool Serves(const EngineState& state, const GoalSpec& goal) {
+  return state.model == goal.model && state.model_version == goal.model_version;
+}
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const PlannedOrder& planned) {
+  return out << planned.engine << ": " << planned.order.model << '@'
+             << planned.order.model_version << " fence " << planned.order.fence;
+}
+
+std::uint64_t MakeFence(std::uint64_t config_version, std::uint64_t incarnation,
+                        std::uint64_t counter) noexcept {
+  const std::uint64_t start_minute =
+      (incarnation >> kIncarnationMsShift) / kMsPerMinute;
+  return (config_version << kVersionShift) |
+         ((start_minute & kStartMask) << kStartShift) |
+         (counter & kCounterMask);
+}
+
+OrderPlanner::OrderPlanner(std::uint64_t own_incarnation, OrderSettings initial)
+    : incarnation(own_incarnation), settings(initial) {}
+
+void OrderPlanner::SetOwned(const std::vector<std::string>& engines,
+                            TimeMs now) {
+  std::erase_if(this->rows, [&engines](const auto& row) {
+    return std::ranges::find(engines, row.first) == engines.end();
+  });
+  std::ranges::for_each(engines, [&](const std::string& engine) {
+    this->rows.try_emplace(engine, Row{.owned_since = now});
+  });
+}
+
+void OrderPlanner::DropAll() noexcept { this->rows.clear(); }
+
+void OrderPlanner::Observe(const std::string& engine, const EngineState& state,
+                           TimeMs now) {
+  const auto row = this->rows.find(engine);
+  if (row == this->rows.end()) return;
+  row->second.state = state;
+  row->second.observed = true;
+  if (now - row->second.ordered_at >= this->settings.loading_ms)
+    row->second.loading = false;
+}
+
+std::vector<PlannedOrder> OrderPlanner::Plan(const Configuration& config,
+                                             TimeMs now) {
+  std::vector<PlannedOrder> orders;
+  std::int64_t loading = 0;
+  // First what is done, so that its place in the store's budget is free for the
+  // next.
+  std::ranges::for_each(config.goals, [&](const auto& goal) {
+    const auto pool = config.pools.find(goal.first);
+    if (pool == config.pools.end()) return;
+    std::ranges::for_each(pool->second.endpoints,
+                          [&](const EndpointSpec& endpoint) {
+                            const auto row = this->rows.find(endpoint.address);
+                            if (row == this->rows.end()) return;
+                            if (Serves(row->second.state, goal.second))
+                              row->second.loading = false;
+                            if (row->second.loading) ++loading;
+                          });
+  });
+  std::ranges::for_each(config.goals, [&](const auto& goal) {
+    const auto pool = config.pools.find(goal.first);
+    if (pool == config.pools.end()) return;
+    std::ranges::for_each(
+        pool->second.endpoints, [&](const EndpointSpec& endpoint) {
+          const auto found = this->rows.find(endpoint.address);
+          if (found == this->rows.end()) return;
+          Row& row = found->second;
+          if (!row.observed || Serves(row.state, goal.second)) return;
+          if (now - row.owned_since < this->settings.lease_ms) return;
+          if (row.ordered && now - row.ordered_at < this->settings.repeat_ms)
+            return;
+          if (!row.loading && loading >= this->settings.max_loading) return;
+          if (!row.loading) ++loading;
+          row.loading = true;
+          row.ordered = true;
+          row.ordered_at = now;
+          const std::uint64_t fence =
+              MakeFence(config.version, this->incarnation, ++this->counter);
+          orders.push_back(PlannedOrder{
+              endpoint.address,
+              EngineOrder{goal.second.model, goal.second.model_version,
+                          std::string(NameOf(pool->second.role)), fence},
+              "serves " + row.state.model + "@" + row.state.model_version});
+        });
+  });
+  return orders;
+}
+
+}  // namespace limpethaven
--- a/tests/cell_scheduler_test.cc
+++ b/tests/cell_scheduler_test.cc
@@ -243,7 +243,9 @@
         RC_ASSERT(engine.reserved <= engine.pieces);
       }
     }
-    for (const auto& [request, count] : answers) RC_ASSERT(count == 1);
+    for (const auto& [request, count] : answers) {
+      RC_ASSERT(count == 1);
+    }
   }));
 }
 
