Measure the latency an entry adds, and one entry under a thousand streams

Cause: neither figure could be had by a command. Change: limpethaven-load latency, scripts/measure-entry.sh.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs the packages that building, testing and linting need.
 set -euo pipefail
 packages=(cmake ninja-build g++ clang clang-format clang-tidy libclang-rt-14-dev ccache pkg-config
-  make curl openssl spin libtbb-dev libcpp-httplib-dev prometheus-cpp-dev libcli11-dev
+  make curl openssl bc spin libtbb-dev libcpp-httplib-dev prometheus-cpp-dev libcli11-dev
   libgoogle-glog-dev libboost-dev catch2 librapidcheck-dev nlohmann-json3-dev
   libtomlplusplus-dev libssl-dev libbenchmark-dev)
 if dpkg-query -W -f '${db:Status-Abbrev}\n' "${packages[@]}" 2>/dev/null | grep -qv '^ii' ||
--- /dev/null
+++ b/scripts/measure-entry.sh
@@ -0,0 +1,93 @@
+#!/usr/bin/env bash
+# Measures one entry process on loopback: added latency to the first token at 200 requests/s, then
+# processor time and memory with about 1,000 open streams.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(realpath "${1:-build}")
+work=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$work"
+}
+trap cleanup EXIT
+export LIMPETHAVEN_FLEET_SECRET=measure-fleet-secret-0001
+export LIMPETHAVEN_KEYS="north=measure-key-north-0001"
+digest=$(printf measure-key-north-0001 | sha256sum | cut -d' ' -f1)
+cat > "$work/limpethaven.toml" <<TOML
+[fleet]
+share_slots = 1
+[[team]]
+name = "north"
+rate = 100000000
+burst = 500000000
+[[key]]
+sha256 = "$digest"
+team = "north"
+[[pool]]
+name = "prefill"
+role = "prefill"
+model = "m"
+pieces = 1000
+endpoints = ["127.0.0.1:9201", "127.0.0.1:9202"]
+[[pool]]
+name = "decode"
+role = "decode"
+model = "m"
+pieces = 1000
+endpoints = ["127.0.0.1:9211", "127.0.0.1:9212", "127.0.0.1:9213", "127.0.0.1:9214"]
+[[route]]
+path = "/v1/completions"
+model = "m"
+prefill = "prefill"
+decode = "decode"
+TOML
+mkdir "$work/values"
+"$bin/limpethaven-publish" "$work/limpethaven.toml" --output "$work/values" >/dev/null
+echo '[{"address":"127.0.0.9","data_centre":"zone","leaving":false}]' > "$work/values/vms.json"
+start() { "$@" 2>/dev/null & pids+=("$!"); }
+start "$bin/limpethaven-standin" platform --port 9200 --directory "$work/values"
+step=${LIMPETHAVEN_STEP_MS:-50}
+for port in 9201 9202; do
+  start "$bin/limpethaven-standin" engine --port $port --role prefill --pieces 1000
+done
+for port in 9211 9212 9213 9214; do
+  start "$bin/limpethaven-standin" engine --port $port --role decode --pieces 1000 --step-ms "$step"
+done
+"$bin/limpethaven-entry" --address 127.0.0.9 --port 8280 --peer-port 8281 \
+  --admin-address 127.0.0.9 --admin-port 8282 --data-centre zone --platform 127.0.0.1:9200 \
+  --max-streams 1500 2>"$work/entry.log" &
+entry=$!
+pids+=("$entry")
+for _ in $(seq 100); do
+  curl -fs 127.0.0.9:8282/v1/health >/dev/null 2>&1 && break
+  sleep 0.1
+done
+sleep 3
+ticks() { awk '{print $14 + $15}' "/proc/$entry/stat"; }
+hertz=$(getconf CLK_TCK)
+idle_before=$(ticks)
+sleep 5
+idle_after=$(ticks)
+echo "idle: $(echo "scale=3; 100 * ($idle_after - $idle_before) / $hertz / 5" | bc)% of a core, \
+$(awk '/VmRSS/ {print $2 / 1000}' /proc/$entry/status) MB resident"
+"$bin/limpethaven-load" latency --target 127.0.0.9:8280 --prefill 127.0.0.1:9201 \
+  --decode 127.0.0.1:9211 --model m --requests 4000 --rate 400 || true
+"$bin/limpethaven-load" run --targets 127.0.0.9:8280 --model m --requests 1500 --rate 60 --seed 3 \
+  --prompt-max 40 --answer-min 400 --answer-max 400 --history "$work/history.jsonl" &
+load=$!
+sleep 20
+before=$(ticks)
+tokens() { curl -s 127.0.0.9:8282/metrics | awk '/^limpethaven_tokens_delivered_total/ {print $2}'; }
+tokens_before=$(tokens)
+sleep 4
+after=$(ticks)
+tokens_after=$(tokens)
+streams=$(curl -s 127.0.0.9:8282/metrics | awk '/^limpethaven_requests_active/ {print $2}')
+echo "under load: $streams streams, $(echo "($tokens_after - $tokens_before) / 4" | bc) tokens/s, \
+$(echo "scale=2; ($after - $before) / $hertz / 4" | bc) cores, \
+$(awk '/VmRSS/ {print $2 / 1000}' /proc/$entry/status) MB resident, \
+$(ls /proc/$entry/task | wc -l) threads"
+wait "$load"
+"$bin/limpethaven-load" check "$work/history.jsonl"
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -14,6 +14,7 @@
 #include "edge/http_client.h"
 #include "load/caller.h"
 #include "load/history_check.h"
+#include "load/latency.h"
 #include "load/report.h"
 #include "load/trace.h"
 
@@ -163,6 +164,18 @@
   return 0;
 }
 
+int Latency(LatencySettings settings) {
+  const auto teams = ReadTeams({});
+  if (!teams) {
+    std::cerr << "limpethaven-load: " << teams.error().message << '\n';
+    return 2;
+  }
+  settings.key = teams.value().front().key;
+  const LatencyFigures figures = MeasureLatency(settings);
+  std::cout << figures;
+  return figures.failed == 0 ? 0 : 1;
+}
+
 /// Adds an event that the load itself cannot see, such as a fault that a script
 /// induced.
 int Mark(const std::string& path, const std::string& fault,
@@ -246,11 +259,33 @@
   AddFlag(*mark_command, "--withdrawn", mark_team,
           "Team whose key was withdrawn");
 
+  LatencySettings latency;
+  CLI::App* latency_command = app.add_subcommand(
+      "latency",
+      "First token through an entry VM against calls straight to the engines");
+  AddFlag(*latency_command, "--target", latency.target,
+          "IP:port of an entry VM")
+      ->required();
+  AddFlag(*latency_command, "--prefill", latency.prefill,
+          "IP:port of a prefill engine")
+      ->required();
+  AddFlag(*latency_command, "--decode", latency.decode,
+          "IP:port of a decode engine")
+      ->required();
+  AddFlag(*latency_command, "--model", latency.model, "Model to ask")
+      ->required();
+  AddRangedFlag<std::int64_t>(*latency_command, "--requests", latency.requests,
+                              2, 1'000'000, "requests",
+                              "Requests, half of them straight");
+  AddRangedFlag(*latency_command, "--rate", latency.rate_per_s, 0.1, 10'000.0,
+                "requests/s", "Arrival rate of both together");
+
   const FlagOutcome outcome = ParseFlags(app, argc, argv);
   if (!outcome.run) return outcome.exit_code;
   if (run_command->parsed()) return Run(run);
   if (check_command->parsed()) return Check(files);
   if (mark_command->parsed()) return Mark(mark_history, mark_fault, mark_team);
+  if (latency_command->parsed()) return Latency(latency);
   return Report(files);
 }
 
