--- a/scripts/measure-entry.sh
+++ b/scripts/measure-entry.sh
@@ -37,24 +37,36 @@
 model = "m"
 pieces = 1000
 endpoints = ["127.0.0.1:9211", "127.0.0.1:9212", "127.0.0.1:9213", "127.0.0.1:9214"]
+[[pool]]
+name = "decode-fast"
+role = "decode"
+model = "fast"
+pieces = 1000
+endpoints = ["127.0.0.1:9221"]
 [[route]]
 path = "/v1/completions"
 model = "m"
 prefill = "prefill"
 decode = "decode"
+[[route]]
+path = "/v1/completions"
+model = "fast"
+prefill = "prefill"
+decode = "decode-fast"
 TOML
 mkdir "$work/values"
 "$bin/limpethaven-publish" "$work/limpethaven.toml" --output "$work/values" >/dev/null
 echo '[{"address":"127.0.0.9","data_centre":"zone","leaving":false}]' > "$work/values/vms.json"
 start() { "$@" 2>/dev/null & pids+=("$!"); }
 start "$bin/limpethaven-standin" platform --port 9200 --directory "$work/values"
-step=${LIMPETHAVEN_STEP_MS:-50}
 for port in 9201 9202; do
   start "$bin/limpethaven-standin" engine --port $port --role prefill --pieces 1000
 done
+# Long steps keep many streams open; the latency run needs short ones and engines of its own.
 for port in 9211 9212 9213 9214; do
-  start "$bin/limpethaven-standin" engine --port $port --role decode --pieces 1000 --step-ms "$step"
+  start "$bin/limpethaven-standin" engine --port $port --role decode --pieces 1000 --step-ms 50
 done
+start "$bin/limpethaven-standin" engine --port 9221 --role decode --pieces 1000 --step-ms 1
 "$bin/limpethaven-entry" --address 127.0.0.9 --port 8280 --peer-port 8281 \
   --admin-address 127.0.0.9 --admin-port 8282 --data-centre zone --platform 127.0.0.1:9200 \
   --max-streams 1500 2>"$work/entry.log" &
@@ -73,7 +85,7 @@
 echo "idle: $(echo "scale=3; 100 * ($idle_after - $idle_before) / $hertz / 5" | bc)% of a core, \
 $(awk '/VmRSS/ {print $2 / 1000}' /proc/$entry/status) MB resident"
 "$bin/limpethaven-load" latency --target 127.0.0.9:8280 --prefill 127.0.0.1:9201 \
-  --decode 127.0.0.1:9211 --model m --requests 4000 --rate 400 || true
+  --decode 127.0.0.1:9221 --model fast --requests 4000 --rate 400 || true
 "$bin/limpethaven-load" run --targets 127.0.0.9:8280 --model m --requests 1500 --rate 60 --seed 3 \
   --prompt-max 40 --answer-min 400 --answer-max 400 --history "$work/history.jsonl" &
 load=$!
@@ -90,4 +102,11 @@
 $(awk '/VmRSS/ {print $2 / 1000}' /proc/$entry/status) MB resident, \
 $(ls /proc/$entry/task | wc -l) threads"
 wait "$load"
+# Two cells with 11 engines are hosted now: what their polls and ticks cost without any request.
+sleep 3
+hosted_before=$(ticks)
+sleep 10
+hosted_after=$(ticks)
+echo "idle with 2 cells and 11 engines hosted: \
+$(echo "scale=3; 100 * ($hosted_after - $hosted_before) / $hertz / 10" | bc)% of a core"
 "$bin/limpethaven-load" check "$work/history.jsonl"
--- a/src/core/cells.cc
+++ b/src/core/cells.cc
@@ -40,6 +40,51 @@
   return largest == counts.end() ? std::string() : largest->first;
 }
 
+bool ServesAlone(const std::vector<CellEngine>& engines) {
+  const auto has = [&engines](PoolRole role) {
+    return std::ranges::any_of(engines, [role](const CellEngine& engine) {
+      return engine.role == role || engine.role == PoolRole::kMixed;
+    });
+  };
+  return has(PoolRole::kPrefill) && has(PoolRole::kDecode);
+}
+
+/// Engines that may share cells. Where one cell is not enough, data centres are
+/// kept apart, so that KV caches stay inside them; unless one lacks prefill or
+/// decode engines.
+std::vector<std::vector<CellEngine>> GroupEngines(
+    const std::vector<CellEngine>& engines, std::size_t max_engines) {
+  if (engines.size() <= max_engines) return {engines};
+  std::map<std::string, std::vector<CellEngine>> by_data_centre;
+  std::ranges::for_each(engines, [&by_data_centre](const CellEngine& engine) {
+    by_data_centre[engine.data_centre].push_back(engine);
+  });
+  std::vector<std::vector<CellEngine>> groups;
+  std::ranges::transform(by_data_centre, std::back_inserter(groups),
+                         [](const auto& entry) { return entry.second; });
+  if (std::ranges::all_of(groups, ServesAlone)) return groups;
+  return {engines};
+}
+
+/// Cuts a group into cells of about equal size with about equal parts of each
+/// role.
+void AddCells(const std::string& model, const std::vector<CellEngine>& group,
+              std::size_t max_engines, std::size_t& next_index,
+              std::vector<CellSpec>& cells) {
+  const std::size_t count =
+      std::max<std::size_t>(1, (group.size() + max_engines - 1) / max_engines);
+  std::vector<CellSpec> parts(count);
+  for (std::size_t index = 0; index < group.size(); ++index) {
+    parts[index % count].engines.push_back(group[index]);
+  }
+  std::ranges::for_each(parts, [&](CellSpec& part) {
+    part.name = model + "/" + std::to_string(next_index++);
+    part.model = model;
+    part.data_centre = MainDataCentre(part.engines);
+  });
+  std::ranges::move(parts, std::back_inserter(cells));
+}
+
 }  // namespace
 
 std::vector<CellSpec> BuildCells(const Configuration& config,
@@ -48,19 +93,12 @@
   std::ranges::for_each(config.routes, [&](const auto& entry) {
     const RouteSpec& route = entry.second;
     if (route.model.empty()) return;
-    const std::vector<CellEngine> engines = EnginesOf(config, route);
-    const std::size_t count = std::max<std::size_t>(
-        1, (engines.size() + max_engines - 1) / max_engines);
-    std::vector<CellSpec> parts(count);
-    for (std::size_t index = 0; index < engines.size(); ++index) {
-      parts[index % count].engines.push_back(engines[index]);
-    }
-    for (std::size_t index = 0; index < count; ++index) {
-      parts[index].name = route.model + "/" + std::to_string(index);
-      parts[index].model = route.model;
-      parts[index].data_centre = MainDataCentre(parts[index].engines);
-    }
-    std::ranges::move(parts, std::back_inserter(cells));
+    std::size_t next_index = 0;
+    std::ranges::for_each(GroupEngines(EnginesOf(config, route), max_engines),
+                          [&](const std::vector<CellEngine>& group) {
+                            AddCells(route.model, group, max_engines,
+                                     next_index, cells);
+                          });
   });
   return cells;
 }
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "edge/sse.h"
@@ -150,6 +151,50 @@
   REQUIRE(moved < 180);
 }
 
+TEST_CASE(
+    "cells hold all engines once and stay inside data centres once there are "
+    "many") {
+  for (const int per_centre : {4, 40}) {
+    Configuration config;
+    PoolSpec prefill{"p", PoolRole::kPrefill, "m", 8, false, {}};
+    PoolSpec decode{"d", PoolRole::kDecode, "m", 8, false, {}};
+    for (const char* centre : {"a", "b", "c"}) {
+      for (int index = 0; index < per_centre; ++index) {
+        const std::string number = std::to_string(index);
+        prefill.endpoints.push_back(
+            {std::string(centre) + "p:" + number, centre, false});
+        decode.endpoints.push_back(
+            {std::string(centre) + "d:" + number, centre, false});
+      }
+    }
+    config.pools.emplace("p", prefill);
+    config.pools.emplace("d", decode);
+    RouteSpec route;
+    route.path = "/v1/completions";
+    route.model = "m";
+    route.prefill_pool = "p";
+    route.decode_pool = "d";
+    config.routes.emplace("/v1/completions#m", route);
+    const auto cells = BuildCells(config, 64);
+    std::set<std::string> names;
+    std::set<std::string> engines;
+    std::size_t held = 0;
+    for (const CellSpec& cell : cells) {
+      names.insert(cell.name);
+      held += cell.engines.size();
+      REQUIRE(cell.engines.size() <= 64);
+      for (const CellEngine& engine : cell.engines) {
+        engines.insert(engine.address);
+        if (per_centre == 40) REQUIRE(engine.data_centre == cell.data_centre);
+      }
+    }
+    REQUIRE(names.size() == cells.size());
+    REQUIRE(held == engines.size());
+    REQUIRE(held == static_cast<std::size_t>(6 * per_centre));
+    REQUIRE(cells.size() == (per_centre == 4 ? 1U : 6U));
+  }
+}
+
 TEST_CASE("SSE parser reads events whose bytes arrive in any pieces") {
   const std::string text = FormatSse({"1", "", "one"}) + ": note\n\n" +
                            FormatSse({"", "error", "two"}) +
