Say not run only when no engine received the prompt

Cause: a completion refused after a prefill engine had received its prompt said ran no, although the promise is that no endpoint received it. Change: once a prefill call may have reached an engine, the refusal says unknown. Before/after: the new fleet test (every prefill engine refuses) saw no -> unknown; with the engines unreachable it still sees no.

--- a/src/entry/completion_session.cc
+++ b/src/entry/completion_session.cc
@@ -43,7 +43,10 @@
     const bool retry = outcome.error().kind == ErrorKind::kEndpointFailed &&
                        this->placements < kMaxPlacements &&
                        !this->request.active->CutBy() && this->TakeRetry();
-    if (!retry) return this->EndBroken(outcome.error().WithRan(Ran::kNo));
+    if (!retry) {
+      const Ran ran = this->reached_endpoint ? Ran::kUnknown : Ran::kNo;
+      return this->EndBroken(outcome.error().WithRan(ran));
+    }
     outcome = this->PlaceAndPrefill();
   }
   return Success();
@@ -192,6 +195,10 @@
       this->place->reservation, prompt,
       CountTokens(prompt),      this->request.first_token_ms + kPrefillSlackMs};
   const auto answer = this->context.engines.Prefill(call);
+  const bool never_connected =
+      !answer && answer.error().kind == ErrorKind::kEndpointFailed &&
+      answer.error().ran == Ran::kNo;
+  this->reached_endpoint = this->reached_endpoint || !never_connected;
   if (!answer) {
     this->Notify(NoticeKind::kFailed, this->prefill_engine);
     this->excluded.push_back(this->prefill_engine);
--- a/src/entry/completion_session.h
+++ b/src/entry/completion_session.h
@@ -118,6 +118,7 @@
   std::string resume_base;
   AnswerSink* sink = nullptr;  ///< The caller's, during `Deliver`.
   Stop stop = Stop::kNone;
+  bool reached_endpoint = false;  ///< An engine may have received the prompt.
   bool attached = false;  ///< The attempt is known to run on the engine.
   std::int64_t attachment = 0;
   std::int64_t reconnects = 0;
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -197,6 +197,20 @@
   }
 }
 
+TEST_CASE(
+    "fleet does not say not run once a prefill engine received the prompt") {
+  FleetFixture fleet(FleetSettings{});
+  for (const auto& engine : fleet.prefills)
+    engine->SetFault(EngineFault::kRefuse);
+  const CallerAnswer answer = fleet.Complete(0, kNorthKey, "reached-1", 10);
+  REQUIRE_FALSE(answer.error_kind.empty());
+  REQUIRE(answer.ran == "unknown");
+  for (const auto& engine : fleet.prefills) engine->Stop();
+  const CallerAnswer unreached = fleet.Complete(1, kNorthKey, "reached-2", 10);
+  REQUIRE_FALSE(unreached.error_kind.empty());
+  REQUIRE(unreached.ran == "no");
+}
+
 TEST_CASE("fleet runs a ticketed call once, whoever is asked and how often") {
   FleetFixture fleet(FleetSettings{.entries = 3});
   const std::string ticket = fleet.MintTicket(0, kNorthKey);
