Refuse signed texts whose fields have wrong types

Cause: a ticket or resume id signed with the fleet secret but with fields of other types threw an exception out of the decoder. Change: the decoders refuse it.

--- a/src/core/resume_token.cc
+++ b/src/core/resume_token.cc
@@ -43,10 +43,14 @@
   const auto field = [&fields](std::size_t index) {
     return fields[index].get<std::string>();
   };
-  return ResumeToken{
-      field(1), field(2), field(3), field(4),
-      field(5), field(6), field(7), fields[8].get<std::int64_t>(),
-      offset};
+  try {
+    return ResumeToken{
+        field(1), field(2), field(3), field(4),
+        field(5), field(6), field(7), fields[8].get<std::int64_t>(),
+        offset};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
 }
 
 }  // namespace limpethaven
