--- a/src/core/order_planner.cc
+++ b/src/core/order_planner.cc
@@ -54,8 +54,9 @@
   if (row == this->rows.end()) return;
   row->second.state = state;
   row->second.observed = true;
-  if (now - row->second.ordered_at >= this->settings.loading_ms)
+  if (now - row->second.ordered_at >= this->settings.loading_ms) {
     row->second.loading = false;
+  }
 }
 
 std::vector<PlannedOrder> OrderPlanner::Plan(const Configuration& config,
@@ -71,8 +72,9 @@
                           [&](const EndpointSpec& endpoint) {
                             const auto row = this->rows.find(endpoint.address);
                             if (row == this->rows.end()) return;
-                            if (Serves(row->second.state, goal.second))
+                            if (Serves(row->second.state, goal.second)) {
                               row->second.loading = false;
+                            }
                             if (row->second.loading) ++loading;
                           });
   });
@@ -86,8 +88,9 @@
           Row& row = found->second;
           if (!row.observed || Serves(row.state, goal.second)) return;
           if (now - row.owned_since < this->settings.lease_ms) return;
-          if (row.ordered && now - row.ordered_at < this->settings.repeat_ms)
+          if (row.ordered && now - row.ordered_at < this->settings.repeat_ms) {
             return;
+          }
           if (!row.loading && loading >= this->settings.max_loading) return;
           if (!row.loading) ++loading;
           row.loading = true;
--- a/src/load/latency.cc
+++ b/src/load/latency.cc
@@ -33,8 +33,9 @@
  public:
   explicit FirstToken(SteadyTime start_time) : start(start_time) {}
   bool OnEvent(const StreamEvent& event) override {
-    if (event.count > 0 && this->first_ms < 0)
+    if (event.count > 0 && this->first_ms < 0) {
       this->first_ms = MsSince(this->start);
+    }
     return true;
   }
   bool OnIdle() override { return true; }
@@ -80,10 +81,12 @@
                                  std::uint64_t, std::uint64_t) {
     for (const SseEvent& event : parser.Feed(std::string_view(data, length))) {
       const auto chunk = nlohmann::json::parse(event.data, nullptr, false);
-      if (first_ms >= 0 || !chunk.is_object() || !chunk.contains("choices"))
+      if (first_ms >= 0 || !chunk.is_object() || !chunk.contains("choices")) {
         continue;
-      if (!chunk["choices"][0]["text"].get<std::string>().empty())
+      }
+      if (!chunk["choices"][0]["text"].get<std::string>().empty()) {
         first_ms = MsSince(start);
+      }
     }
     return true;
   };
--- a/src/placement/main.cc
+++ b/src/placement/main.cc
@@ -62,8 +62,9 @@
       self, settings.data_centre, settings.fleet_secret, transport, clock,
       [&config_view](const std::string& peer, std::uint64_t version,
                      const std::string& digest) {
-        if (config_view != nullptr)
+        if (config_view != nullptr) {
           config_view->OnPeerVersion(peer, version, digest);
+        }
       });
   ConfigService config(platform, transport,
                        [&gossip](const Configuration& adopted) {
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -79,6 +79,13 @@
   REQUIRE_FALSE(DecodeTicket(kSecret, id.substr(3)));
 }
 
+TEST_CASE("signed texts with fields of wrong types are refused") {
+  REQUIRE_FALSE(
+      DecodeTicket(kSecret, SignText(kSecret, R"(["ticket",1,2,3,4])")));
+  REQUIRE_FALSE(DecodeResumeId(
+      kSecret, "0~" + SignText(kSecret, R"(["resume",1,2,3,4,5,6,7,"x"])")));
+}
+
 TEST_CASE(
     "endpoint health ejects after repeated failures and probes before it "
     "trusts again") {
