Free what dead entries left in a cell that nobody asks for

Cause: scripts/measure-release.sh (separate processes, kill -9) found memory still held 10 s after a second entry had died that also owned the cell: the next owner hosted the cell only when asked, so that nobody read the engines' reports. Ruled out: leases (the first killed entry's memory was free after 3.0 s). Change: each process hosts the cells it owns by its view of the members; detached work is cancelled after 3 s, as long as a lease. The scripts that start processes share scripts/lib.sh. The fleet test without a request before it fails without the change.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -32,7 +32,7 @@
 struct CellSettings {
   DurationMs lease_ms = 3000;  ///< A reservation not renewed this long lapses.
   DurationMs orphan_grace_ms =
-      4000;  ///< Unknown detached work older than this is cancelled.
+      3000;  ///< Unknown detached work older than this is cancelled.
   DurationMs cancel_retry_ms =
       300;  ///< Cancels are repeated until the engine agrees.
   DurationMs max_prefill_backlog_ms =
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,58 +2,10 @@
 # Starts stand-ins and three entry VMs on loopback, sends requests from two teams, kills one entry
 # mid-stream, withdraws a key, and prints what became of every request.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-bin=$(realpath "${1:-build}")
-work=$(mktemp -d)
-pids=()
-declare -A entry_pid
-cleanup() {
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-
-export LIMPETHAVEN_FLEET_SECRET=demo-fleet-secret-0001
-export LIMPETHAVEN_KEYS="north=demo-key-north-0001,south=demo-key-south-0001"
+. "$(dirname "$0")/lib.sh"
+example_fleet
 values=$work/values
 history=$work/history.jsonl
-mkdir -p "$values"
-cp -r examples/services "$work/services"
-"$bin/limpethaven-publish" "$work/services" --output "$values"
-cat > "$values/vms.json" <<JSON
-[{"address":"127.0.0.1","data_centre":"east-a","leaving":false},
- {"address":"127.0.0.2","data_centre":"east-b","leaving":false},
- {"address":"127.0.0.3","data_centre":"east-c","leaving":false}]
-JSON
-
-start() {
-  local name=$1
-  shift
-  "$@" 2>"$work/$name.log" &
-  pids+=("$!")
-}
-start platform "$bin/limpethaven-standin" platform --port 9100 --directory "$values"
-for port in 9101 9102; do
-  start "prefill-$port" "$bin/limpethaven-standin" engine --port $port --role prefill --pieces 32
-done
-for port in 9111 9112; do
-  start "decode-$port" "$bin/limpethaven-standin" engine --port $port --role decode --pieces 32
-done
-start service "$bin/limpethaven-standin" service --port 9121
-for n in 1 2 3; do
-  start "entry-$n" "$bin/limpethaven-entry" --address 127.0.0.$n --port 8180 --peer-port 8181 \
-    --admin-address 127.0.0.$n --admin-port 8182 --data-centre "east-$n" \
-    --platform 127.0.0.1:9100 --address-ttl-ms 1000
-  entry_pid[$n]=${pids[-1]}
-done
-for n in 1 2 3; do
-  for _ in $(seq 100); do
-    curl -fs "127.0.0.$n:8182/v1/health" >/dev/null 2>&1 && break
-    sleep 0.1
-  done
-done
-sleep 3  # Shares start empty and fill at the teams' rates.
 
 targets=127.0.0.1:8180,127.0.0.2:8180,127.0.0.3:8180
 echo "sending 200 requests from two teams, and 20 transfers twice each"
--- a/scripts/measure-entry.sh
+++ b/scripts/measure-entry.sh
@@ -2,16 +2,7 @@
 # Measures one entry process on loopback: added latency to the first token at 200 requests/s, then
 # processor time and memory with about 1,000 open streams.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-bin=$(realpath "${1:-build}")
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
+. "$(dirname "$0")/lib.sh"
 export LIMPETHAVEN_FLEET_SECRET=measure-fleet-secret-0001
 export LIMPETHAVEN_KEYS="north=measure-key-north-0001"
 digest=$(printf measure-key-north-0001 | sha256sum | cut -d' ' -f1)
@@ -57,25 +48,20 @@
 mkdir "$work/values"
 "$bin/limpethaven-publish" "$work/limpethaven.toml" --output "$work/values" >/dev/null
 echo '[{"address":"127.0.0.9","data_centre":"zone","leaving":false}]' > "$work/values/vms.json"
-start() { "$@" 2>/dev/null & pids+=("$!"); }
-start "$bin/limpethaven-standin" platform --port 9200 --directory "$work/values"
+start platform "$bin/limpethaven-standin" platform --port 9200 --directory "$work/values"
 for port in 9201 9202; do
-  start "$bin/limpethaven-standin" engine --port $port --role prefill --pieces 1000
+  start prefill-$port "$bin/limpethaven-standin" engine --port $port --role prefill --pieces 1000
 done
 # Long steps keep many streams open; the latency run needs short ones and engines of its own.
 for port in 9211 9212 9213 9214; do
-  start "$bin/limpethaven-standin" engine --port $port --role decode --pieces 1000 --step-ms 50
+  start decode-$port "$bin/limpethaven-standin" engine --port $port --role decode --pieces 1000 --step-ms 50
 done
-start "$bin/limpethaven-standin" engine --port 9221 --role decode --pieces 1000 --step-ms 1
-"$bin/limpethaven-entry" --address 127.0.0.9 --port 8280 --peer-port 8281 \
+start decode-9221 "$bin/limpethaven-standin" engine --port 9221 --role decode --pieces 1000 --step-ms 1
+start entry "$bin/limpethaven-entry" --address 127.0.0.9 --port 8280 --peer-port 8281 \
   --admin-address 127.0.0.9 --admin-port 8282 --data-centre zone --platform 127.0.0.1:9200 \
-  --max-streams 1500 2>"$work/entry.log" &
-entry=$!
-pids+=("$entry")
-for _ in $(seq 100); do
-  curl -fs 127.0.0.9:8282/v1/health >/dev/null 2>&1 && break
-  sleep 0.1
-done
+  --max-streams 1500
+entry=$started
+healthy 127.0.0.9:8282
 sleep 3
 ticks() { awk '{print $14 + $15}' "/proc/$entry/stat"; }
 hertz=$(getconf CLK_TCK)
--- a/scripts/tls-check.sh
+++ b/scripts/tls-check.sh
@@ -2,16 +2,7 @@
 # Serves callers over TLS, replaces the certificate files while running, and checks that new
 # connections get the new certificate, and that a broken replacement leaves the old one in place.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-bin=$(realpath "${1:-build}")
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
+. "$(dirname "$0")/lib.sh"
 export LIMPETHAVEN_FLEET_SECRET=tls-check-fleet-secret-0001
 
 certificate() {
@@ -25,16 +16,11 @@
 mkdir "$work/values"
 "$bin/limpethaven-publish" examples/services --output "$work/values" >/dev/null
 echo '[]' > "$work/values/vms.json"
-"$bin/limpethaven-standin" platform --port 9300 --directory "$work/values" 2>/dev/null &
-pids+=("$!")
-"$bin/limpethaven-entry" --address 127.0.0.8 --port 8380 --peer-port 8381 \
+start platform "$bin/limpethaven-standin" platform --port 9300 --directory "$work/values"
+start entry "$bin/limpethaven-entry" --address 127.0.0.8 --port 8380 --peer-port 8381 \
   --admin-address 127.0.0.8 --admin-port 8382 --data-centre zone --platform 127.0.0.1:9300 \
-  --tls-certificate "$work/live.pem" --tls-key "$work/live.key" 2>"$work/entry.log" &
-pids+=("$!")
-for _ in $(seq 100); do
-  curl -fs 127.0.0.8:8382/v1/health >/dev/null 2>&1 && break
-  sleep 0.1
-done
+  --tls-certificate "$work/live.pem" --tls-key "$work/live.key"
+healthy 127.0.0.8:8382
 
 accepts() { curl -fs --cacert "$work/$1.pem" https://127.0.0.8:8380/v1/addresses >/dev/null; }
 expect() {
--- a/src/entry/cell_service.cc
+++ b/src/entry/cell_service.cc
@@ -398,7 +398,23 @@
   });
 }
 
+void CellService::HostOwned() {
+  std::vector<CellSpec> known;
+  {
+    const std::lock_guard lock(this->mutex);
+    known = this->cells;
+  }
+  std::ranges::for_each(known, [this](const CellSpec& cell) {
+    const std::vector<std::string> owners = this->OwnerOrder(cell);
+    if (owners.empty() || owners.front() != this->gossip.Self().address) return;
+    static_cast<void>(this->Host(cell));
+  });
+}
+
 void CellService::PollAll() {
+  // Also a cell that nobody asks for may hold what a process that died left
+  // behind.
+  this->HostOwned();
   const TimeMs now = this->clock.Now();
   std::ranges::for_each(
       this->Hosted(), [this, now](const std::shared_ptr<HostedCell>& cell) {
--- a/src/entry/cell_service.h
+++ b/src/entry/cell_service.h
@@ -77,6 +77,8 @@
   void RunTick(HostedCell& cell);
   void TickAll();
   void FlushNotices();
+  /// Hosts every cell that this process owns by its view of the members.
+  void HostOwned();
   void PollAll();
   void Poll(HostedCell& cell, const CellSpec& spec);
   void CancelLoop();
--- a/src/placement/placement_service.cc
+++ b/src/placement/placement_service.cc
@@ -18,8 +18,9 @@
         pool->second.endpoints, [&](const EndpointSpec& endpoint) {
           const auto owner =
               RendezvousTop("placement/" + endpoint.address, members, 1);
-          if (!owner.empty() && owner.front() == self)
+          if (!owner.empty() && owner.front() == self) {
             owned.push_back(endpoint.address);
+          }
         });
   });
   return owned;
--- a/src/tools/ctl_main.cc
+++ b/src/tools/ctl_main.cc
@@ -156,8 +156,9 @@
   if (addresses->parsed()) {
     return PrintAnswer(Ask(settings.target, GetRequest("/v1/addresses")));
   }
-  if (drain->parsed())
+  if (drain->parsed()) {
     return PrintAnswer(Ask(settings.admin, PostRequest("/admin/drain", "")));
+  }
   const std::string path = cells->parsed() ? "/debug/cells" : "/debug/status";
   return PrintAnswer(Ask(settings.admin, GetRequest(path)));
 }
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -94,9 +94,7 @@
 
 TEST_CASE("fleet frees engine memory that no process knows of") {
   FleetFixture fleet(FleetSettings{});
-  // Makes one entry the owner of the cell, so that it reads the engines'
-  // reports.
-  REQUIRE(fleet.Complete(0, kNorthKey, "owner-1", 5).done);
+  // No request came before, so that no scheduler was ever asked for this cell.
   HttpEngineClient engines;
   PrefillCall prefill{
       fleet.prefills[0]->Address(), "lost-1", "lost-attempt", "p", 1, 1000};
@@ -200,8 +198,9 @@
 TEST_CASE(
     "fleet does not say not run once a prefill engine received the prompt") {
   FleetFixture fleet(FleetSettings{});
-  for (const auto& engine : fleet.prefills)
+  for (const auto& engine : fleet.prefills) {
     engine->SetFault(EngineFault::kRefuse);
+  }
   const CallerAnswer answer = fleet.Complete(0, kNorthKey, "reached-1", 10);
   REQUIRE_FALSE(answer.error_kind.empty());
   REQUIRE(answer.ran == "unknown");
