Measure refusals within the rate beside two baselines

Cause: the measure that the users weigh most had no figure. Change: limpethaven_share_policy simulates 8 VMs with the product's ledger against an equal split and the whole rate on each VM, under skew, churn and partition.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -10,3 +10,4 @@
 sed -i '/"host_name"/d; s|"executable": ".*"|"executable": "limpethaven_bench"|' \
   bench/results/core.json
 "$build/limpethaven_capacity" bench/results/core.json
+"$build/limpethaven_share_policy" | tee bench/results/share_policy.md
