--- a/src/core/ticket_book.cc
+++ b/src/core/ticket_book.cc
@@ -23,8 +23,9 @@
                                    std::string_view text) {
   const auto fields =
       nlohmann::json::parse(VerifyText(secret, text), nullptr, false);
-  if (!fields.is_array() || fields.size() != 5 || fields[0] != "ticket")
+  if (!fields.is_array() || fields.size() != 5 || fields[0] != "ticket") {
     return std::nullopt;
+  }
   try {
     return Ticket{
         fields[1].get<std::string>(), fields[2].get<std::string>(),
--- a/tests/cell_scheduler_test.cc
+++ b/tests/cell_scheduler_test.cc
@@ -222,8 +222,9 @@
           if (!open.empty()) cell.PrefillDone(open[step % open.size()], 5, now);
           break;
         case 4:
-          if (number > 0)
+          if (number > 0) {
             cell.Withdraw("r" + std::to_string(step % number), now);
+          }
           break;
         default:
           cell.EngineFailed(engines[step % engines.size()].address, now);
--- a/tests/order_planner_test.cc
+++ b/tests/order_planner_test.cc
@@ -18,8 +18,9 @@
   Configuration config;
   config.version = config_version;
   PoolSpec pool{"p", PoolRole::kDecode, "m", 8, true, {}};
-  for (const std::string& engine : engines)
+  for (const std::string& engine : engines) {
     pool.endpoints.push_back({engine, "zone", false});
+  }
   config.pools.emplace("p", pool);
   config.goals.emplace("p", GoalSpec{"p", "m", version});
   return config;
