--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -24,6 +24,9 @@
   std::int64_t rate_tokens_per_s = 0;
   Tokens burst_tokens = 0;
   std::int64_t weight = 1;  ///< Share in the fair queue, 1 to 1000.
+  Tokens plain_tokens = 0;  ///< Charged for a request without token counts.
+  /// Rank of its requests, 0 first; goes before the route's when set.
+  std::optional<std::int64_t> priority;
   friend auto operator<=>(const TeamSpec&, const TeamSpec&) = default;
 };
 
@@ -42,6 +45,17 @@
   friend auto operator<=>(const EndpointSpec&, const EndpointSpec&) = default;
 };
 
+/// What the engines of a pool are built like.
+struct EngineSpec {
+  std::int64_t slots = 0;  ///< Requests that one engine runs at once.
+  Tokens kv_tokens = 0;    ///< Tokens that one engine's memory holds.
+  std::int64_t kv_bytes_per_token = 0;
+  double link_mbps = 0;  ///< Rate of the links between engines, megabits/s.
+  DurationMs handle_ttl_ms = 0;  ///< How long prefilled memory is kept.
+  Tokens tokens_per_event = 1;
+  friend auto operator<=>(const EngineSpec&, const EngineSpec&) = default;
+};
+
 /// A pool of endpoints with one role.
 struct PoolSpec {
   std::string name;
@@ -52,9 +66,25 @@
   bool checks_fencing =
       false;  ///< Whether the endpoints refuse old fencing numbers.
   std::vector<EndpointSpec> endpoints;
+  std::int64_t max_connections = 0;  ///< One endpoint takes, 0: unknown.
+  std::optional<EngineSpec> engine;  ///< Set where the pool serves a model.
   friend auto operator<=>(const PoolSpec&, const PoolSpec&) = default;
 };
 
+/// A pool that takes a share of a route's requests.
+struct WeightedPool {
+  std::string pool;
+  std::int64_t weight = 1;
+  friend auto operator<=>(const WeightedPool&, const WeightedPool&) = default;
+};
+
+/// What may be done again for a request of a route.
+enum class RepeatRule {
+  kOnce,        ///< Runs at most once.
+  kRepeatable,  ///< May run more than once.
+  kResumable,   ///< A stream that another endpoint may go on with.
+};
+
 /// A route: either a model behind prefill and decode pools, or a path of a
 /// plain service.
 struct RouteSpec {
@@ -70,6 +100,15 @@
   DurationMs token_gap_ms = 0;
   bool serve_late = false;  ///< True: requests past their first-token target
                             ///< are still served.
+  std::string name;         ///< For logs; empty where the path serves.
+  std::string host;         ///< Host that callers name; empty for any.
+  std::vector<WeightedPool> targets;  ///< Pools by weight; empty: `pool`.
+  RepeatRule repeat = RepeatRule::kOnce;
+  bool streams = false;         ///< The answer is a series of events.
+  bool shares_prefixes = false;  ///< Its prompts share parts.
+  std::int64_t max_sends = 1;   ///< Endpoints that one request may be sent to.
+  DurationMs timeout_ms = 0;    ///< Longest time to a final answer; 0: none.
+  std::int64_t priority = 0;    ///< Rank, 0 first.
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
 };
 
@@ -81,10 +120,20 @@
   friend auto operator<=>(const LinkSpec&, const LinkSpec&) = default;
 };
 
+/// Bounds of what callers may send.
+struct CallerLimits {
+  std::int64_t max_header_bytes = 16'384;
+  std::int64_t max_body_bytes = 4'194'304;
+  DurationMs header_timeout_ms = 5000;
+  DurationMs idle_timeout_ms = 30'000;
+  friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
+};
+
 /// Settings that hold for the whole fleet.
 struct FleetSpec {
   std::int64_t share_slots =
       8;  ///< Most entry processes that can be alive at once.
+  CallerLimits limits;
   friend auto operator<=>(const FleetSpec&, const FleetSpec&) = default;
 };
 
@@ -111,7 +160,8 @@
   NamedTable<TeamSpec> teams;
   NamedTable<KeySpec> keys;  ///< By digest.
   NamedTable<PoolSpec> pools;
-  NamedTable<RouteSpec> routes;  ///< By path, or `path#model` for models.
+  /// By path, `path#model` for models, or host and path where a host is named.
+  NamedTable<RouteSpec> routes;
   NamedTable<LinkSpec> links;    ///< By `from>to`.
   NamedTable<GoalSpec> goals;    ///< By pool.
 
@@ -122,6 +172,10 @@
   [[nodiscard]] const RouteSpec* FindModelRoute(std::string_view model) const;
   /// Service route with the longest path that is a prefix of `path`, or null.
   [[nodiscard]] const RouteSpec* FindServiceRoute(std::string_view path) const;
+  /// Route of a host with the longest path that begins `path`, or null. Its
+  /// paths begin and end with a slash.
+  [[nodiscard]] const RouteSpec* FindHostRoute(std::string_view host,
+                                               std::string_view path) const;
   /// Rate between two data centres in megabytes per second; 0 when not limited.
   [[nodiscard]] std::int64_t LinkRate(std::string_view from,
                                       std::string_view to) const;
--- a/src/core/config_codec.cc
+++ b/src/core/config_codec.cc
@@ -7,25 +7,61 @@
 #include "limpethaven/crypto.h"
 #include "limpethaven/rendezvous.h"
 
+NLOHMANN_JSON_NAMESPACE_BEGIN
+
+/// Optional values: null when empty.
+template <typename T>
+struct adl_serializer<std::optional<T>> {
+  static void to_json(json& out, const std::optional<T>& value) {
+    out = value ? json(*value) : json(nullptr);
+  }
+  static void from_json(const json& in, std::optional<T>& value) {
+    if (in.is_null()) {
+      value.reset();
+    } else {
+      value = in.get<T>();
+    }
+  }
+};
+
+NLOHMANN_JSON_NAMESPACE_END
+
 namespace limpethaven {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamSpec, name, rate_tokens_per_s,
-                                   burst_tokens, weight)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TeamSpec, name,
+                                                rate_tokens_per_s, burst_tokens,
+                                                weight, plain_tokens, priority)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeySpec, sha256, team)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndpointSpec, address, data_centre, leaving)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RouteSpec, path, model, prefill_pool,
-                                   decode_pool, pool, repeatable, open,
-                                   first_token_ms, token_gap_ms, serve_late)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WeightedPool, pool, weight)
+NLOHMANN_JSON_SERIALIZE_ENUM(RepeatRule,
+                             {{RepeatRule::kOnce, "once"},
+                              {RepeatRule::kRepeatable, "repeatable"},
+                              {RepeatRule::kResumable, "resumable"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    RouteSpec, path, model, prefill_pool, decode_pool, pool, repeatable, open,
+    first_token_ms, token_gap_ms, serve_late, name, host, targets, repeat,
+    streams, shares_prefixes, max_sends, timeout_ms, priority)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LinkSpec, from, to, mbytes_per_s)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetSpec, share_slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallerLimits, max_header_bytes,
+                                                max_body_bytes,
+                                                header_timeout_ms,
+                                                idle_timeout_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetSpec, share_slots, limits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GoalSpec, pool, model, model_version)
 
 NLOHMANN_JSON_SERIALIZE_ENUM(PoolRole, {{PoolRole::kService, "service"},
                                         {PoolRole::kPrefill, "prefill"},
                                         {PoolRole::kDecode, "decode"},
                                         {PoolRole::kMixed, "mixed"}})
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolSpec, name, role, model, memory_pieces,
-                                   checks_fencing, endpoints)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EngineSpec, slots, kv_tokens,
+                                                kv_bytes_per_token, link_mbps,
+                                                handle_ttl_ms,
+                                                tokens_per_event)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PoolSpec, name, role, model,
+                                                memory_pieces, checks_fencing,
+                                                endpoints, max_connections,
+                                                engine)
 
 namespace {
 
--- a/src/core/config_model.cc
+++ b/src/core/config_model.cc
@@ -49,6 +49,22 @@
   return nullptr;
 }
 
+const RouteSpec* Configuration::FindHostRoute(std::string_view host,
+                                              std::string_view path) const {
+  std::string key = std::string(host).append(path);
+  while (key.size() > host.size()) {
+    const auto slash = key.rfind('/');
+    if (slash == std::string::npos || slash < host.size()) break;
+    key.resize(slash + 1);
+    const auto route = this->routes.find(key);
+    if (route != this->routes.end() && route->second.host == host) {
+      return &route->second;
+    }
+    key.resize(slash);
+  }
+  return nullptr;
+}
+
 std::int64_t Configuration::LinkRate(std::string_view from,
                                      std::string_view to) const {
   const auto link = this->links.find(std::string(from) + ">" + std::string(to));
--- /dev/null
+++ b/src/core/endpoint_table.cc
@@ -0,0 +1,103 @@
+#include "limpethaven/endpoint_table.h"
+
+#include <algorithm>
+#include <ostream>
+#include <set>
+
+namespace limpethaven {
+namespace {
+
+/// Gone rows kept, so that late news of them is known to be old.
+constexpr std::size_t kMaxGoneRows = 4096;
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const EndpointRecord& endpoint) {
+  return out << endpoint.id << '@' << endpoint.address << ' '
+             << NameOf(endpoint.role) << " of " << endpoint.pool
+             << (endpoint.leaving ? " leaving" : "");
+}
+
+bool EndpointTable::Put(const EndpointRecord& endpoint,
+                        std::uint64_t revision) {
+  this->highest = std::max(this->highest, revision);
+  Row& row = this->rows[endpoint.id];
+  if (revision < row.revision) return false;
+  const bool same =
+      row.revision != 0 && !row.gone && row.endpoint == endpoint;
+  row = Row{endpoint, std::max<std::uint64_t>(1, revision), false};
+  return !same;
+}
+
+bool EndpointTable::Remove(std::string_view id, std::uint64_t revision) {
+  this->highest = std::max(this->highest, revision);
+  const auto row = this->rows.find(id);
+  if (row == this->rows.end() || row->second.gone ||
+      revision < row->second.revision) {
+    return false;
+  }
+  row->second.gone = true;
+  row->second.revision = revision;
+  const auto gone = static_cast<std::size_t>(std::ranges::count_if(
+      this->rows, [](const auto& entry) { return entry.second.gone; }));
+  if (gone > kMaxGoneRows) {
+    const auto oldest = std::ranges::min_element(
+        this->rows, {}, [](const auto& entry) {
+          return std::pair(!entry.second.gone, entry.second.revision);
+        });
+    this->rows.erase(oldest);
+  }
+  return true;
+}
+
+bool EndpointTable::Replace(const std::vector<EndpointRecord>& endpoints,
+                            std::uint64_t revision) {
+  bool changed = false;
+  std::set<std::string_view> named;
+  std::ranges::for_each(endpoints, [&](const EndpointRecord& endpoint) {
+    named.insert(endpoint.id);
+    changed = this->Put(endpoint, revision) || changed;
+  });
+  std::vector<std::string> missing;
+  std::ranges::for_each(this->rows, [&](const auto& row) {
+    if (!row.second.gone && !named.contains(row.first)) {
+      missing.push_back(row.first);
+    }
+  });
+  std::ranges::for_each(missing, [&](const std::string& id) {
+    changed = this->Remove(id, revision) || changed;
+  });
+  return changed;
+}
+
+const EndpointRecord* EndpointTable::Find(std::string_view id) const {
+  const auto row = this->rows.find(id);
+  const bool known = row != this->rows.end() && !row->second.gone;
+  return known ? &row->second.endpoint : nullptr;
+}
+
+std::vector<const EndpointRecord*> EndpointTable::Usable(
+    std::string_view pool) const {
+  std::vector<const EndpointRecord*> usable;
+  std::ranges::for_each(this->rows, [&](const auto& row) {
+    const EndpointRecord& endpoint = row.second.endpoint;
+    if (!row.second.gone && !endpoint.leaving && endpoint.pool == pool) {
+      usable.push_back(&endpoint);
+    }
+  });
+  return usable;
+}
+
+std::vector<EndpointRecord> EndpointTable::All() const {
+  std::vector<EndpointRecord> all;
+  std::ranges::for_each(this->rows, [&all](const auto& row) {
+    if (!row.second.gone) all.push_back(row.second.endpoint);
+  });
+  return all;
+}
+
+std::uint64_t EndpointTable::Revision() const noexcept {
+  return this->highest;
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/core/event_splitter.cc
@@ -0,0 +1,59 @@
+#include "limpethaven/event_splitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace limpethaven {
+namespace {
+
+/// End of the last whole event in `text`; 0 when there is none.
+std::size_t EndOfEvents(std::string_view text) {
+  const auto plain = text.rfind("\n\n");
+  const auto with_returns = text.rfind("\r\n\r\n");
+  const std::size_t first =
+      plain == std::string_view::npos ? 0 : plain + 2;
+  const std::size_t second =
+      with_returns == std::string_view::npos ? 0 : with_returns + 4;
+  return std::max(first, second);
+}
+
+}  // namespace
+
+std::string EventSplitter::Put(std::string_view bytes) {
+  this->partial.append(bytes);
+  const std::size_t end = EndOfEvents(this->partial);
+  std::string whole = this->partial.substr(0, end);
+  this->partial.erase(0, end);
+  this->ReadIds(whole);
+  return whole;
+}
+
+void EventSplitter::DropPartial() { this->partial.clear(); }
+
+std::optional<std::int64_t> EventSplitter::LastId() const noexcept {
+  return this->last_id;
+}
+
+bool EventSplitter::HasPartial() const noexcept {
+  return !this->partial.empty();
+}
+
+void EventSplitter::ReadIds(std::string_view events) {
+  constexpr std::string_view kField = "id:";
+  while (!events.empty()) {
+    const auto end = events.find('\n');
+    std::string_view line = events.substr(0, end);
+    if (line.starts_with(kField)) {
+      line.remove_prefix(kField.size());
+      line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
+      std::int64_t number = 0;
+      const auto parsed =
+          std::from_chars(line.data(), line.data() + line.size(), number);
+      if (parsed.ec == std::errc()) this->last_id = number;
+    }
+    if (end == std::string_view::npos) return;
+    events.remove_prefix(end + 1);
+  }
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/net/asio_impl.cc
@@ -0,0 +1,7 @@
+/// @file
+/// Asio and Beast, compiled once.
+
+#include <utility>
+
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/net/http_parser.cc
@@ -0,0 +1,179 @@
+#include "net/http_parser.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace limpethaven {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Part of the parser that does not depend on the kind of message.
+class HttpParser::Reader {
+ public:
+  virtual ~Reader() = default;
+  virtual std::size_t Put(std::string_view bytes, error_code& fault) = 0;
+  virtual void PutEnd(error_code& fault) = 0;
+  virtual void ExpectNoBody() = 0;
+  [[nodiscard]] virtual bool Done() const = 0;
+  [[nodiscard]] virtual bool HeadDone() const = 0;
+  [[nodiscard]] virtual bool NeedsEnd() const = 0;
+
+  void Note(const error_code& code) {
+    if (!code || code == http::error::need_more) return;
+    if (code == http::error::header_limit) {
+      this->fault = ParseFault::kHeaderTooLarge;
+    } else if (code == http::error::body_limit) {
+      this->fault = ParseFault::kBodyTooLarge;
+    } else if (code == http::error::partial_message) {
+      this->fault = ParseFault::kTruncated;
+    } else {
+      this->fault = ParseFault::kMalformed;
+    }
+  }
+
+  RequestHead request;
+  ResponseHead response;
+  std::string body;
+  ParseFault fault = ParseFault::kNone;
+  bool started = false;
+};
+
+namespace {
+
+using Text = boost::beast::string_view;
+
+std::string_view ViewOf(Text text) { return {text.data(), text.size()}; }
+
+}  // namespace
+
+namespace detail {
+
+/// Feeds Beast's parser and gathers what it reports.
+template <bool kIsRequest, typename Base>
+class BeastReader final : public Base, private http::basic_parser<kIsRequest> {
+  using Parser = http::basic_parser<kIsRequest>;
+
+ public:
+  explicit BeastReader(MessageLimits limits) {
+    this->header_limit(limits.header_bytes);
+    this->body_limit(limits.body_bytes);
+    this->eager(true);
+  }
+
+  std::size_t Put(std::string_view bytes, error_code& code) override {
+    return this->Parser::put(boost::asio::buffer(bytes.data(), bytes.size()),
+                             code);
+  }
+  void PutEnd(error_code& code) override { this->Parser::put_eof(code); }
+  void ExpectNoBody() override { this->Parser::skip(true); }
+  [[nodiscard]] bool Done() const override { return this->Parser::is_done(); }
+  [[nodiscard]] bool HeadDone() const override {
+    return this->Parser::is_header_done();
+  }
+  [[nodiscard]] bool NeedsEnd() const override {
+    return this->Parser::need_eof();
+  }
+
+ private:
+  void on_request_impl(http::verb, Text method, Text target, int,
+                       error_code&) override {
+    this->request.method = ViewOf(method);
+    this->request.target = ViewOf(target);
+  }
+  void on_response_impl(int status, Text, int, error_code&) override {
+    this->response.status = status;
+  }
+  void on_field_impl(http::field, Text name, Text value,
+                     error_code&) override {
+    // Trailers could otherwise set what only the head may say.
+    if (this->head_seen) return;
+    Headers& headers =
+        kIsRequest ? this->request.headers : this->response.headers;
+    headers.Add(ViewOf(name), ViewOf(value));
+  }
+  void on_header_impl(error_code&) override {
+    this->request.keep_alive = this->Parser::keep_alive();
+    this->response.keep_alive = this->Parser::keep_alive();
+    this->head_seen = true;
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         error_code&) override {}
+  std::size_t on_body_impl(Text bytes, error_code&) override {
+    this->body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, Text, error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, Text bytes,
+                                 error_code&) override {
+    this->body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_finish_impl(error_code&) override {}
+
+  bool head_seen = false;
+};
+
+}  // namespace detail
+
+HttpParser::HttpParser(Kind kind, MessageLimits limits) {
+  if (kind == Kind::kRequest) {
+    this->reader = std::make_unique<detail::BeastReader<true, Reader>>(limits);
+  } else {
+    this->reader = std::make_unique<detail::BeastReader<false, Reader>>(limits);
+  }
+}
+
+HttpParser::~HttpParser() = default;
+
+void HttpParser::ExpectNoBody() { this->reader->ExpectNoBody(); }
+
+std::size_t HttpParser::Put(std::string_view bytes) {
+  std::size_t taken = 0;
+  this->reader->started = this->reader->started || !bytes.empty();
+  while (taken < bytes.size() && !this->Done() &&
+         this->Fault() == ParseFault::kNone) {
+    error_code fault;
+    const std::size_t step = this->reader->Put(bytes.substr(taken), fault);
+    taken += step;
+    this->reader->Note(fault);
+    if (step == 0 || fault == http::error::need_more) break;
+  }
+  return taken;
+}
+
+void HttpParser::PutEnd() {
+  if (!this->reader->started) return;
+  error_code fault;
+  this->reader->PutEnd(fault);
+  this->reader->Note(fault);
+}
+
+bool HttpParser::HeadDone() const noexcept { return this->reader->HeadDone(); }
+
+bool HttpParser::Done() const noexcept { return this->reader->Done(); }
+
+ParseFault HttpParser::Fault() const noexcept { return this->reader->fault; }
+
+bool HttpParser::Started() const noexcept { return this->reader->started; }
+
+bool HttpParser::EndsWithConnection() const noexcept {
+  return this->reader->HeadDone() && this->reader->NeedsEnd();
+}
+
+const RequestHead& HttpParser::Request() const noexcept {
+  return this->reader->request;
+}
+
+const ResponseHead& HttpParser::Response() const noexcept {
+  return this->reader->response;
+}
+
+std::string HttpParser::TakeBody() {
+  return std::exchange(this->reader->body, {});
+}
+
+}  // namespace limpethaven
