--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -7,6 +7,7 @@
 #include <iosfwd>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "limpethaven/clock.h"
@@ -41,10 +42,14 @@
   bool Put(const EndpointRecord& endpoint, std::uint64_t revision);
   /// The endpoint is gone as of `revision`. @returns true when that is news.
   bool Remove(std::string_view id, std::uint64_t revision);
-  /// The source names exactly these at `revision`; all others are gone.
-  /// @returns true when anything changed.
-  bool Replace(const std::vector<EndpointRecord>& endpoints,
-               std::uint64_t revision);
+  /// The source names exactly these at `revision`. Others are gone, or stay
+  /// until `keep_missing_until` where that lies ahead of `now`.
+  /// @returns ids of those that are gone.
+  std::vector<std::string> Replace(const std::vector<EndpointRecord>& endpoints,
+                                   std::uint64_t revision,
+                                   TimeMs keep_missing_until, TimeMs now);
+  /// Removes the missing ones whose time is over. @returns their ids.
+  std::vector<std::string> Expire(TimeMs now);
 
   /// The endpoint, leaving or not, or null.
   [[nodiscard]] const EndpointRecord* Find(std::string_view id) const;
@@ -55,12 +60,19 @@
   [[nodiscard]] std::vector<EndpointRecord> All() const;
   /// Highest revision taken in.
   [[nodiscard]] std::uint64_t Revision() const noexcept;
+  /// News after a revision: what was announced, and ids of those gone.
+  struct News {
+    std::vector<std::pair<EndpointRecord, std::uint64_t>> announced;
+    std::vector<std::pair<std::string, std::uint64_t>> gone;
+  };
+  [[nodiscard]] News Since(std::uint64_t revision) const;
 
  private:
   struct Row {
     EndpointRecord endpoint;
     std::uint64_t revision = 0;
     bool gone = false;
+    TimeMs missing_until = 0;  ///< Missing at the source; 0: not missing.
   };
 
   NamedTable<Row> rows;  ///< By id; gone rows stay, to know old news.
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -2,8 +2,10 @@
 /// Membership: which processes are alive, found by probing and spread by
 /// gossip.
 ///
-/// The platform's lagging list of VMs names whom to probe. Each process has an
-/// incarnation; a message for an older incarnation is refused. Members are
+/// Seeds or the platform's lagging list of VMs name whom to probe first; members
+/// learn of the others from each other. Each process has a random incarnation:
+/// incarnations have no order, so a successor is known by what the process
+/// itself says, or by news of it once its predecessor is dead. Members are
 /// alive, suspect, dead or leaving.
 #pragma once
 
@@ -38,6 +40,11 @@
       1500;  ///< A suspect that does not refute becomes dead.
   std::int64_t indirect_probes = 2;  ///< Members asked to probe in our place.
   std::size_t updates_per_message = 8;
+  /// Members told with each message whether there is news of them or not, so
+  /// that every process comes to know all.
+  std::size_t known_per_message = 2;
+  /// The same, in the first answer to a process that was not known.
+  std::size_t known_for_newcomer = 16;
   DurationMs pause_ms =
       2000;  ///< A longer gap between ticks is a pause of our own.
 };
@@ -50,6 +57,7 @@
   std::uint64_t refutation =
       0;  ///< Raised by the member itself to refute suspicion.
   MemberState state = MemberState::kUnknown;
+  bool serving = false;  ///< Has what it needs to serve callers.
   friend auto operator<=>(const MemberUpdate&, const MemberUpdate&) = default;
 };
 
@@ -59,6 +67,7 @@
   bool listed = false;  ///< On the platform's list when it was last read.
   TimeMs since = 0;     ///< When the state was entered.
   std::uint64_t config_version = 0;
+  std::vector<std::uint64_t> retired;  ///< Earlier incarnations, oldest first.
   friend auto operator<=>(const Member&, const Member&) = default;
 };
 
@@ -74,6 +83,7 @@
   std::string from_data_centre;
   std::uint64_t from_refutation = 0;
   bool from_leaving = false;
+  bool from_serving = false;
   std::uint64_t to_incarnation = 0;  ///< 0: the sender does not know it yet.
   std::uint64_t sequence = 0;
   std::string
@@ -116,6 +126,8 @@
   void SetListed(const std::vector<ListedVm>& vms, TimeMs now);
   /// Version and digest that messages carry.
   void SetConfig(std::uint64_t version, std::string_view digest);
+  /// Says whether this process has what it needs to serve callers.
+  void SetServing(bool serving);
   /// Announces that this process is leaving.
   void Leave();
   /// Probes, times out and spreads news. Call it several times each probe
@@ -124,8 +136,9 @@
   /// Messages that tell up to `fanout` random usable members what is new,
   /// outside of probing.
   [[nodiscard]] std::vector<OutgoingGossip> Announce(std::size_t fanout);
-  /// Takes in a message; returns answers. Messages for an older incarnation are
-  /// refused.
+  /// Takes in a message; returns answers. Messages from an earlier incarnation
+  /// are refused; one for an earlier incarnation of this process is only
+  /// answered by an introduction.
   [[nodiscard]] Result<std::vector<OutgoingGossip>> Receive(
       const GossipMessage& message, TimeMs now);
   /// Whether the last `Tick` found that this process had been paused; cleared
@@ -141,6 +154,8 @@
   /// Addresses of a data centre that can be given work.
   [[nodiscard]] std::vector<std::string> UsableAddresses(
       std::string_view data_centre) const;
+  /// Addresses that serve callers: alive and serving, this process included.
+  [[nodiscard]] std::vector<std::string> ServingAddresses() const;
   /// Data centre of a member; empty when unknown.
   [[nodiscard]] std::string DataCentreOf(std::string_view address) const;
   [[nodiscard]] const VmId& Self() const noexcept;
@@ -167,6 +182,10 @@
 
   [[nodiscard]] GossipMessage NewMessage(GossipKind kind, std::string_view to);
   void AttachNews(GossipMessage& message);
+  /// Adds members whether there is news of them or not.
+  void AttachKnown(GossipMessage& message, std::size_t count);
+  /// The process at this address says that it is another incarnation.
+  void Succeed(const VmId& successor, TimeMs now);
   void Spread(const std::string& address, bool expected);
   void Merge(const MemberUpdate& update, TimeMs now);
   void MergeSelf(const MemberUpdate& update);
@@ -195,6 +214,7 @@
   std::uint64_t next_sequence = 1;
   std::uint64_t refutation = 0;
   bool leaving = false;
+  bool serving = false;
   bool paused = false;
   TimeMs last_tick = 0;
   TimeMs next_probe = 0;
--- a/include/limpethaven/share_ledger.h
+++ b/include/limpethaven/share_ledger.h
@@ -31,6 +31,10 @@
   /// How long a transfer may be spent after it was asked for, and how long the
   /// lender counts it.
   DurationMs transfer_ttl_ms = 1000;
+  /// What every team has at the start of a process, over all slots together.
+  /// Above 0 only where the bound on the fleet leaves room for what an earlier
+  /// process on the slot has spent.
+  Tokens start_tokens = 0;
 };
 
 /// Tokens on their way from one process to another.
@@ -73,8 +77,11 @@
  public:
   explicit ShareLedger(ShareSettings settings = {});
 
-  /// Takes rates, bursts and slots from a configuration. New teams start empty
-  /// and earn nothing for `transfer_ttl_ms`.
+  /// Takes rates and bursts of teams, cut into `slots`. New teams start with
+  /// their part of `start_tokens` and earn nothing for `transfer_ttl_ms`.
+  void Configure(const NamedTable<TeamSpec>& teams, std::int64_t slots,
+                 TimeMs now);
+  /// The same with the teams and slots of a configuration.
   void Configure(const Configuration& config, TimeMs now);
   /// Charges `tokens` for a request, spending own tokens and `received`
   /// transfers. Transfers past their deadline or seen before add nothing. When
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -50,24 +50,51 @@
   return true;
 }
 
-bool EndpointTable::Replace(const std::vector<EndpointRecord>& endpoints,
-                            std::uint64_t revision) {
-  bool changed = false;
+std::vector<std::string> EndpointTable::Replace(
+    const std::vector<EndpointRecord>& endpoints, std::uint64_t revision,
+    TimeMs keep_missing_until, TimeMs now) {
   std::set<std::string_view> named;
   std::ranges::for_each(endpoints, [&](const EndpointRecord& endpoint) {
     named.insert(endpoint.id);
-    changed = this->Put(endpoint, revision) || changed;
+    this->Put(endpoint, revision);
   });
-  std::vector<std::string> missing;
-  std::ranges::for_each(this->rows, [&](const auto& row) {
-    if (!row.second.gone && !named.contains(row.first)) {
-      missing.push_back(row.first);
+  std::ranges::for_each(this->rows, [&](auto& entry) {
+    Row& row = entry.second;
+    const bool missing = !row.gone && !named.contains(entry.first) &&
+                         row.revision <= revision;
+    if (missing && row.missing_until == 0) {
+      row.missing_until = std::max(keep_missing_until, now);
+    }
+  });
+  return this->Expire(now);
+}
+
+std::vector<std::string> EndpointTable::Expire(TimeMs now) {
+  std::vector<std::string> over;
+  std::ranges::for_each(this->rows, [&](const auto& entry) {
+    const Row& row = entry.second;
+    if (!row.gone && row.missing_until != 0 && now >= row.missing_until) {
+      over.push_back(entry.first);
     }
   });
-  std::ranges::for_each(missing, [&](const std::string& id) {
-    changed = this->Remove(id, revision) || changed;
+  std::ranges::for_each(over, [this](const std::string& id) {
+    this->Remove(id, this->rows.find(id)->second.revision);
+  });
+  return over;
+}
+
+EndpointTable::News EndpointTable::Since(std::uint64_t revision) const {
+  News news;
+  std::ranges::for_each(this->rows, [&](const auto& entry) {
+    const Row& row = entry.second;
+    if (row.revision <= revision) return;
+    if (row.gone) {
+      news.gone.emplace_back(entry.first, row.revision);
+    } else {
+      news.announced.emplace_back(row.endpoint, row.revision);
+    }
   });
-  return changed;
+  return news;
 }
 
 const EndpointRecord* EndpointTable::Find(std::string_view id) const {
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -11,12 +11,13 @@
 using nlohmann::json;
 
 constexpr std::size_t kTagBytes = 16;
-constexpr std::size_t kMessageFields = 11;
-constexpr std::size_t kUpdateFields = 5;
+constexpr std::size_t kMessageFields = 12;
+constexpr std::size_t kUpdateFields = 6;
 
 json ToJson(const MemberUpdate& update) {
   return json::array({update.address, update.data_centre, update.incarnation,
-                      update.refutation, static_cast<int>(update.state)});
+                      update.refutation, static_cast<int>(update.state),
+                      update.serving});
 }
 
 template <typename EnumType>
@@ -33,7 +34,8 @@
   return MemberUpdate{in.at(0).get<std::string>(), in.at(1).get<std::string>(),
                       in.at(2).get<std::uint64_t>(),
                       in.at(3).get<std::uint64_t>(),
-                      EnumFrom(in.at(4), MemberState::kLeaving)};
+                      EnumFrom(in.at(4), MemberState::kLeaving),
+                      in.at(5).get<bool>()};
 }
 
 GossipMessage MessageFrom(const json& in) {
@@ -50,6 +52,7 @@
   message.target = in.at(8).get<std::string>();
   message.config_version = in.at(9).at(0).get<std::uint64_t>();
   message.config_digest = in.at(9).at(1).get<std::string>();
+  message.from_serving = in.at(11).get<bool>();
   std::ranges::transform(in.at(10), std::back_inserter(message.updates),
                          UpdateFrom);
   return message;
@@ -66,7 +69,8 @@
        message.from.incarnation, message.from_data_centre,
        message.from_refutation, message.from_leaving, message.to_incarnation,
        message.sequence, message.target,
-       json::array({message.config_version, message.config_digest}), updates});
+       json::array({message.config_version, message.config_digest}), updates,
+       message.from_serving});
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
   return HmacSha256(secret, body).substr(0, kTagBytes) + body;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -30,14 +30,30 @@
   return 0;
 }
 
+/// Earlier incarnations of an address that are remembered.
+constexpr std::size_t kMaxRetired = 8;
+
+/// Whether news replaces older news of the same incarnation.
 bool IsNewer(const MemberUpdate& left, const MemberUpdate& right) {
   const auto key = [](const MemberUpdate& update) {
-    return std::tuple(update.incarnation, update.refutation,
-                      RankOf(update.state));
+    return std::tuple(update.refutation, RankOf(update.state));
   };
   return key(left) > key(right);
 }
 
+bool IsRetired(const Member& member, std::uint64_t incarnation) {
+  return std::ranges::find(member.retired, incarnation) !=
+         member.retired.end();
+}
+
+void Retire(Member& member) {
+  if (member.news.incarnation == 0) return;
+  member.retired.push_back(member.news.incarnation);
+  if (member.retired.size() > kMaxRetired) {
+    member.retired.erase(member.retired.begin());
+  }
+}
+
 bool IsUsable(const Member& member) {
   return member.news.state == MemberState::kAlive ||
          member.news.state == MemberState::kSuspect;
@@ -82,6 +98,12 @@
   this->config_digest = std::string(digest.substr(0, 16));
 }
 
+void Membership::SetServing(bool now_serving) {
+  if (this->serving == now_serving) return;
+  this->serving = now_serving;
+  ++this->refutation;
+}
+
 void Membership::Leave() {
   this->leaving = true;
   ++this->refutation;
@@ -128,21 +150,30 @@
 
 Result<std::vector<OutgoingGossip>> Membership::Receive(
     const GossipMessage& message, TimeMs now) {
-  if (message.to_incarnation != 0 &&
-      message.to_incarnation != this->self.incarnation) {
-    return Error::Of(ErrorKind::kPeerRejected,
-                     "message for another incarnation");
-  }
   if (message.from.address == this->self.address) {
     return Error::Of(ErrorKind::kPeerRejected,
                      "message under this process's own address");
   }
   const auto known = this->members.find(message.from.address);
   if (known != this->members.end() &&
-      message.from.incarnation < known->second.news.incarnation) {
+      IsRetired(known->second, message.from.incarnation)) {
     return Error::Of(ErrorKind::kPeerRejected,
-                     "message from an older incarnation");
+                     "message from an earlier incarnation");
   }
+  const bool newcomer =
+      known == this->members.end() ||
+      known->second.news.incarnation != message.from.incarnation;
+  if (message.to_incarnation != 0 &&
+      message.to_incarnation != this->self.incarnation) {
+    // The sender takes this process for its predecessor.
+    std::vector<OutgoingGossip> introduction;
+    introduction.push_back(OutgoingGossip{
+        message.from.address,
+        this->NewMessage(GossipKind::kPing, message.from.address)});
+    introduction.back().message.to_incarnation = message.from.incarnation;
+    return introduction;
+  }
+  if (newcomer) this->Succeed(message.from, now);
   this->HearFrom(message, now);
   std::ranges::for_each(message.updates, [&](const MemberUpdate& update) {
     this->Merge(update, now);
@@ -153,6 +184,10 @@
     case GossipKind::kRelayedPing:
       out.push_back(
           this->AckOf(message, message.from.address, message.sequence));
+      if (newcomer) {
+        this->AttachKnown(out.back().message,
+                          this->settings.known_for_newcomer);
+      }
       break;
     case GossipKind::kPingRequest: {
       GossipMessage ping =
@@ -218,6 +253,18 @@
   return addresses;
 }
 
+std::vector<std::string> Membership::ServingAddresses() const {
+  std::vector<std::string> addresses;
+  if (!this->leaving && this->serving) addresses.push_back(this->self.address);
+  std::ranges::for_each(this->members, [&addresses](const auto& row) {
+    const MemberUpdate& news = row.second.news;
+    if (news.state == MemberState::kAlive && news.serving) {
+      addresses.push_back(news.address);
+    }
+  });
+  return addresses;
+}
+
 std::string Membership::DataCentreOf(std::string_view address) const {
   if (address == this->self.address) return this->data_centre;
   const auto row = this->members.find(address);
@@ -234,6 +281,7 @@
   message.from_data_centre = this->data_centre;
   message.from_refutation = this->refutation;
   message.from_leaving = this->leaving;
+  message.from_serving = this->serving;
   message.sequence = this->next_sequence++;
   message.config_version = this->config_version;
   message.config_digest = this->config_digest;
@@ -250,9 +298,38 @@
     }
   }
   this->AttachNews(message);
+  this->AttachKnown(message, this->settings.known_per_message);
   return message;
 }
 
+void Membership::AttachKnown(GossipMessage& message, std::size_t count) {
+  std::vector<const Member*> known;
+  std::ranges::for_each(this->members, [&known](const auto& row) {
+    const MemberState state = row.second.news.state;
+    const bool told =
+        state == MemberState::kAlive || state == MemberState::kLeaving;
+    if (told) known.push_back(&row.second);
+  });
+  std::ranges::shuffle(known, this->random);
+  known.resize(std::min(known.size(), count));
+  std::ranges::for_each(known, [&message](const Member* member) {
+    message.updates.push_back(member->news);
+  });
+}
+
+void Membership::Succeed(const VmId& successor, TimeMs now) {
+  const auto row = this->members.find(successor.address);
+  if (row == this->members.end()) return;
+  Member& member = row->second;
+  Retire(member);
+  member.news.incarnation = successor.incarnation;
+  member.news.refutation = 0;
+  member.news.serving = false;
+  member.news.state = MemberState::kUnknown;
+  member.config_version = 0;
+  member.since = now;
+}
+
 void Membership::AttachNews(GossipMessage& message) {
   const auto limit = static_cast<std::int64_t>(
       3.0 *
@@ -294,6 +371,17 @@
     member.news.data_centre = update.data_centre;
     member.since = now;
   }
+  if (update.incarnation != member.news.incarnation) {
+    // Which one came later only the process itself can say, unless the one
+    // known here is dead.
+    const bool replaceable = member.news.incarnation == 0 ||
+                             member.news.state == MemberState::kUnknown ||
+                             member.news.state == MemberState::kDead;
+    if (!replaceable || IsRetired(member, update.incarnation)) return;
+    Retire(member);
+    this->SetState(member, update, now);
+    return;
+  }
   if (!IsNewer(update, member.news)) return;
   this->SetState(member, update, now);
 }
@@ -331,7 +419,8 @@
   const MemberUpdate update{
       message.from.address, message.from_data_centre, message.from.incarnation,
       message.from_refutation,
-      message.from_leaving ? MemberState::kLeaving : MemberState::kAlive};
+      message.from_leaving ? MemberState::kLeaving : MemberState::kAlive,
+      message.from_serving};
   this->Merge(update, now);
   this->members[message.from.address].config_version = message.config_version;
 }
--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -1,21 +1,79 @@
 #include "limpethaven/retry_budget.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace limpethaven {
+namespace {
 
-RetryBudget::RetryBudget(RetrySettings initial) noexcept
-    : settings(initial), balance(initial.max_balance) {}
+/// Part of the allowance that is used; the rest covers requests that arrive at
+/// an endpoint in another window than they were counted in.
+constexpr double kUsedPart = 0.85;
 
-void RetryBudget::OnRequest() noexcept {
-  this->balance = std::min(this->settings.max_balance,
-                           this->balance + this->settings.ratio);
+}  // namespace
+
+RetryBudget::RetryBudget(RetrySettings retry_settings) noexcept
+    : settings(retry_settings) {}
+
+void RetryBudget::Configure(const RetrySettings& next) noexcept {
+  this->settings = next;
+}
+
+void RetryBudget::SetProcesses(std::int64_t count) noexcept {
+  this->processes = std::max<std::int64_t>(1, count);
+}
+
+void RetryBudget::OnRequest(TimeMs now) noexcept {
+  this->Advance(now);
+  ++this->slots[static_cast<std::size_t>(this->current) % this->slots.size()]
+        .requests;
 }
 
-bool RetryBudget::TryRetry() noexcept {
-  if (this->balance < 1.0) return false;
-  this->balance -= 1.0;
+bool RetryBudget::TryRetry(TimeMs now) noexcept {
+  if (this->Left(now) < 1.0) return false;
+  this->OnRepeat(now);
   return true;
 }
 
+void RetryBudget::OnRepeat(TimeMs now) noexcept {
+  this->Advance(now);
+  ++this->slots[static_cast<std::size_t>(this->current) % this->slots.size()]
+        .repeats;
+}
+
+double RetryBudget::Left(TimeMs now) noexcept {
+  this->Advance(now);
+  const Slot sum = std::accumulate(
+      this->slots.begin(), this->slots.end(), Slot{},
+      [](const Slot& left, const Slot& right) {
+        return Slot{left.requests + right.requests,
+                    left.repeats + right.repeats};
+      });
+  // The oldest slot has partly left the window: its repeats still count, its
+  // requests no longer.
+  const auto oldest = static_cast<std::size_t>(this->current + 1) %
+                      this->slots.size();
+  const auto requests =
+      static_cast<double>(sum.requests - this->slots[oldest].requests);
+  const double allowed =
+      this->settings.ratio * requests +
+      this->settings.fixed / static_cast<double>(this->processes);
+  return kUsedPart * allowed - static_cast<double>(sum.repeats);
+}
+
+void RetryBudget::Advance(TimeMs now) noexcept {
+  const DurationMs slot_ms = std::max<DurationMs>(
+      1, this->settings.window_ms / static_cast<DurationMs>(kSlots));
+  const std::int64_t number = now / slot_ms;
+  if (!this->started) this->current = number;
+  this->started = true;
+  const auto size = static_cast<std::int64_t>(this->slots.size());
+  const std::int64_t steps = std::min(number - this->current, size);
+  for (std::int64_t step = 1; step <= steps; ++step) {
+    const auto index = static_cast<std::size_t>(this->current + step);
+    this->slots[index % this->slots.size()] = Slot{};
+  }
+  this->current = std::max(this->current, number);
+}
+
 }  // namespace limpethaven
--- a/src/core/share_ledger.cc
+++ b/src/core/share_ledger.cc
@@ -18,20 +18,29 @@
 ShareLedger::ShareLedger(ShareSettings initial) : settings(initial) {}
 
 void ShareLedger::Configure(const Configuration& config, TimeMs now) {
+  this->Configure(config.teams, config.fleet.share_slots, now);
+}
+
+void ShareLedger::Configure(const NamedTable<TeamSpec>& teams,
+                            std::int64_t slot_count, TimeMs now) {
   // Accrue under the old rates first, so that a change acts from now on only.
   std::ranges::for_each(this->rows,
                         [&](auto& row) { this->Accrue(row.second, now); });
-  this->slots = std::max<std::int64_t>(1, config.fleet.share_slots);
+  this->slots = std::max<std::int64_t>(1, slot_count);
+  const MilliTokens at_start =
+      this->settings.start_tokens * kMilli / this->slots;
   std::erase_if(this->rows, [&](const auto& row) {
-    return !config.teams.contains(row.first);
+    return !teams.contains(row.first);
   });
-  std::ranges::for_each(config.teams, [&](const auto& entry) {
+  std::ranges::for_each(teams, [&](const auto& entry) {
     const TeamSpec& team = entry.second;
     // An earlier process on this slot may have lent tokens that are still in
     // flight: nothing is earned until every such transfer has expired.
     const TimeMs first_accrual = now + this->settings.transfer_ttl_ms;
     Row& row =
-        this->rows.try_emplace(team.name, Row{.accrued_at = first_accrual})
+        this->rows
+            .try_emplace(team.name,
+                         Row{.level = at_start, .accrued_at = first_accrual})
             .first->second;
     row.rate_per_s = team.rate_tokens_per_s;
     row.burst = team.burst_tokens * kMilli;
--- a/src/entry/completion_session.cc
+++ b/src/entry/completion_session.cc
@@ -36,7 +36,7 @@
 Result<void> CompletionSession::Prepare() {
   {
     const std::lock_guard lock(this->context.retry_mutex);
-    this->context.retry_budget.OnRequest();
+    this->context.retry_budget.OnRequest(this->context.clock.Now());
   }
   auto outcome = this->PlaceAndPrefill();
   while (!outcome) {
@@ -314,7 +314,7 @@
 
 bool CompletionSession::TakeRetry() {
   const std::lock_guard lock(this->context.retry_mutex);
-  if (!this->context.retry_budget.TryRetry()) return false;
+  if (!this->context.retry_budget.TryRetry(this->context.clock.Now())) return false;
   this->context.metrics.CountRetry();
   return true;
 }
--- a/src/entry/service_router.cc
+++ b/src/entry/service_router.cc
@@ -39,7 +39,7 @@
                                                     ServiceCall call) {
   {
     const std::lock_guard lock(this->mutex);
-    this->retries.OnRequest();
+    this->retries.OnRequest(this->clock.Now());
   }
   return this->TryEndpoints(pool, std::move(call), true);
 }
@@ -167,7 +167,7 @@
           "the endpoint may have received the call: " + last.message);
     }
     const std::lock_guard lock(this->mutex);
-    if (!nothing_left && !this->retries.TryRetry()) break;
+    if (!nothing_left && !this->retries.TryRetry(this->clock.Now())) break;
     LogEvent(EventId::kRetry,
              {{"request", call.request_id}, LogField::Of("why", last)});
   }
--- /dev/null
+++ b/src/net/datagrams.cc
@@ -0,0 +1,73 @@
+#include "net/datagrams.h"
+
+#include <array>
+
+#include "net/connection.h"
+
+namespace limpethaven {
+namespace {
+
+/// Largest datagram that is received.
+constexpr std::size_t kMaxDatagramBytes = 16'384;
+/// Datagrams handled before other work gets its turn.
+constexpr int kDatagramsPerWake = 64;
+
+std::optional<asio::ip::udp::endpoint> UdpAddress(const std::string& text) {
+  const auto address = ParseAddress(text);
+  if (!address) return std::nullopt;
+  return asio::ip::udp::endpoint(address->address(), address->port());
+}
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(Loop& event_loop, DatagramHandler2 on_datagram)
+    : socket(event_loop), loop(event_loop), handler(std::move(on_datagram)) {}
+
+DatagramSocket::~DatagramSocket() = default;
+
+bool DatagramSocket::Open(const std::string& address) {
+  const auto own = UdpAddress(address);
+  if (!own) return false;
+  error_code fault;
+  this->socket.open(asio::ip::udp::v4(), fault);
+  if (fault) return false;
+  this->socket.bind(*own, fault);
+  if (fault) return false;
+  this->socket.non_blocking(true, fault);
+  if (fault) return false;
+  Spawn(this->loop, [this]() -> Task<> { co_await this->Receive(); });
+  return true;
+}
+
+void DatagramSocket::Send(const std::string& address, std::string_view bytes) {
+  const auto to = UdpAddress(address);
+  if (!to || !this->socket.is_open()) return;
+  error_code ignored;  // Datagrams may be lost; callers count on none.
+  this->socket.send_to(asio::buffer(bytes.data(), bytes.size()), *to, 0,
+                       ignored);
+}
+
+void DatagramSocket::Close() {
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+Task<> DatagramSocket::Receive() {
+  auto buffer = std::make_unique<std::array<char, kMaxDatagramBytes>>();
+  while (this->socket.is_open()) {
+    error_code fault;
+    co_await this->socket.async_wait(
+        asio::ip::udp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, fault));
+    if (fault) co_return;
+    for (int count = 0; count < kDatagramsPerWake; ++count) {
+      asio::ip::udp::endpoint from;
+      const std::size_t length = this->socket.receive_from(
+          asio::buffer(*buffer), from, 0, fault);
+      if (fault) break;
+      this->handler(std::string_view(buffer->data(), length));
+    }
+  }
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/peer/gossip.cc
@@ -0,0 +1,101 @@
+#include "peer/gossip.h"
+
+#include <algorithm>
+
+#include "limpethaven/crypto.h"
+#include "net/notifier.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr DurationMs kTickMs = 50;
+/// Members that are told of a new configuration or state at once.
+constexpr std::size_t kNewsFanout = 3;
+/// Members that are told of a leave at once.
+constexpr std::size_t kLeaveFanout = 96;
+
+}  // namespace
+
+Gossip::Gossip(Loop& event_loop, PeerIdentity peer_identity,
+               MembershipSettings settings, GossipListener& gossip_listener)
+    : loop(event_loop),
+      identity(std::move(peer_identity)),
+      listener(gossip_listener),
+      membership(this->identity.self, this->identity.data_centre, settings,
+                 RandomBits()),
+      socket(event_loop,
+             [this](std::string_view bytes) { this->OnDatagram(bytes); }) {}
+
+bool Gossip::Start(const std::vector<std::string>& seeds) {
+  if (!this->socket.Open(this->PeerAddress(this->identity.self.address))) {
+    return false;
+  }
+  this->SetSeeds(seeds);
+  Spawn(this->loop, [this]() -> Task<> { co_await this->Tick(); });
+  return true;
+}
+
+void Gossip::SetSeeds(const std::vector<std::string>& seeds) {
+  std::vector<ListedVm> listed;
+  std::ranges::transform(seeds, std::back_inserter(listed),
+                         [](const std::string& ip) {
+                           return ListedVm{ip, "", false};
+                         });
+  this->membership.SetListed(listed, LoopNow());
+}
+
+void Gossip::SetConfig(std::uint64_t version, std::string_view digest) {
+  this->membership.SetConfig(version, digest);
+  this->Send(this->membership.Announce(kNewsFanout));
+}
+
+void Gossip::SetServing(bool serving) {
+  this->membership.SetServing(serving);
+  this->Send(this->membership.Announce(kNewsFanout));
+}
+
+void Gossip::Leave() {
+  this->membership.Leave();
+  this->Send(this->membership.Announce(kLeaveFanout));
+}
+
+const Membership& Gossip::Members() const noexcept { return this->membership; }
+
+std::string Gossip::PeerAddress(std::string_view ip) const {
+  return std::string(ip) + ":" + std::to_string(this->identity.port);
+}
+
+void Gossip::OnDatagram(std::string_view bytes) {
+  const auto message = DecodeGossip(this->identity.secret, bytes);
+  if (!message) return;
+  const auto answers = this->membership.Receive(message.value(), LoopNow());
+  if (!answers) return;
+  this->Send(answers.value());
+  std::ranges::for_each(this->membership.TakeChanges(),
+                        [this](const MemberChange& change) {
+                          this->listener.OnMemberChange(change);
+                        });
+  this->listener.OnPeerVersion(message.value().from.address,
+                               message.value().config_version);
+}
+
+Task<> Gossip::Tick() {
+  for (;;) {
+    co_await SleepFor(this->loop, kTickMs);
+    this->Send(this->membership.Tick(LoopNow()));
+    if (this->membership.TakePause()) this->listener.OnPause();
+    std::ranges::for_each(this->membership.TakeChanges(),
+                          [this](const MemberChange& change) {
+                            this->listener.OnMemberChange(change);
+                          });
+  }
+}
+
+void Gossip::Send(const std::vector<OutgoingGossip>& messages) {
+  std::ranges::for_each(messages, [this](const OutgoingGossip& outgoing) {
+    this->socket.Send(this->PeerAddress(outgoing.address),
+                      EncodeGossip(this->identity.secret, outgoing.message));
+  });
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/peer/gossip.h
@@ -0,0 +1,65 @@
+/// @file
+/// Runs membership over datagrams.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "limpethaven/membership.h"
+#include "net/datagrams.h"
+
+namespace limpethaven {
+
+/// What a process says of itself to its peers.
+struct PeerIdentity {
+  VmId self;
+  std::string data_centre;
+  int port = 0;        ///< Peers' port, TCP and UDP, the same on every VM.
+  std::string secret;  ///< Of the fleet; may be empty.
+};
+
+/// Who hears of membership.
+class GossipListener {
+ public:
+  virtual ~GossipListener() = default;
+  /// A peer says which configuration it has.
+  virtual void OnPeerVersion(const std::string& address,
+                             std::uint64_t version) = 0;
+  virtual void OnMemberChange(const MemberChange& change) = 0;
+  /// This process stood still for longer than leases last.
+  virtual void OnPause() = 0;
+};
+
+/// Membership of one process.
+class Gossip {
+ public:
+  Gossip(Loop& event_loop, PeerIdentity peer_identity,
+         MembershipSettings settings, GossipListener& gossip_listener);
+
+  /// @returns false when the port cannot be had.
+  [[nodiscard]] bool Start(const std::vector<std::string>& seeds);
+  void SetSeeds(const std::vector<std::string>& seeds);
+  /// Sets the version that messages carry, and tells some members at once.
+  void SetConfig(std::uint64_t version, std::string_view digest);
+  void SetServing(bool serving);
+  /// Announces that this process is leaving, to all at once.
+  void Leave();
+  [[nodiscard]] const Membership& Members() const noexcept;
+  /// Address of a member's peer port.
+  [[nodiscard]] std::string PeerAddress(std::string_view ip) const;
+
+ private:
+  void OnDatagram(std::string_view bytes);
+  Task<> Tick();
+  void Send(const std::vector<OutgoingGossip>& messages);
+
+  Loop& loop;
+  PeerIdentity identity;
+  GossipListener& listener;
+  Membership membership;
+  DatagramSocket socket;
+};
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/peer/share_exchange.cc
@@ -0,0 +1,222 @@
+#include "peer/share_exchange.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "limpethaven/crypto.h"
+#include "log/event_log.h"
+
+namespace limpethaven {
+namespace {
+
+using nlohmann::json;
+
+/// A peer that has not answered by then is passed over.
+constexpr DurationMs kAskTimeoutMs = 25;
+/// Peers asked for one request.
+constexpr std::size_t kMaxLenders = 3;
+/// After peers had nothing, they are not asked again for this long.
+constexpr DurationMs kPoorMs = 150;
+/// How long a transfer may be spent; several times the longest answer.
+constexpr DurationMs kTransferTtlMs = 250;
+/// Requests wait at most this long between their charge and an endpoint.
+constexpr DurationMs kChargeLeadMs = 3000;
+/// Part of the slack that processes start with.
+constexpr double kStartPart = 0.25;
+constexpr std::string_view kLendPath = "/peer/v1/lend";
+constexpr std::string_view kConfirmPath = "/peer/v1/confirm";
+constexpr double kMsPerS = 1000.0;
+
+Tokens TokensFrom(const std::string& body) {
+  const json answer = json::parse(body, nullptr, false);
+  const bool fits = answer.is_object() && answer.contains("tokens") &&
+                    answer["tokens"].is_number_integer();
+  return fits ? answer["tokens"].get<Tokens>() : 0;
+}
+
+}  // namespace
+
+Tokens LedgerBurst(const TeamSpec& team, const LimitTolerance& tolerance) {
+  if (tolerance.window_ms == 0) return team.burst_tokens;
+  const auto rate = static_cast<double>(team.rate_tokens_per_s);
+  const auto burst = static_cast<double>(team.burst_tokens);
+  const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
+  const double lead_s = static_cast<double>(kChargeLeadMs) / kMsPerS;
+  const double slack =
+      static_cast<double>(tolerance.slack) * (1.0 - kStartPart);
+  const double bound =
+      (rate * window_s + burst) * (1.0 + tolerance.excess) + slack;
+  const auto room = static_cast<Tokens>(bound - rate * (window_s + lead_s));
+  return std::max(team.burst_tokens, room);
+}
+
+ShareExchange::ShareExchange(PeerLink& peer_link, const Gossip& peer_gossip,
+                             LimitTolerance limit_tolerance)
+    : link(peer_link),
+      gossip(peer_gossip),
+      tolerance(limit_tolerance),
+      ledger(ShareSettings{
+          kTransferTtlMs,
+          static_cast<Tokens>(static_cast<double>(limit_tolerance.slack) *
+                              kStartPart)}) {
+  this->link.Handle(std::string(kLendPath), [this](PeerCall& call) {
+    return this->AnswerLend(call);
+  });
+  this->link.Handle(std::string(kConfirmPath), [this](PeerCall& call) {
+    return this->AnswerConfirm(call);
+  });
+}
+
+void ShareExchange::Configure(const Configuration& config) {
+  this->teams = config.teams;
+  std::ranges::for_each(this->teams, [this](auto& row) {
+    row.second.burst_tokens = LedgerBurst(row.second, this->tolerance);
+  });
+  this->slots = std::max<std::int64_t>(this->slots, 1);
+  this->ledger.Configure(this->teams, this->slots, LoopNow());
+}
+
+void ShareExchange::Tick() {
+  // A process that is only silent still spends: a slot is never given up while
+  // its process may be alive.
+  const auto members =
+      static_cast<std::int64_t>(this->gossip.Members().Members().size());
+  if (members + 1 <= this->slots) return;
+  this->slots = members + 1;
+  this->ledger.Configure(this->teams, this->slots, LoopNow());
+}
+
+Task<Result<void>> ShareExchange::Charge(std::string team,
+                                         std::string request_id,
+                                         Tokens tokens) {
+  const auto spec = this->teams.find(team);
+  const bool unlimited =
+      spec == this->teams.end() || spec->second.rate_tokens_per_s == 0;
+  if (unlimited) co_return Success();
+  ChargeOutcome outcome =
+      this->ledger.TryCharge(team, request_id, tokens, {}, LoopNow());
+  if (outcome.charged) co_return Success();
+  if (LoopNow() >= this->poor_until[team]) {
+    const std::vector<Loan> loans =
+        co_await this->Borrow(team, outcome.missing);
+    std::vector<Transfer> transfers;
+    std::ranges::transform(loans, std::back_inserter(transfers),
+                           &Loan::transfer);
+    outcome =
+        this->ledger.TryCharge(team, request_id, tokens, transfers, LoopNow());
+    this->Confirm(loans);
+    if (outcome.charged) co_return Success();
+    this->poor_until[team] = LoopNow() + kPoorMs;
+  }
+  Error error = Error::Of(ErrorKind::kTeamLimit,
+                          "team " + team + " is " +
+                              std::to_string(outcome.missing) + " of " +
+                              std::to_string(tokens) + " tokens short");
+  const auto rate = static_cast<double>(spec->second.rate_tokens_per_s) /
+                    static_cast<double>(this->slots);
+  error.retry_after_ms = std::max(
+      error.retry_after_ms,
+      static_cast<DurationMs>(static_cast<double>(outcome.missing) * kMsPerS /
+                              std::max(1.0, rate)));
+  co_return error;
+}
+
+void ShareExchange::Settle(std::string_view request_id, Tokens used) {
+  static_cast<void>(this->ledger.Settle(request_id, used, LoopNow()));
+}
+
+ShareView ShareExchange::View(std::string_view team) {
+  return this->ledger.View(team, LoopNow());
+}
+
+Tokens ShareExchange::Borrowed() const noexcept { return this->borrowed; }
+
+Task<Result<std::string>> ShareExchange::AnswerLend(PeerCall& call) {
+  const json ask = json::parse(call.body, nullptr, false);
+  const bool fits = ask.is_object() && ask.contains("team") &&
+                    ask["team"].is_string() && ask.contains("transfer") &&
+                    ask["transfer"].is_string() && ask.contains("wanted") &&
+                    ask["wanted"].is_number_integer();
+  if (!fits) {
+    co_return Error::Of(ErrorKind::kBadRequest, "not a request for tokens");
+  }
+  const std::string team = ask["team"].get<std::string>();
+  const Tokens tokens =
+      this->ledger.Lend(team, ask["transfer"].get<std::string>(),
+                        ask["wanted"].get<Tokens>(), LoopNow());
+  if (tokens > 0) {
+    LogEvent(EventId::kTokensLent, {{"team", team},
+                                    LogField::Of("to", call.from),
+                                    LogField::Of("tokens", tokens)});
+  }
+  const json answer = {{"tokens", tokens}};
+  co_return answer.dump();
+}
+
+Task<Result<std::string>> ShareExchange::AnswerConfirm(PeerCall& call) {
+  const json confirmed = json::parse(call.body, nullptr, false);
+  if (confirmed.is_array()) {
+    std::ranges::for_each(confirmed, [this](const json& id) {
+      if (id.is_string()) {
+        this->ledger.Confirm(id.get<std::string>(), LoopNow());
+      }
+    });
+  }
+  co_return std::string("{}");
+}
+
+Task<std::vector<ShareExchange::Loan>> ShareExchange::Borrow(
+    std::string team, Tokens missing) {
+  std::vector<Loan> loans;
+  for (const std::string& lender : this->Lenders()) {
+    if (missing <= 0) break;
+    const TimeMs asked_at = LoopNow();
+    const VmId& self = this->gossip.Members().Self();
+    Transfer transfer{self.address + "-" + std::to_string(self.incarnation) +
+                          "-" + std::to_string(this->next_transfer++),
+                      team, 0, asked_at};
+    const json ask = {
+        {"team", team}, {"transfer", transfer.id}, {"wanted", missing}};
+    const Result<std::string> answer = co_await this->link.Call(
+        lender, std::string(kLendPath), ask.dump(), asked_at + kAskTimeoutMs);
+    if (!answer) continue;
+    transfer.tokens = TokensFrom(answer.value());
+    if (transfer.tokens <= 0) continue;
+    missing -= transfer.tokens;
+    this->borrowed += transfer.tokens;
+    LogEvent(EventId::kTokensBorrowed,
+             {{"team", team},
+              {"from", lender},
+              LogField::Of("tokens", transfer.tokens)});
+    loans.push_back(Loan{std::move(transfer), lender});
+  }
+  co_return loans;
+}
+
+void ShareExchange::Confirm(const std::vector<Loan>& loans) {
+  std::ranges::for_each(loans, [this](const Loan& loan) {
+    const json ids = json::array({loan.transfer.id});
+    // Lost confirmations only delay the lender's accrual until the transfer
+    // expires there.
+    Spawn(this->link.OfLoop(),
+          [this, lender = loan.lender, body = ids.dump()]() -> Task<> {
+            const Result<std::string> ignored =
+                co_await this->link.Call(lender, std::string(kConfirmPath),
+                                         body, LoopNow() + kTransferTtlMs);
+            static_cast<void>(ignored);
+          });
+  });
+}
+
+std::vector<std::string> ShareExchange::Lenders() const {
+  std::vector<std::string> peers = this->gossip.Members().ServingAddresses();
+  const std::string& own = this->gossip.Members().Self().address;
+  std::erase(peers, own);
+  std::mt19937_64 random(RandomBits());
+  std::ranges::shuffle(peers, random);
+  if (peers.size() > kMaxLenders) peers.resize(kMaxLenders);
+  return peers;
+}
+
+}  // namespace limpethaven
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -9,9 +9,11 @@
 
 #include "limpethaven/config_model.h"
 #include "limpethaven/endpoint_table.h"
-#include "limpethaven/request_record.h"
+#include "limpethaven/retry_budget.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "peer/gossip.h"
+#include "peer/share_exchange.h"
 #include "router/dialect.h"
 
 namespace limpethaven {
@@ -23,13 +25,38 @@
   const EndpointDialect& endpoints;
   ConnectionPool& pool;
   EndpointTable& table;
+  ShareExchange& shares;
+  const Gossip& gossip;
+  RetrySettings retries;
   std::string data_centre;
 };
 
-/// One request being served.
-struct Serving;
+/// What sessions share. Single threaded.
+class RouterCore {
+ public:
+  explicit RouterCore(RouterParts router_parts);
+
+  /// Endpoint of a pool with this role and the least work from here, nearest
+  /// first; null when there is none. Those in `tried` are left out.
+  [[nodiscard]] const EndpointRecord* Choose(
+      const PoolSpec& pool, PoolRole role,
+      const std::vector<std::string>& tried);
+  /// Pool that a request of this route goes to; null when it is not there.
+  [[nodiscard]] const PoolSpec* DrawPool(const RouteSpec& route);
+  /// Repeats that the endpoints of a pool may get.
+  [[nodiscard]] RetryBudget& BudgetOf(const std::string& pool);
+  void AddWork(const std::string& endpoint, Tokens work);
+
+  RouterParts parts;
+  std::shared_ptr<const Configuration> config;
+
+ private:
+  std::unordered_map<std::string, Tokens> work;  ///< By endpoint id.
+  std::unordered_map<std::string, RetryBudget> budgets;
+  std::mt19937_64 random;
+};
 
-/// Routes requests to endpoints. Single threaded.
+/// Routes requests to endpoints.
 class Router {
  public:
   explicit Router(RouterParts router_parts);
@@ -42,19 +69,9 @@
   Task<> Serve(Exchange& exchange);
 
  private:
-  Task<> RunPlain(Serving& serving);
-  Task<> RunGeneration(Serving& serving);
-  Task<> Refuse(Exchange& exchange, const Error& error);
-  [[nodiscard]] Result<void> Admit(Serving& serving);
-  [[nodiscard]] const EndpointRecord* Choose(const Serving& serving,
-                                             PoolRole role);
-  Task<SendOutcome> Forward(Serving& serving, const Dispatch& dispatch);
-  Task<std::optional<KvHandle>> ReadPrompt(Serving& serving);
+  Task<> Refuse(Exchange& exchange, const std::string& id, const Error& error);
 
-  RouterParts parts;
-  std::shared_ptr<const Configuration> config;
-  std::unordered_map<std::string, Tokens> load;  ///< By endpoint id.
-  std::mt19937_64 random;
+  RouterCore core;
 };
 
 }  // namespace limpethaven
--- a/tests/membership_fleet.cc
+++ b/tests/membership_fleet.cc
@@ -21,6 +21,17 @@
   }
 }
 
+void MembershipFleet::ListOnly(std::size_t index) {
+  const std::vector<ListedVm> seed = {
+      ListedVm{this->AddressOf(index), "", false}};
+  std::ranges::for_each(this->processes, [&seed](Process& process) {
+    process.membership =
+        std::make_unique<Membership>(process.membership->Self(), "zone",
+                                     MembershipSettings{}, 77);
+    process.membership->SetListed(seed, 0);
+  });
+}
+
 void MembershipFleet::RunFor(DurationMs duration_ms) {
   const TimeMs end = this->now + duration_ms;
   for (; this->now < end; ++this->now) {
--- a/tests/membership_fleet.h
+++ b/tests/membership_fleet.h
@@ -28,6 +28,8 @@
  public:
   MembershipFleet(std::size_t size, FleetNetwork network, std::uint64_t seed);
 
+  /// Names only one process to all, as a seed.
+  void ListOnly(std::size_t index);
   void RunFor(DurationMs duration_ms);
   /// The process ends without a word.
   void Kill(std::size_t index);
