--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -20,10 +20,12 @@
 std::vector<CellEngine> Engines(std::int64_t count) {
   std::vector<CellEngine> engines;
   for (std::int64_t index = 0; index < count; ++index) {
-    engines.push_back(
-        CellEngine{"10.0.0." + std::to_string(index) + ":9000", "centre",
-                   index % 4 == 0 ? PoolRole::kPrefill : PoolRole::kDecode,
-                   kPieces, false});
+    CellEngine engine;
+    engine.id = "10.0.0." + std::to_string(index) + ":9000";
+    engine.data_centre = "centre";
+    engine.role = index % 4 == 0 ? PoolRole::kPrefill : PoolRole::kDecode;
+    engine.memory = kPieces * kTokensPerPiece;
+    engines.push_back(std::move(engine));
   }
   return engines;
 }
@@ -73,7 +75,7 @@
     const auto start = std::chrono::steady_clock::now();
     scheduler.Submit(Request(number++), now);
     scheduler.PrefillDone(placed[oldest], 20, now);
-    scheduler.Finish(placed[oldest++], now);
+    scheduler.Finish(placed[oldest++], 0, now);
     tick();
     const std::chrono::duration<double, std::micro> took =
         std::chrono::steady_clock::now() - start;
@@ -136,10 +138,11 @@
 void CellRenew(benchmark::State& state) {
   CellScheduler scheduler("model/0", "owner");
   scheduler.Configure(Engines(64), 0);
-  std::vector<CellScheduler::Renewal> renewals;
+  std::vector<Renewal> renewals;
   for (std::int64_t index = 0; index < state.range(0); ++index) {
-    renewals.push_back({"x-" + std::to_string(index),
-                        "r" + std::to_string(index), "10.0.0.1:9000", 1});
+    renewals.push_back(Renewal{"x-" + std::to_string(index),
+                               "r" + std::to_string(index), "10.0.0.1:9000", 0,
+                               kTokensPerPiece, 0, 0});
   }
   TimeMs now = 0;
   for (auto _ : state) scheduler.Renew(renewals, now += 700);
@@ -152,10 +155,11 @@
 void CellIdleTick(benchmark::State& state) {
   CellScheduler scheduler("model/0", "owner");
   scheduler.Configure(Engines(64), 0);
-  std::vector<CellScheduler::Renewal> renewals;
+  std::vector<Renewal> renewals;
   for (std::int64_t index = 0; index < state.range(0); ++index) {
-    renewals.push_back({"x-" + std::to_string(index),
-                        "r" + std::to_string(index), "10.0.0.1:9000", 1});
+    renewals.push_back(Renewal{"x-" + std::to_string(index),
+                               "r" + std::to_string(index), "10.0.0.1:9000", 0,
+                               kTokensPerPiece, 0, 0});
   }
   scheduler.Renew(renewals, 0);
   for (auto _ : state) benchmark::DoNotOptimize(scheduler.Tick(1));
--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -3,27 +3,31 @@
 /// most ~64 engines.
 ///
 /// Decode memory is reserved before prefill is started, so that no prefill is
-/// wasted for want of memory. A reservation is a lease that the entry renews;
-/// when it lapses, the engine is told to cancel. The ledger corrects itself
-/// from the engines' lagging reports.
+/// wasted for want of memory. What an engine will hold is forecast from how far
+/// its generations have come and how long they are expected to be. A
+/// reservation is a lease that the entry renews; when it lapses, the engine is
+/// told to cancel. The ledger corrects itself from the engines' lagging
+/// reports.
+///
+/// Load it answers: more generations than memory holds for some seconds. Those
+/// that can still meet their objective go first, short ones before long ones;
+/// those that cannot are served behind them while their callers wait; those
+/// that could not be served in time are refused when they come.
 #pragma once
 
 #include <compare>
 #include <cstdint>
 #include <iosfwd>
-#include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "limpethaven/clock.h"
 #include "limpethaven/config_model.h"
-#include "limpethaven/endpoint_health.h"
 #include "limpethaven/error.h"
-#include "limpethaven/fair_queue.h"
 #include "limpethaven/interfaces.h"
 
 namespace limpethaven {
@@ -36,22 +40,39 @@
   DurationMs cancel_retry_ms =
       300;  ///< Cancels are repeated until the engine agrees.
   DurationMs max_prefill_backlog_ms =
-      40;  ///< Prefill is started only behind less queued work.
+      60;  ///< Prefill is started only behind less queued work.
   double prefill_ms_per_token =
-      0.02;  ///< First estimate; learned from then on.
-  double kv_mbytes_per_token =
-      0.1;  ///< Size of the KV cache that is moved to the decoder.
+      0.036;  ///< First estimate; learned from then on.
+  DurationMs prefill_latency_ms = 100;  ///< The same, apart from the tokens.
+  /// A decode engine that reads a prompt itself takes this many times as long.
+  double direct_slowness = 3.0;
+  /// Whether decode engines read prompts themselves when prefill engines are
+  /// too busy or gone.
+  bool direct = false;
+  /// Whether memory is reserved for the most that a generation may produce:
+  /// for engines that cannot take it back. Otherwise for what is expected.
+  bool reserve_maximum = true;
+  double pace_tokens_per_ms = 0.1;  ///< First estimate of one generation's.
+  /// Part of an engine's memory that is planned with; the rest covers
+  /// generations that outrun their estimates.
+  double memory_part = 1.0;
+  Tokens block_tokens = kTokensPerPiece;  ///< Memory goes by blocks of these.
+  double far_cost = 0.05;  ///< Of a decode engine in another data centre, in
+                           ///< parts of its memory.
   std::size_t cache_blocks =
       512;  ///< Prefix blocks assumed to fit one prefill engine.
   std::size_t max_queue = 4096;  ///< Requests waiting; more are refused.
+  DurationMs full_ms = 150;  ///< An engine that refused for want of memory gets
+                             ///< nothing for this long.
 };
 
 /// An engine of the cell.
 struct CellEngine {
-  std::string address;
+  std::string id;  ///< Unique in the cell; where it has no name, its address.
   std::string data_centre;
   PoolRole role = PoolRole::kMixed;
-  std::int64_t pieces = 0;
+  Tokens memory = 0;          ///< Tokens that it holds.
+  std::int64_t slots = 1024;  ///< Generations that it runs at once.
   bool leaving = false;
   friend auto operator<=>(const CellEngine&, const CellEngine&) = default;
 };
@@ -61,12 +82,18 @@
   std::string request_id;
   std::string team;
   std::int64_t weight = 1;
-  Tokens prompt_tokens = 0;
-  Tokens max_tokens = 0;
+  std::int64_t priority = 0;  ///< Rank, 0 first.
+  std::string data_centre;    ///< Where its answer goes.
+  Tokens prompt_tokens = 0;   ///< With what was generated already.
+  Tokens max_tokens = 0;      ///< Most that it may produce.
+  std::optional<Tokens> hint;  ///< The caller's estimate of what it produces.
   std::vector<std::uint64_t>
       prefix;                ///< Chained hashes of the prompt's leading blocks.
   DurationMs budget_ms = 0;  ///< Time left to the first token.
-  bool serve_late = false;
+  /// Time left until the caller gives up; requests that missed their objective
+  /// are served until then. 0: they are refused.
+  DurationMs patience_ms = 0;
+  bool direct = false;  ///< The decode engine reads the prompt in any case.
   std::vector<std::string>
       excluded;  ///< Engines that failed this request before.
   friend auto operator<=>(const PlacementRequest&,
@@ -77,11 +104,11 @@
 struct Placement {
   std::string
       reservation;  ///< Unique; also the attempt's nonce on the engines.
-  std::string prefill;
+  std::string prefill;  ///< Empty: the decode engine reads the prompt.
   std::string decode;
   std::string
       runner_up;  ///< Second-best prefill engine; empty when there was none.
-  std::int64_t pieces = 0;
+  Tokens tokens = 0;  ///< Memory reserved at the decode engine.
   Tokens cached_tokens = 0;
   DurationMs queued_ms = 0;
   DurationMs lease_ms = 0;
@@ -113,14 +140,27 @@
 
 /// State of one engine as the scheduler sees it.
 struct EngineView {
-  std::string address;
+  std::string id;
   PoolRole role = PoolRole::kMixed;
-  std::int64_t pieces = 0;
-  std::int64_t reserved = 0;
+  Tokens memory = 0;
+  Tokens peak = 0;  ///< Forecast of the most that it will hold.
+  std::int64_t generations = 0;
   DurationMs backlog_ms = 0;
   bool usable = false;
 };
 
+/// What an entry says of a reservation that it uses.
+struct Renewal {
+  std::string reservation;
+  std::string request_id;
+  std::string engine;
+  Tokens prompt_tokens = 0;
+  Tokens max_tokens = 0;
+  Tokens expected = 0;  ///< Tokens that it was expected to produce.
+  Tokens produced = 0;  ///< 0 while its prompt is read.
+  friend auto operator<=>(const Renewal&, const Renewal&) = default;
+};
+
 /// Scheduler of one cell. Not thread safe; no I/O, no clock.
 class CellScheduler {
  public:
@@ -144,24 +184,23 @@
   void Withdraw(std::string_view request_id, TimeMs now);
   /// Extends leases. An unknown reservation is adopted from what the entry
   /// says, so that a new owner of the cell learns what it did not place.
-  struct Renewal {
-    std::string reservation;
-    std::string request_id;
-    std::string engine;
-    std::int64_t pieces = 0;
-    friend auto operator<=>(const Renewal&, const Renewal&) = default;
-  };
   void Renew(const std::vector<Renewal>& renewals, TimeMs now);
   /// Prefill has ended. @param measured_ms Time the engine took.
   void PrefillDone(std::string_view reservation, DurationMs measured_ms,
                    TimeMs now);
   /// The answer is complete, or the attempt failed: memory on the engine is
-  /// free already.
-  void Finish(std::string_view reservation, TimeMs now);
+  /// free already. @param produced Tokens of a complete answer; 0 otherwise.
+  void Finish(std::string_view reservation, Tokens produced, TimeMs now);
   /// An engine failed a request.
-  void EngineFailed(std::string_view address, TimeMs now);
+  void EngineFailed(std::string_view engine, TimeMs now);
   /// An engine served a request.
-  void EngineServed(std::string_view address, TimeMs now);
+  void EngineServed(std::string_view engine, TimeMs now);
+  /// An engine had no memory for a request that was placed there.
+  void EngineFull(std::string_view engine, TimeMs now);
+  /// Memory that an engine had prefilled could not be fetched.
+  void HandleFailed(std::string_view engine, TimeMs now);
+  /// Memory that an engine had prefilled was fetched.
+  void HandleServed(std::string_view engine, TimeMs now);
   /// An engine agreed to a cancel, or no longer knows the request.
   void CancelDone(std::string_view reservation);
   /// Takes in a lagging report.
--- a/include/limpethaven/cells.h
+++ b/include/limpethaven/cells.h
@@ -10,6 +10,7 @@
 
 #include "limpethaven/cell_scheduler.h"
 #include "limpethaven/config_model.h"
+#include "limpethaven/endpoint_table.h"
 
 namespace limpethaven {
 
@@ -27,6 +28,12 @@
 [[nodiscard]] std::vector<CellSpec> BuildCells(const Configuration& config,
                                                std::size_t max_engines);
 
+/// The same for pools whose engines announce themselves: one cell or more for
+/// each pool that serves a model, named after the pool.
+[[nodiscard]] std::vector<CellSpec> BuildCells(
+    const Configuration& config, const std::vector<EndpointRecord>& endpoints,
+    std::size_t max_engines);
+
 /// The first `count` cells of a model in order of preference for a prompt with
 /// this leading block. Prompts that share a prefix go to the same cell first,
 /// so that its caches serve them.
--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -109,6 +109,8 @@
   std::int64_t max_sends = 1;   ///< Endpoints that one request may be sent to.
   DurationMs timeout_ms = 0;    ///< Longest time to a final answer; 0: none.
   std::int64_t priority = 0;    ///< Rank, 0 first.
+  /// Callers leave after this long without an event; 0: not known.
+  DurationMs patience_ms = 0;
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
 };
 
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -41,6 +41,8 @@
   kPlacementQueued = 412,
   kPrefillFinished = 413,
   kEndpointCallFailed = 414,
+  kPlacementRefused = 415,
+  kCellOwnerLost = 416,
   kRetry = 420,
   kStreamEventDropped = 421,
   kStreamReconnected = 422,
--- a/include/limpethaven/fair_queue.h
+++ b/include/limpethaven/fair_queue.h
@@ -23,7 +23,7 @@
   std::string team;
   std::int64_t weight = 1;
   Tokens cost = 0;          ///< Tokens charged against the team's turn.
-  TimeMs deadline = 0;      ///< Order within the team.
+  std::int64_t order = 0;   ///< Lowest first within the team.
   TimeMs latest_start = 0;  ///< After this it cannot meet its deadline.
   friend auto operator<=>(const QueueItem&, const QueueItem&) = default;
 };
@@ -51,7 +51,7 @@
 
  private:
   struct Waiting {
-    TimeMs deadline = 0;
+    std::int64_t order = 0;
     std::uint64_t sequence = 0;
     std::string id;
     friend auto operator<=>(const Waiting&, const Waiting&) = default;
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -1,108 +1,49 @@
 #include "limpethaven/cell_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <limits>
 #include <map>
-#include <optional>
 #include <ostream>
 #include <queue>
+#include <unordered_map>
 #include <unordered_set>
 
+#include "core/cell_engines.h"
+#include "limpethaven/fair_queue.h"
+#include "limpethaven/output_forecast.h"
+
 namespace limpethaven {
 namespace {
 
 constexpr DurationMs kRememberFinishedMs = 10'000;
 constexpr DurationMs kGiveUpCancelMs = 60'000;
-constexpr double kLearningRate = 0.2;
-constexpr Tokens kMinTokensToLearn = 100;
-constexpr std::size_t kNoEngine = std::numeric_limits<std::size_t>::max();
-
-std::int64_t PiecesOf(Tokens tokens) {
-  return (tokens + kTokensPerPiece - 1) / kTokensPerPiece;
-}
-
-/// Prefix blocks that a prefill engine is believed to hold, least recently used
-/// first out.
-class PrefixCacheView {
- public:
-  explicit PrefixCacheView(std::size_t max_blocks) : capacity(max_blocks) {}
-
-  void Add(std::uint64_t block) {
-    this->Remove(block);
-    this->order.push_front(block);
-    this->positions.emplace(block, this->order.begin());
-    if (this->order.size() <= this->capacity) return;
-    this->positions.erase(this->order.back());
-    this->order.pop_back();
-  }
-
-  void Remove(std::uint64_t block) {
-    const auto position = this->positions.find(block);
-    if (position == this->positions.end()) return;
-    this->order.erase(position->second);
-    this->positions.erase(position);
-  }
-
-  /// Leading blocks of `prefix` that are held.
-  [[nodiscard]] std::size_t Match(
-      const std::vector<std::uint64_t>& prefix) const {
-    const auto miss =
-        std::ranges::find_if_not(prefix, [this](std::uint64_t block) {
-          return this->positions.contains(block);
-        });
-    return static_cast<std::size_t>(miss - prefix.begin());
-  }
-
- private:
-  std::size_t capacity;
-  std::list<std::uint64_t> order;
-  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
-      positions;
-};
-
-struct EngineRow {
-  CellEngine spec;
-  bool configured = true;
-  bool usable =
-      true;  ///< As of the last refresh: configured, staying and healthy.
-  std::int64_t reserved = 0;
-  std::int64_t foreign =
-      0;  ///< Pieces reported as held for others than this scheduler.
-  std::int64_t prefills = 0;
-  TimeMs busy_until = 0;
-  double prefill_ms_per_token = 0;
-  PrefixCacheView cache;
-
-  [[nodiscard]] std::int64_t Free() const {
-    return this->spec.pieces - this->reserved - this->foreign;
-  }
-  [[nodiscard]] bool Prefills() const {
-    return this->spec.role == PoolRole::kPrefill ||
-           this->spec.role == PoolRole::kMixed;
-  }
-  [[nodiscard]] bool Decodes() const {
-    return this->spec.role == PoolRole::kDecode ||
-           this->spec.role == PoolRole::kMixed;
-  }
-  [[nodiscard]] DurationMs Backlog(TimeMs now) const {
-    return std::max<DurationMs>(0, this->busy_until - now);
-  }
-};
+/// Part of the memory that queued work gets in practice: engines are never all
+/// full at once.
+constexpr double kUsedPart = 0.85;
+constexpr std::int64_t kMaxBypass = 64;
 
 struct WaitingRow {
   PlacementRequest request;
+  Tokens expected = 0;
+  double cost = 0;  ///< Tokens of memory x milliseconds.
   TimeMs submitted_at = 0;
+  TimeMs objective_at = 0;  ///< When its first token is due.
+  TimeMs give_up_at = 0;    ///< When its caller leaves.
+  bool late = false;        ///< It can no longer meet its objective.
 };
 
 struct ReservationRow {
   std::string request_id;
   std::string decode;
   std::string prefill;
-  std::int64_t pieces = 0;
-  TimeMs expires_at = 0;
   Tokens uncached_tokens = 0;
+  std::optional<Tokens> hint;
+  DurationMs expected_prefill_ms = 0;
+  bool queued_prefill = false;  ///< Other prompts were being read there.
   bool prefilling = false;
+  TimeMs expires_at = 0;
 };
 
 struct CancelRow {
@@ -120,24 +61,6 @@
   friend auto operator<=>(const Due&, const Due&) = default;
 };
 
-/// Where one request would go now.
-struct Choice {
-  std::size_t decode = kNoEngine;
-  std::size_t prefill = kNoEngine;
-  std::size_t runner_up = kNoEngine;
-  Tokens cached_tokens = 0;
-  DurationMs prefill_ms = 0;
-  double cost_ms = 0;
-
-  [[nodiscard]] bool Complete() const {
-    return this->decode != kNoEngine && this->prefill != kNoEngine;
-  }
-};
-
-bool IsExcluded(const PlacementRequest& request, const std::string& address) {
-  return std::ranges::find(request.excluded, address) != request.excluded.end();
-}
-
 }  // namespace
 
 std::ostream& operator<<(std::ostream& out, const Placement& placement) {
@@ -146,14 +69,25 @@
 }
 
 struct CellScheduler::Tables {
+  Tables(std::string cell_name, std::string cell_owner,
+         const CellSettings& cell_settings)
+      : name(std::move(cell_name)),
+        owner(std::move(cell_owner)),
+        settings(cell_settings),
+        engines(cell_settings),
+        late(kMaxBypass) {}
+
   std::string name;
   std::string owner;
   CellSettings settings;
   std::uint64_t next_reservation = 1;
-  std::vector<EngineRow> engines;
-  std::unordered_map<std::string, std::size_t> engine_index;
+  CellEngines engines;
+  OutputForecast outputs;
   std::unordered_map<std::string, WaitingRow> waiting;
-  FairQueue queue;
+  std::map<std::int64_t, FairQueue> in_time;  ///< By rank.
+  FairQueue late;       ///< Those that missed their objective.
+  double queued_cost = 0;  ///< Of all that wait.
+  std::vector<std::string> fresh;  ///< Submitted since the last tick.
   std::map<std::string, ReservationRow, std::less<>> reservations;
   std::unordered_map<std::string, std::string> reservation_of;  ///< By request.
   std::map<std::string, CancelRow, std::less<>> cancels;  ///< By reservation.
@@ -162,143 +96,193 @@
   /// When to look at a reservation's lease. A renewal leaves its old entry,
   /// which is put off when its time comes.
   std::priority_queue<Due, std::vector<Due>, std::greater<>> expiries;
-  EndpointHealth health;
   std::vector<CellCommand> commands;
 
   void Refuse(const std::string& request_id, ErrorKind kind,
-              std::string message) {
-    this->waiting.erase(request_id);
-    this->commands.emplace_back(
-        RefuseCommand{request_id, Error::Of(kind, std::move(message))});
+              std::string message, DurationMs retry_after_ms) {
+    const auto row = this->waiting.find(request_id);
+    if (row != this->waiting.end()) {
+      this->queued_cost -= row->second.cost;
+      this->waiting.erase(row);
+    }
+    Error error = Error::Of(kind, std::move(message));
+    error.retry_after_ms = std::max(error.retry_after_ms, retry_after_ms);
+    this->commands.emplace_back(RefuseCommand{request_id, std::move(error)});
   }
 
-  // -- engines
-  // --------------------------------------------------------------------------------
+  // -- the queue
+  // -----------------------------------------------------------------------------
 
-  EngineRow* FindEngine(std::string_view address) {
-    const auto row = this->engine_index.find(std::string(address));
-    return row == this->engine_index.end() ? nullptr
-                                           : &this->engines[row->second];
-  }
+  [[nodiscard]] std::size_t QueueLength() const { return this->waiting.size(); }
 
-  void ReindexEngines() {
-    this->engine_index.clear();
-    for (std::size_t index = 0; index < this->engines.size(); ++index) {
-      this->engine_index.emplace(this->engines[index].spec.address, index);
-    }
-  }
-
-  void RefreshUsable(TimeMs now) {
-    std::ranges::for_each(this->engines, [&](EngineRow& engine) {
-      engine.usable = engine.configured && !engine.spec.leaving &&
-                      this->health.Usable(engine.spec.address, now);
-    });
+  /// Time until queued work, apart from `own`, has had its turn.
+  [[nodiscard]] DurationMs ExpectedWaitMs(double own = 0) const {
+    const double memory =
+        kUsedPart * static_cast<double>(this->engines.UsableMemory());
+    if (memory <= 0) return 0;
+    return static_cast<DurationMs>(std::max(0.0, this->queued_cost - own) /
+                                   memory);
   }
 
-  /// Decode engine with the most free memory that holds `pieces` more.
-  [[nodiscard]] std::size_t ChooseDecode(const PlacementRequest& request,
-                                         std::int64_t pieces) const {
-    std::size_t best = kNoEngine;
-    std::int64_t best_free = pieces - 1;
-    for (std::size_t index = 0; index < this->engines.size(); ++index) {
-      const EngineRow& engine = this->engines[index];
-      if (!engine.usable || !engine.Decodes() || engine.Free() <= best_free) {
-        continue;
-      }
-      if (IsExcluded(request, engine.spec.address)) continue;
-      best = index;
-      best_free = engine.Free();
+  void Push(const std::string& id, const WaitingRow& row) {
+    const PlacementRequest& request = row.request;
+    const Tokens tokens = request.prompt_tokens + row.expected;
+    if (row.late) {
+      this->late.Push(QueueItem{id, request.team, request.weight, tokens,
+                                row.submitted_at, row.give_up_at});
+      return;
     }
-    return best;
-  }
-
-  /// Prefill engine with the least sum of queued work and own work, which
-  /// cached blocks shorten.
-  void ChoosePrefill(const PlacementRequest& request, TimeMs now,
-                     Choice& choice) const {
-    double second_ms = std::numeric_limits<double>::max();
-    choice.cost_ms = std::numeric_limits<double>::max();
-    for (std::size_t index = 0; index < this->engines.size(); ++index) {
-      const EngineRow& engine = this->engines[index];
-      const DurationMs backlog_ms = engine.Backlog(now);
-      if (!engine.usable || !engine.Prefills()) continue;
-      if (backlog_ms > this->settings.max_prefill_backlog_ms) continue;
-      if (IsExcluded(request, engine.spec.address)) continue;
-      const Tokens cached = std::min<Tokens>(
-          static_cast<Tokens>(engine.cache.Match(request.prefix)) *
-              kTokensPerPiece,
-          std::max<Tokens>(0, request.prompt_tokens - 1));
-      const double own_ms = engine.prefill_ms_per_token *
-                            static_cast<double>(request.prompt_tokens - cached);
-      const double cost_ms = own_ms + static_cast<double>(backlog_ms);
-      if (cost_ms < choice.cost_ms) {
-        choice.runner_up = choice.prefill;
-        second_ms = choice.cost_ms;
-        choice.prefill = index;
-        choice.cached_tokens = cached;
-        choice.prefill_ms = static_cast<DurationMs>(own_ms) + 1;
-        choice.cost_ms = cost_ms;
-      } else if (cost_ms < second_ms) {
-        choice.runner_up = index;
-        second_ms = cost_ms;
+    // Short ones first: more of them meet their objective in the same memory.
+    const auto order = static_cast<std::int64_t>(row.cost);
+    const TimeMs latest =
+        row.objective_at - this->engines.ReadMs(request.prompt_tokens);
+    this->in_time.try_emplace(request.priority, FairQueue(kMaxBypass))
+        .first->second.Push(QueueItem{id, request.team, request.weight, tokens,
+                                      order, latest});
+  }
+
+  /// Moves those that can no longer meet their objective behind the others, and
+  /// refuses those whose callers are about to leave.
+  void SortOutLate(TimeMs now) {
+    std::vector<QueueItem> missed;
+    std::ranges::for_each(this->in_time, [&](auto& rank) {
+      std::ranges::move(rank.second.PopLate(now), std::back_inserter(missed));
+    });
+    std::ranges::for_each(missed, [&](const QueueItem& item) {
+      WaitingRow& row = this->waiting.at(item.id);
+      row.late = true;
+      if (now < row.give_up_at) {
+        this->Push(item.id, row);
+        return;
       }
-    }
-  }
-
-  [[nodiscard]] Choice Choose(const PlacementRequest& request,
-                              TimeMs now) const {
-    Choice choice;
-    choice.decode = this->ChooseDecode(
-        request, PiecesOf(request.prompt_tokens + request.max_tokens));
-    if (choice.decode != kNoEngine) this->ChoosePrefill(request, now, choice);
-    return choice;
+      this->Refuse(item.id, ErrorKind::kDeadline,
+                   "the first token can no longer meet its target",
+                   this->ExpectedWaitMs());
+    });
+    const std::vector<QueueItem> over = this->late.PopLate(now);
+    std::ranges::for_each(over, [&](const QueueItem& item) {
+      this->Refuse(item.id, ErrorKind::kDeadline,
+                   "no memory was free while its caller waits",
+                   this->ExpectedWaitMs());
+    });
   }
 
-  [[nodiscard]] bool AnyPrefillRoom(TimeMs now) const {
-    return std::ranges::any_of(this->engines, [&](const EngineRow& engine) {
-      return engine.usable && engine.Prefills() &&
-             engine.Backlog(now) <= this->settings.max_prefill_backlog_ms;
+  /// Takes the first that fits out of one queue and places it.
+  bool PlaceFirst(FairQueue& queue, TimeMs now) {
+    EngineChoice choice;
+    const auto item = queue.PopFirst([&](const QueueItem& candidate) {
+      const WaitingRow& row = this->waiting.at(candidate.id);
+      const TimeMs due = row.late ? row.give_up_at : row.objective_at;
+      choice =
+          this->engines.Choose(row.request, row.expected, due - now, now);
+      return choice.decode != kNoEngine;
     });
+    if (!item) return false;
+    this->Place(item->id, choice, now);
+    return true;
   }
 
-  [[nodiscard]] std::int64_t LargestFree() const {
-    std::int64_t largest = 0;
-    std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
-      if (engine.usable && engine.Decodes()) {
-        largest = std::max(largest, engine.Free());
+  void Admit(TimeMs now) {
+    if (this->waiting.empty()) return;
+    this->engines.Refresh(now);
+    std::ranges::for_each(this->in_time, [&](auto& rank) {
+      while (this->PlaceFirst(rank.second, now)) {
       }
     });
-    return largest;
+    while (this->PlaceFirst(this->late, now)) {
+    }
   }
 
-  [[nodiscard]] std::int64_t LargestEngine() const {
-    std::int64_t largest = 0;
-    std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
-      if (engine.configured && engine.Decodes()) {
-        largest = std::max(largest, engine.spec.pieces);
-      }
+  /// Refuses what has just come and would wait too long behind the others:
+  /// its caller can come back when there is room.
+  void RefuseHopeless(TimeMs now) {
+    const std::vector<std::string> submitted = std::exchange(this->fresh, {});
+    std::ranges::for_each(submitted, [&](const std::string& id) {
+      const auto row = this->waiting.find(id);
+      if (row == this->waiting.end()) return;
+      const WaitingRow& request = row->second;
+      const DurationMs wait = this->ExpectedWaitMs(request.cost);
+      const TimeMs latest = std::max(request.give_up_at, request.objective_at);
+      if (wait == 0 || now + wait <= latest) return;
+      this->Forget(id);
+      this->Refuse(id, ErrorKind::kCapacity,
+                   "it would wait for " + std::to_string(wait) + " ms", wait);
     });
-    return largest;
   }
 
-  [[nodiscard]] double MeanPrefillMsPerToken() const {
-    double sum = 0;
-    std::int64_t count = 0;
-    std::ranges::for_each(this->engines, [&](const EngineRow& engine) {
-      if (!engine.Prefills()) return;
-      sum += engine.prefill_ms_per_token;
-      ++count;
-    });
-    return count == 0 ? this->settings.prefill_ms_per_token
-                      : sum / static_cast<double>(count);
+  /// Takes a request out of the queues.
+  void Forget(const std::string& id) {
+    std::ranges::for_each(this->in_time,
+                          [&id](auto& rank) { rank.second.Remove(id); });
+    this->late.Remove(id);
+  }
+
+  void Place(const std::string& request_id, const EngineChoice& choice,
+             TimeMs now) {
+    const auto found = this->waiting.find(request_id);
+    const WaitingRow row = std::move(found->second);
+    this->waiting.erase(found);
+    this->queued_cost -= row.cost;
+    const PlacementRequest& request = row.request;
+    EngineRow& decode = this->engines.Rows()[choice.decode];
+    const bool direct = choice.prefill == kNoEngine;
+    EngineRow& reader =
+        direct ? decode : this->engines.Rows()[choice.prefill];
+    const std::string id =
+        this->owner + "-" + std::to_string(this->next_reservation++);
+    Placement placement;
+    placement.reservation = id;
+    placement.prefill = direct ? std::string() : reader.spec.id;
+    placement.decode = decode.spec.id;
+    placement.tokens = request.prompt_tokens + row.expected;
+    placement.cached_tokens = choice.cached_tokens;
+    placement.queued_ms = now - row.submitted_at;
+    placement.lease_ms = this->settings.lease_ms;
+    if (choice.runner_up != kNoEngine) {
+      placement.runner_up = this->engines.Rows()[choice.runner_up].spec.id;
+    }
+    placement.reason =
+        "ready in " + std::to_string(choice.ready_ms) + " ms, " +
+        std::to_string(static_cast<int>(choice.fullness * 100)) +
+        "% of memory forecast, " + std::to_string(row.expected) +
+        " tokens expected" + (row.late ? ", late" : "");
+    ReservationRow reservation;
+    reservation.request_id = request_id;
+    reservation.decode = decode.spec.id;
+    reservation.prefill = reader.spec.id;
+    reservation.uncached_tokens =
+        request.prompt_tokens - choice.cached_tokens;
+    reservation.hint = request.hint;
+    reservation.expected_prefill_ms = choice.ready_ms;
+    reservation.queued_prefill = reader.prefills > 0;
+    reservation.prefilling = !direct;
+    reservation.expires_at = now + this->settings.lease_ms;
+    this->Reserve(id, std::move(reservation),
+                  Generation{request.prompt_tokens, row.expected,
+                             request.max_tokens, 0, 0});
+    this->engines.health.OnChosen(decode.spec.id, now);
+    if (direct) {
+      decode.direct_until =
+          std::max(now, decode.direct_until) + choice.own_ms;
+    } else {
+      this->engines.health.OnChosen(reader.spec.id, now);
+      this->engines.handles.OnChosen(reader.spec.id, now);
+      reader.busy_until = std::max(now, reader.busy_until) + choice.own_ms;
+      ++reader.prefills;
+      std::ranges::for_each(request.prefix, [&reader](std::uint64_t block) {
+        reader.cache.Add(block);
+      });
+    }
+    this->commands.emplace_back(PlaceCommand{request_id, std::move(placement)});
   }
 
   // -- reservations
   // ---------------------------------------------------------------------------
 
-  void Reserve(const std::string& id, ReservationRow row) {
-    if (EngineRow* engine = this->FindEngine(row.decode)) {
-      engine->reserved += row.pieces;
+  void Reserve(const std::string& id, ReservationRow row,
+               const Generation& generation) {
+    if (EngineRow* engine = this->engines.Find(row.decode)) {
+      engine->generations.insert_or_assign(id, generation);
     }
     this->reservation_of.insert_or_assign(row.request_id, id);
     this->expiries.push(Due{row.expires_at, id});
@@ -310,8 +294,8 @@
     const auto found = this->reservations.find(id);
     if (found == this->reservations.end()) return std::nullopt;
     ReservationRow row = std::move(found->second);
-    if (EngineRow* engine = this->FindEngine(row.decode)) {
-      engine->reserved -= row.pieces;
+    if (EngineRow* engine = this->engines.Find(row.decode)) {
+      engine->generations.erase(found->first);
     }
     const auto current = this->reservation_of.find(row.request_id);
     if (current != this->reservation_of.end() && current->second == id) {
@@ -327,7 +311,7 @@
   void EndPrefill(ReservationRow& row, TimeMs now) {
     if (!row.prefilling) return;
     row.prefilling = false;
-    EngineRow* engine = this->FindEngine(row.prefill);
+    EngineRow* engine = this->engines.Find(row.prefill);
     if (engine == nullptr) return;
     --engine->prefills;
     if (engine->prefills == 0) engine->busy_until = now;
@@ -357,76 +341,6 @@
     }
   }
 
-  void RefuseLate(TimeMs now) {
-    const std::vector<QueueItem> items = this->queue.PopLate(now);
-    std::ranges::for_each(items, [&](const QueueItem& item) {
-      this->Refuse(item.id, ErrorKind::kDeadline,
-                   "the first token can no longer meet its target");
-    });
-  }
-
-  void Admit(TimeMs now) {
-    if (this->queue.Size() == 0) return;
-    this->RefreshUsable(now);
-    while (this->queue.Size() > 0 && this->AnyPrefillRoom(now)) {
-      const std::int64_t largest_free = this->LargestFree();
-      if (largest_free <= 0) return;
-      Choice choice;
-      const auto item = this->queue.PopFirst([&](const QueueItem& candidate) {
-        // The cost of an item is its tokens, so most heads are judged without a
-        // look-up.
-        if (PiecesOf(candidate.cost) > largest_free) return false;
-        choice = this->Choose(this->waiting.at(candidate.id).request, now);
-        return choice.Complete();
-      });
-      if (!item) return;
-      this->Place(item->id, choice, now);
-    }
-  }
-
-  void Place(const std::string& request_id, const Choice& choice, TimeMs now) {
-    const auto found = this->waiting.find(request_id);
-    const WaitingRow row = std::move(found->second);
-    this->waiting.erase(found);
-    const PlacementRequest& request = row.request;
-    const std::int64_t pieces =
-        PiecesOf(request.prompt_tokens + request.max_tokens);
-    EngineRow& decode = this->engines[choice.decode];
-    EngineRow& prefill = this->engines[choice.prefill];
-    const std::string id =
-        this->owner + "-" + std::to_string(this->next_reservation++);
-
-    Placement placement{id,
-                        prefill.spec.address,
-                        decode.spec.address,
-                        {},
-                        pieces,
-                        choice.cached_tokens,
-                        now - row.submitted_at,
-                        this->settings.lease_ms,
-                        {}};
-    if (choice.runner_up != kNoEngine) {
-      placement.runner_up = this->engines[choice.runner_up].spec.address;
-    }
-    placement.reason = "least prefill cost " +
-                       std::to_string(static_cast<DurationMs>(choice.cost_ms)) +
-                       " ms with " + std::to_string(choice.cached_tokens) +
-                       " cached tokens; most free memory " +
-                       std::to_string(decode.Free()) + " pieces";
-    this->Reserve(id, ReservationRow{
-                          request_id, decode.spec.address, prefill.spec.address,
-                          pieces, now + this->settings.lease_ms,
-                          request.prompt_tokens - choice.cached_tokens, true});
-    this->health.OnChosen(decode.spec.address, now);
-    this->health.OnChosen(prefill.spec.address, now);
-    prefill.busy_until = std::max(now, prefill.busy_until) + choice.prefill_ms;
-    ++prefill.prefills;
-    std::ranges::for_each(request.prefix, [&prefill](std::uint64_t block) {
-      prefill.cache.Add(block);
-    });
-    this->commands.emplace_back(PlaceCommand{request_id, std::move(placement)});
-  }
-
   void SendCancels(TimeMs now) {
     if (this->cancels.empty()) return;
     std::erase_if(this->cancels, [now](const auto& row) {
@@ -452,11 +366,8 @@
 
 CellScheduler::CellScheduler(std::string cell_name, std::string owner,
                              CellSettings settings)
-    : tables(std::make_unique<Tables>()) {
-  this->tables->name = std::move(cell_name);
-  this->tables->owner = std::move(owner);
-  this->tables->settings = settings;
-}
+    : tables(std::make_unique<Tables>(std::move(cell_name), std::move(owner),
+                                      settings)) {}
 
 CellScheduler::~CellScheduler() = default;
 CellScheduler::CellScheduler(CellScheduler&&) noexcept = default;
@@ -464,66 +375,62 @@
 
 void CellScheduler::Configure(const std::vector<CellEngine>& engines,
                               TimeMs now) {
-  Tables& state = *this->tables;
-  std::ranges::for_each(state.engines,
-                        [](EngineRow& row) { row.configured = false; });
-  std::ranges::for_each(engines, [&](const CellEngine& spec) {
-    if (EngineRow* known = state.FindEngine(spec.address)) {
-      known->spec = spec;
-      known->configured = true;
-      return;
-    }
-    EngineRow row{.spec = spec,
-                  .cache = PrefixCacheView(state.settings.cache_blocks)};
-    row.busy_until = now;
-    row.prefill_ms_per_token = state.settings.prefill_ms_per_token;
-    state.engine_index.emplace(spec.address, state.engines.size());
-    state.engines.push_back(std::move(row));
-  });
-  std::erase_if(state.engines, [](const EngineRow& row) {
-    return !row.configured && row.reserved == 0 && row.prefills == 0;
-  });
-  state.ReindexEngines();
-  state.RefreshUsable(now);
+  this->tables->engines.Configure(engines, now);
 }
 
 void CellScheduler::Submit(PlacementRequest request, TimeMs now) {
   Tables& state = *this->tables;
   const std::string id = request.request_id;
-  const std::int64_t pieces =
-      PiecesOf(request.prompt_tokens + request.max_tokens);
-  const std::int64_t largest = state.LargestEngine();
+  WaitingRow row;
+  row.expected = state.settings.reserve_maximum
+                     ? request.max_tokens
+                     : state.outputs.Expect(request.hint, request.max_tokens);
+  const Tokens tokens = request.prompt_tokens + row.expected;
+  const Tokens largest = state.engines.LargestMemory();
+  state.engines.Refresh(now);
   if (largest == 0) {
-    return state.Refuse(id, ErrorKind::kNoEndpoint, "the pool has no engine");
+    return state.Refuse(id, ErrorKind::kNoEndpoint,
+                        "the cell has no usable engine", 0);
   }
-  if (pieces > largest) {
+  if (tokens > largest) {
     return state.Refuse(id, ErrorKind::kBodyTooLarge,
-                        "the request needs " + std::to_string(pieces) +
-                            " pieces of memory, the largest engine has " +
-                            std::to_string(largest));
+                        "the request needs " + std::to_string(tokens) +
+                            " tokens of memory, the largest engine has " +
+                            std::to_string(largest),
+                        0);
   }
-  if (state.queue.Size() >= state.settings.max_queue) {
+  if (state.QueueLength() >= state.settings.max_queue) {
     return state.Refuse(id, ErrorKind::kCapacity,
-                        "too many requests are waiting");
-  }
-  const double prefill_ms = state.MeanPrefillMsPerToken() *
-                            static_cast<double>(request.prompt_tokens);
-  const TimeMs deadline = now + request.budget_ms;
-  const TimeMs latest_start =
-      request.serve_late
-          ? std::numeric_limits<TimeMs>::max()
-          : std::max(now, deadline - static_cast<DurationMs>(prefill_ms));
-  state.queue.Push(QueueItem{id, request.team, request.weight,
-                             request.prompt_tokens + request.max_tokens,
-                             deadline, latest_start});
-  state.waiting.insert_or_assign(id, WaitingRow{std::move(request), now});
+                        "too many requests are waiting",
+                        state.ExpectedWaitMs());
+  }
+  const DurationMs patience = std::max(request.patience_ms, request.budget_ms);
+  const DurationMs read = state.engines.ReadMs(request.prompt_tokens);
+  row.submitted_at = now;
+  row.objective_at = now + request.budget_ms;
+  row.give_up_at =
+      request.patience_ms == 0 ? now : now + std::max<DurationMs>(
+                                                 0, patience - read);
+  const double half = static_cast<double>(row.expected) / 2;
+  row.cost = (static_cast<double>(request.prompt_tokens) + half) *
+             (static_cast<double>(row.expected) / state.engines.Pace() +
+              static_cast<double>(read));
+  row.request = std::move(request);
+  state.queued_cost += row.cost;
+  state.Push(id, row);
+  state.waiting.insert_or_assign(id, std::move(row));
+  state.fresh.push_back(id);
 }
 
 void CellScheduler::Withdraw(std::string_view request_id, TimeMs now) {
   Tables& state = *this->tables;
   const std::string key(request_id);
-  state.queue.Remove(key);
-  state.waiting.erase(key);
+  const auto waiting = state.waiting.find(key);
+  if (waiting != state.waiting.end()) {
+    state.queued_cost -= waiting->second.cost;
+    state.Forget(key);
+    state.waiting.erase(waiting);
+  }
   const auto reservation = state.reservation_of.find(key);
   if (reservation == state.reservation_of.end()) return;
   const std::string id = reservation->second;
@@ -534,17 +441,32 @@
 void CellScheduler::Renew(const std::vector<Renewal>& renewals, TimeMs now) {
   Tables& state = *this->tables;
   std::ranges::for_each(renewals, [&](const Renewal& renewal) {
+    EngineRow* engine = state.engines.Find(renewal.engine);
     const auto row = state.reservations.find(renewal.reservation);
     if (row != state.reservations.end()) {
       row->second.expires_at = now + state.settings.lease_ms;
-      return;
+    } else {
+      // One that lapsed or ended here must not come back through a late
+      // renewal.
+      if (state.finished.contains(renewal.reservation)) return;
+      ReservationRow adopted;
+      adopted.request_id = renewal.request_id;
+      adopted.decode = renewal.engine;
+      adopted.expires_at = now + state.settings.lease_ms;
+      state.Reserve(renewal.reservation, std::move(adopted),
+                    Generation{renewal.prompt_tokens, renewal.expected,
+                               renewal.max_tokens, 0, 0});
+    }
+    if (engine == nullptr || renewal.produced <= 0) return;
+    const auto held = engine->generations.find(renewal.reservation);
+    if (held == engine->generations.end()) return;
+    Generation& generation = held->second;
+    if (generation.heard_at > 0 && renewal.produced > generation.produced) {
+      state.engines.LearnPace(renewal.produced - generation.produced,
+                              now - generation.heard_at);
     }
-    // One that lapsed or ended here must not come back through a late renewal.
-    if (state.finished.contains(renewal.reservation)) return;
-    state.Reserve(
-        renewal.reservation,
-        ReservationRow{renewal.request_id, renewal.engine, "", renewal.pieces,
-                       now + state.settings.lease_ms, 0, false});
+    generation.produced = std::max(generation.produced, renewal.produced);
+    generation.heard_at = now;
   });
 }
 
@@ -554,27 +476,41 @@
   const auto found = state.reservations.find(reservation);
   if (found == state.reservations.end()) return;
   ReservationRow& row = found->second;
-  EngineRow* engine = state.FindEngine(row.prefill);
-  if (engine != nullptr && row.prefilling &&
-      row.uncached_tokens >= kMinTokensToLearn) {
-    const double sample = static_cast<double>(measured_ms) /
-                          static_cast<double>(row.uncached_tokens);
-    engine->prefill_ms_per_token +=
-        kLearningRate * (sample - engine->prefill_ms_per_token);
+  EngineRow* engine = state.engines.Find(row.prefill);
+  if (engine != nullptr && row.prefilling) {
+    state.engines.LearnPrefill(*engine, row.uncached_tokens,
+                               row.queued_prefill, row.expected_prefill_ms,
+                               measured_ms);
   }
   state.EndPrefill(row, now);
 }
 
-void CellScheduler::Finish(std::string_view reservation, TimeMs now) {
-  static_cast<void>(this->tables->TakeReservation(reservation, now));
+void CellScheduler::Finish(std::string_view reservation, Tokens produced,
+                           TimeMs now) {
+  const auto row = this->tables->TakeReservation(reservation, now);
+  if (row) this->tables->outputs.Learn(row->hint, produced);
 }
 
-void CellScheduler::EngineFailed(std::string_view address, TimeMs now) {
-  this->tables->health.OnFailure(address, now);
+void CellScheduler::EngineFailed(std::string_view engine, TimeMs now) {
+  this->tables->engines.health.OnFailure(engine, now);
 }
 
-void CellScheduler::EngineServed(std::string_view address, TimeMs now) {
-  this->tables->health.OnSuccess(address, now);
+void CellScheduler::EngineServed(std::string_view engine, TimeMs now) {
+  this->tables->engines.health.OnSuccess(engine, now);
+}
+
+void CellScheduler::EngineFull(std::string_view engine, TimeMs now) {
+  if (EngineRow* row = this->tables->engines.Find(engine)) {
+    row->full_until = now + this->tables->settings.full_ms;
+  }
+}
+
+void CellScheduler::HandleFailed(std::string_view engine, TimeMs now) {
+  this->tables->engines.handles.OnFailure(engine, now);
+}
+
+void CellScheduler::HandleServed(std::string_view engine, TimeMs now) {
+  this->tables->engines.handles.OnSuccess(engine, now);
 }
 
 void CellScheduler::CancelDone(std::string_view reservation) {
@@ -582,26 +518,25 @@
   if (row != this->tables->cancels.end()) this->tables->cancels.erase(row);
 }
 
-void CellScheduler::Report(std::string_view address, const EngineLoad& load,
+void CellScheduler::Report(std::string_view id, const EngineLoad& load,
                            TimeMs now) {
   Tables& state = *this->tables;
-  EngineRow* engine = state.FindEngine(address);
+  EngineRow* engine = state.engines.Find(id);
   if (engine == nullptr) return;
   engine->foreign = 0;
   std::ranges::for_each(load.held, [&](const HeldRequest& held) {
     if (state.reservations.contains(held.attempt)) return;
     if (state.finished.contains(held.attempt)) return;
-    engine->foreign += held.pieces;
+    engine->foreign += held.pieces * kTokensPerPiece;
     if (held.detached_ms >= state.settings.orphan_grace_ms) {
-      state.Cancel(held.attempt, std::string(address), held.request_id, true,
-                   now);
+      state.Cancel(held.attempt, std::string(id), held.request_id, true, now);
     }
   });
 }
 
-void CellScheduler::OnCacheEvents(std::string_view address,
+void CellScheduler::OnCacheEvents(std::string_view id,
                                   const std::vector<CacheEvent>& events) {
-  EngineRow* engine = this->tables->FindEngine(address);
+  EngineRow* engine = this->tables->engines.Find(id);
   if (engine == nullptr) return;
   std::ranges::for_each(events, [engine](const CacheEvent& event) {
     if (event.added) {
@@ -616,27 +551,32 @@
   Tables& state = *this->tables;
   state.ExpireReservations(now);
   state.ForgetFinished(now);
-  state.RefuseLate(now);
+  state.SortOutLate(now);
   state.Admit(now);
+  state.RefuseHopeless(now);
   state.SendCancels(now);
   return std::exchange(state.commands, {});
 }
 
 std::vector<EngineView> CellScheduler::Engines(TimeMs now) const {
   std::vector<EngineView> views;
-  this->tables->RefreshUsable(now);
-  std::ranges::transform(this->tables->engines, std::back_inserter(views),
-                         [now](const EngineRow& engine) {
-                           return EngineView{
-                               engine.spec.address, engine.spec.role,
-                               engine.spec.pieces,  engine.reserved,
-                               engine.Backlog(now), engine.usable};
-                         });
+  CellEngines& engines = this->tables->engines;
+  engines.Refresh(now);
+  std::ranges::transform(
+      engines.Rows(), std::back_inserter(views), [&](const EngineRow& engine) {
+        return EngineView{engine.spec.id,
+                          engine.spec.role,
+                          engine.spec.memory,
+                          engines.PeakWith(engine, HeldGeneration{}, now),
+                          static_cast<std::int64_t>(engine.generations.size()),
+                          engine.Backlog(now),
+                          engine.usable};
+      });
   return views;
 }
 
 std::size_t CellScheduler::QueueLength() const noexcept {
-  return this->tables->queue.Size();
+  return this->tables->QueueLength();
 }
 
 std::size_t CellScheduler::Reservations() const noexcept {
--- a/src/core/cells.cc
+++ b/src/core/cells.cc
@@ -16,16 +16,20 @@
     if (pool == config.pools.end()) return;
     std::ranges::transform(pool->second.endpoints, std::back_inserter(engines),
                            [&](const EndpointSpec& endpoint) {
-                             return CellEngine{
-                                 endpoint.address, endpoint.data_centre,
-                                 pool->second.role, pool->second.memory_pieces,
-                                 endpoint.leaving};
+                             CellEngine engine;
+                             engine.id = endpoint.address;
+                             engine.data_centre = endpoint.data_centre;
+                             engine.role = pool->second.role;
+                             engine.memory =
+                                 pool->second.memory_pieces * kTokensPerPiece;
+                             engine.leaving = endpoint.leaving;
+                             return engine;
                            });
   };
   add(route.prefill_pool);
   if (route.decode_pool != route.prefill_pool) add(route.decode_pool);
   std::ranges::sort(engines, {}, [](const CellEngine& engine) {
-    return std::tie(engine.role, engine.data_centre, engine.address);
+    return std::tie(engine.role, engine.data_centre, engine.id);
   });
   return engines;
 }
@@ -103,6 +107,35 @@
   return cells;
 }
 
+std::vector<CellSpec> BuildCells(const Configuration& config,
+                                 const std::vector<EndpointRecord>& endpoints,
+                                 std::size_t max_engines) {
+  std::vector<CellSpec> cells;
+  std::ranges::for_each(config.pools, [&](const auto& entry) {
+    const PoolSpec& pool = entry.second;
+    if (!pool.engine) return;
+    std::vector<CellEngine> engines;
+    std::ranges::for_each(endpoints, [&](const EndpointRecord& endpoint) {
+      if (endpoint.pool != pool.name) return;
+      CellEngine engine;
+      engine.id = endpoint.id;
+      engine.data_centre = endpoint.data_centre;
+      engine.role = endpoint.role;
+      engine.memory = pool.engine->kv_tokens;
+      engine.slots = endpoint.slots;
+      engine.leaving = endpoint.leaving;
+      engines.push_back(std::move(engine));
+    });
+    std::size_t next_index = 0;
+    std::ranges::for_each(GroupEngines(engines, max_engines),
+                          [&](const std::vector<CellEngine>& group) {
+                            AddCells(pool.name, group, max_engines, next_index,
+                                     cells);
+                          });
+  });
+  return cells;
+}
+
 std::vector<std::string> CellOrder(std::span<const CellSpec> cells,
                                    std::string_view model,
                                    std::uint64_t prefix_hash,
--- a/src/core/config_codec.cc
+++ b/src/core/config_codec.cc
@@ -41,7 +41,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     RouteSpec, path, model, prefill_pool, decode_pool, pool, repeatable, open,
     first_token_ms, token_gap_ms, serve_late, name, host, targets, repeat,
-    streams, shares_prefixes, max_sends, timeout_ms, priority)
+    streams, shares_prefixes, max_sends, timeout_ms, priority, patience_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LinkSpec, from, to, mbytes_per_s)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallerLimits, max_header_bytes,
                                                 max_body_bytes,
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -38,6 +38,8 @@
     EventRow{EventId::kPlacementQueued, "placement_queued"},
     EventRow{EventId::kPrefillFinished, "prefill_finished"},
     EventRow{EventId::kEndpointCallFailed, "endpoint_call_failed"},
+    EventRow{EventId::kPlacementRefused, "placement_refused"},
+    EventRow{EventId::kCellOwnerLost, "cell_owner_lost"},
     EventRow{EventId::kRetry, "retry"},
     EventRow{EventId::kStreamEventDropped, "stream_event_dropped"},
     EventRow{EventId::kStreamReconnected, "stream_reconnected"},
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -19,7 +19,7 @@
     team.start_tag = std::max(team.start_tag, this->virtual_time);
     this->turns.insert(Turn{team.start_tag, item.team});
   }
-  team.waiting.insert(Waiting{item.deadline, sequence, item.id});
+  team.waiting.insert(Waiting{item.order, sequence, item.id});
   this->late.insert(Late{item.latest_start, item.id});
   this->queued_tokens += item.cost;
   const std::string id = item.id;
@@ -75,7 +75,7 @@
   this->late.erase(Late{entry.item.latest_start, entry.item.id});
   TeamRow& team = this->teams.at(entry.item.team);
   team.waiting.erase(
-      Waiting{entry.item.deadline, entry.sequence, entry.item.id});
+      Waiting{entry.item.order, entry.sequence, entry.item.id});
   if (team.waiting.empty()) {
     this->turns.erase(Turn{team.start_tag, entry.item.team});
     if (team.start_tag <= this->virtual_time) {
--- /dev/null
+++ b/src/core/online_regression.cc
@@ -0,0 +1,52 @@
+#include "limpethaven/online_regression.h"
+
+#include <algorithm>
+
+namespace limpethaven {
+namespace {
+
+constexpr double kMinVariance = 1e-9;
+
+}  // namespace
+
+OnlineRegression::OnlineRegression(double intercept, double slope, double x,
+                                   double spread, double weight) noexcept
+    : weight_sum(weight),
+      x_sum(weight * x),
+      y_sum(weight * (intercept + slope * x)),
+      xx_sum(weight * (x * x + spread * spread)),
+      xy_sum(weight * (x * (intercept + slope * x) + slope * spread * spread)) {
+}
+
+void OnlineRegression::Add(double x, double y, double forget) noexcept {
+  const double error = y - this->Predict(x);
+  const double keep = 1.0 - forget;
+  this->weight_sum = this->weight_sum * keep + 1.0;
+  this->x_sum = this->x_sum * keep + x;
+  this->y_sum = this->y_sum * keep + y;
+  this->xx_sum = this->xx_sum * keep + x * x;
+  this->xy_sum = this->xy_sum * keep + x * y;
+  this->residual_sum = this->residual_sum * keep + error * error;
+}
+
+double OnlineRegression::Predict(double x) const noexcept {
+  return this->Intercept() + this->Slope() * x;
+}
+
+double OnlineRegression::Slope() const noexcept {
+  const double mean_x = this->x_sum / this->weight_sum;
+  const double variance = this->xx_sum / this->weight_sum - mean_x * mean_x;
+  const double covariance = this->xy_sum / this->weight_sum -
+                            mean_x * this->y_sum / this->weight_sum;
+  return variance < kMinVariance ? 0 : covariance / variance;
+}
+
+double OnlineRegression::Intercept() const noexcept {
+  return (this->y_sum - this->Slope() * this->x_sum) / this->weight_sum;
+}
+
+double OnlineRegression::ResidualVariance() const noexcept {
+  return this->residual_sum / std::max(1.0, this->weight_sum);
+}
+
+}  // namespace limpethaven
--- a/src/entry/cell_service.cc
+++ b/src/entry/cell_service.cc
@@ -22,7 +22,6 @@
 constexpr std::size_t kOwnersTried = 3;
 constexpr std::size_t kCellsTried = 2;
 constexpr std::size_t kCancelWorkers = 2;
-constexpr DurationMs kServeLateWaitMs = 60'000;
 
 template <typename... Handlers>
 struct Overloaded : Handlers... {
@@ -160,10 +159,10 @@
         nlohmann::json rows = nlohmann::json::array();
         std::ranges::for_each(
             cell->scheduler.Engines(now), [&rows](const EngineView& engine) {
-              rows.push_back({{"address", engine.address},
+              rows.push_back({{"address", engine.id},
                               {"role", NameOf(engine.role)},
-                              {"pieces", engine.pieces},
-                              {"reserved", engine.reserved},
+                              {"memory", engine.memory},
+                              {"peak", engine.peak},
                               {"backlog_ms", engine.backlog_ms},
                               {"usable", engine.usable}});
             });
@@ -210,7 +209,7 @@
       return this->PlaceHere(cell, request);
     }
     const DurationMs timeout_ms =
-        (request.serve_late ? kServeLateWaitMs : request.budget_ms) +
+        std::max(request.patience_ms, request.budget_ms) +
         kPlaceSlackMs;
     const auto text =
         this->peers.Call(owner, "/peer/v1/place",
@@ -233,7 +232,7 @@
   const std::shared_ptr<HostedCell> host = this->Host(cell);
   const std::string id = request.request_id;
   const DurationMs wait_ms =
-      (request.serve_late ? kServeLateWaitMs : request.budget_ms) +
+      std::max(request.patience_ms, request.budget_ms) +
       kPlaceSlackMs / 2;
   std::future<Result<Placement>> decision;
   {
@@ -286,15 +285,17 @@
     CellScheduler& scheduler = host->scheduler;
     switch (notice.kind) {
       case NoticeKind::kRenew:
-        scheduler.Renew({{notice.reservation, notice.request_id, notice.engine,
-                          notice.pieces}},
+        scheduler.Renew({Renewal{notice.reservation, notice.request_id,
+                                 notice.engine, 0,
+                                 notice.pieces * kTokensPerPiece,
+                                 notice.pieces * kTokensPerPiece, 0}},
                         now);
         return;
       case NoticeKind::kPrefillDone:
         scheduler.PrefillDone(notice.reservation, notice.measured_ms, now);
         break;
       case NoticeKind::kFinish:
-        scheduler.Finish(notice.reservation, now);
+        scheduler.Finish(notice.reservation, 0, now);
         break;
       case NoticeKind::kWithdraw:
         scheduler.Withdraw(notice.request_id, now);
@@ -434,23 +435,23 @@
     std::int64_t after = 0;
     {
       const std::lock_guard lock(cell.mutex);
-      after = cell.last_event[engine.address];
+      after = cell.last_event[engine.id];
     }
-    const auto load = this->engines.Load(engine.address);
+    const auto load = this->engines.Load(engine.id);
     const auto events =
         prefills && load
-            ? this->engines.CacheEvents(engine.address, after)
+            ? this->engines.CacheEvents(engine.id, after)
             : Result<std::vector<CacheEvent>>(std::vector<CacheEvent>());
     const std::lock_guard lock(cell.mutex);
     if (!load) {
-      cell.scheduler.EngineFailed(engine.address, this->clock.Now());
+      cell.scheduler.EngineFailed(engine.id, this->clock.Now());
       return;
     }
-    cell.scheduler.EngineServed(engine.address, this->clock.Now());
-    cell.scheduler.Report(engine.address, load.value(), this->clock.Now());
+    cell.scheduler.EngineServed(engine.id, this->clock.Now());
+    cell.scheduler.Report(engine.id, load.value(), this->clock.Now());
     if (!events || events.value().empty()) return;
-    cell.scheduler.OnCacheEvents(engine.address, events.value());
-    cell.last_event[engine.address] = events.value().back().number;
+    cell.scheduler.OnCacheEvents(engine.id, events.value());
+    cell.last_event[engine.id] = events.value().back().number;
   });
 }
 
--- a/src/entry/completion_session.cc
+++ b/src/entry/completion_session.cc
@@ -18,6 +18,12 @@
 constexpr DurationMs kReconnectPauseMs = 50;
 constexpr DurationMs kPrefillSlackMs = 2000;
 constexpr DurationMs kMinBudgetMs = 50;
+/// Longest wait of a request that is served late.
+constexpr DurationMs kServeLateWaitMs = 60'000;
+
+std::int64_t PiecesOf(Tokens tokens) {
+  return (tokens + kTokensPerPiece - 1) / kTokensPerPiece;
+}
 
 }  // namespace
 
@@ -181,7 +187,8 @@
   ask.budget_ms = std::max(
       kMinBudgetMs, done > 0 ? this->request.first_token_ms
                              : this->request.first_token_ms - this->Elapsed());
-  ask.serve_late = this->request.serve_late || done > 0;
+  const bool serve_late = this->request.serve_late || done > 0;
+  ask.patience_ms = serve_late ? kServeLateWaitMs : 0;
   ask.excluded = this->excluded;
   BOOST_OUTCOME_TRY(
       placed, this->context.cells.Place(this->request.completion.model, ask));
@@ -214,7 +221,7 @@
 void CompletionSession::Adopt(const PlacedRequest& placed) {
   const Placement& placement = placed.placement;
   this->place = ActivePlace{placed.cell, placement.reservation,
-                            placement.decode, placement.pieces};
+                            placement.decode, PiecesOf(placement.tokens)};
   this->request.active->SetPlace(this->place);
   this->prefill_engine = placement.prefill;
   this->attached = false;
@@ -231,7 +238,7 @@
                           placement.decode,
                           placed.cell,
                           placement.reservation,
-                          placement.pieces,
+                          PiecesOf(placement.tokens),
                           offset};
   this->resume_base = EncodeResumeBase(this->context.fleet_secret, token);
   LogEvent(EventId::kRouteDecision, {{"request", this->request.active->Id()},
--- a/src/entry/peer_messages.h
+++ b/src/entry/peer_messages.h
@@ -14,9 +14,9 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlacementRequest, request_id, team, weight,
                                    prompt_tokens, max_tokens, prefix, budget_ms,
-                                   serve_late, excluded)
+                                   patience_ms, excluded)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Placement, reservation, prefill, decode,
-                                   runner_up, pieces, cached_tokens, queued_ms,
+                                   runner_up, tokens, cached_tokens, queued_ms,
                                    lease_ms, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HttpHeader, name, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceAnswer, status, content_type, body)
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -54,10 +54,12 @@
       gossip(event_loop, this->identity, MembershipSettings{}, *this),
       link(event_loop, this->identity),
       shares(this->link, this->gossip, this->settings.tolerance),
+      cells(this->link, this->gossip, this->settings.cells),
       state(this->link, this->gossip, this->table, *this),
       router(RouterParts{event_loop, *this->dialects.callers,
                          *this->dialects.endpoints, this->pool, this->table,
-                         this->shares, this->gossip, this->settings.retries,
+                         this->shares, this->cells, this->gossip,
+                         this->settings.retries,
                          this->settings.data_centre}),
       callers(
           event_loop,
@@ -140,10 +142,16 @@
       limits.header_timeout_ms, limits.idle_timeout_ms});
   this->shares.Configure(*config);
   this->router.SetConfig(config);
+  this->ConfigureCells();
   this->gossip.SetConfig(config->version, config->digest);
 }
 
-void EntryNode2::OnEndpoints() {}
+void EntryNode2::OnEndpoints() { this->ConfigureCells(); }
+
+void EntryNode2::ConfigureCells() {
+  this->cells.Configure(BuildCells(*this->state.Config(), this->table.All(),
+                                   this->settings.cell_size));
+}
 
 Task<> EntryNode2::AnswerReady(Exchange& exchange) {
   co_await exchange.Answer(ResponseHead{this->Ready() ? 200 : 503, {}}, "");
@@ -174,6 +182,7 @@
     this->link.Tick(now);
     this->state.Tick();
     this->shares.Tick();
+    this->cells.Tick(now);
     const bool is_ready = this->Ready();
     if (is_ready != was_ready) {
       was_ready = is_ready;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -11,6 +11,7 @@
 #include "node/published_state.h"
 #include "peer/gossip.h"
 #include "peer/peer_link.h"
+#include "peer/cell_exchange.h"
 #include "peer/share_exchange.h"
 #include "router/router.h"
 
@@ -33,6 +34,8 @@
   DurationMs stop_ms = 7500;  ///< Longest time from a stop signal to the end.
   LimitTolerance tolerance;
   RetrySettings retries;
+  CellSettings cells;
+  std::size_t cell_size = 64;  ///< Engines in one cell at most.
 };
 
 /// What an address is answered with.
@@ -87,6 +90,7 @@
   Task<> AnswerAddresses(Exchange& exchange);
   Task<> Tick();
   void TickDrain(TimeMs now);
+  void ConfigureCells();
   [[nodiscard]] bool Ready() const;
   /// Addresses that callers in a data centre should use.
   [[nodiscard]] std::vector<std::string> AddressesFor(
@@ -101,6 +105,7 @@
   Gossip gossip;
   PeerLink link;
   ShareExchange shares;
+  CellExchange cells;
   PublishedState state;
   Router router;
   HttpServer2 callers;
--- /dev/null
+++ b/src/peer/cell_exchange.h
@@ -0,0 +1,111 @@
+/// @file
+/// Placement over all VMs: hosts the cells that this process owns, and asks the
+/// owners of others.
+///
+/// A cell's owner is the first of the serving members in rendezvous order. One
+/// that does not answer is passed over for the next, and at last this process
+/// schedules by itself: two owners, or none, cost goodput and never
+/// correctness, since engines refuse what they cannot hold.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "limpethaven/cell_scheduler.h"
+#include "limpethaven/cells.h"
+#include "net/notifier.h"
+#include "peer/cell_messages.h"
+#include "peer/gossip.h"
+#include "peer/peer_link.h"
+
+namespace limpethaven {
+
+/// A placement, the cell it is of, and who made it.
+struct CellPlacement {
+  std::string cell;
+  std::string owner;  ///< Address of the process that placed it.
+  Placement placement;
+};
+
+/// Placement of one process.
+class CellExchange {
+ public:
+  CellExchange(PeerLink& peer_link, const Gossip& peer_gossip,
+               CellSettings cell_settings);
+
+  /// Sets the cells of all pools.
+  void Configure(std::vector<CellSpec> next);
+  /// Asks for a placement, until `cancel` is requested.
+  Task<Result<CellPlacement>> Place(std::string pool, PlacementRequest request,
+                                    Cancellation& cancel);
+  /// Tells the owner of a reservation what came of it; sent with the next tick.
+  void Tell(const std::string& owner, CellNotice2 notice);
+  /// A reservation is used; it is renewed until `Release`.
+  void Hold(const CellPlacement& placed, const Renewal& renewal);
+  /// Tokens produced so far under a reservation.
+  void Progress(const std::string& reservation, Tokens produced);
+  void Release(const std::string& reservation);
+  void Tick(TimeMs now);
+  /// Cells hosted here, for operators.
+  [[nodiscard]] std::vector<std::pair<std::string, std::vector<EngineView>>>
+  Hosted(TimeMs now) const;
+  [[nodiscard]] std::size_t QueueLength() const;
+
+ private:
+  struct Waiting {
+    explicit Waiting(Loop& loop) : decided(loop) {}
+    Notifier decided;
+    std::optional<Result<Placement>> decision;
+  };
+  struct HostedCell {
+    HostedCell(const std::string& name, const std::string& owner,
+               const CellSettings& settings)
+        : scheduler(name, owner, settings) {}
+    CellScheduler scheduler;
+    std::unordered_map<std::string, Waiting*> waiting;  ///< By request.
+    bool ticking = false;
+  };
+  struct HeldRow {
+    std::string cell;
+    std::string owner;
+    Renewal renewal;
+  };
+  /// How well an owner has answered.
+  struct OwnerRow {
+    TimeMs avoid_until = 0;
+  };
+
+  [[nodiscard]] std::vector<std::string> OwnersOf(const CellSpec& cell) const;
+  [[nodiscard]] const CellSpec* FindCell(std::string_view name) const;
+  [[nodiscard]] const CellSpec* CellOf(std::string_view pool,
+                                       const PlacementRequest& request) const;
+  HostedCell& Host(const CellSpec& cell);
+  /// @param call The peer's call that waits for this; null for own requests.
+  Task<Result<Placement>> PlaceHere(const CellSpec& cell,
+                                    PlacementRequest request,
+                                    Cancellation& cancel, PeerCall* call);
+  Task<Result<Placement>> Ask(std::string owner, std::string cell,
+                              PlacementRequest request,
+                              Cancellation& cancel);
+  Task<Result<std::string>> AnswerPlace(PeerCall& call);
+  Task<Result<std::string>> AnswerNews(PeerCall& call);
+  void Take(const CellReport& report);
+  void RunTick(HostedCell& cell, TimeMs now);
+  void Flush(TimeMs now, bool renew);
+
+  PeerLink& link;
+  const Gossip& gossip;
+  CellSettings settings;
+  std::vector<CellSpec> cells;
+  std::map<std::string, std::unique_ptr<HostedCell>, std::less<>> hosted;
+  std::unordered_map<std::string, HeldRow> held;  ///< By reservation.
+  std::unordered_map<std::string, CellReport> outbox;  ///< By owner.
+  std::unordered_map<std::string, OwnerRow> owners;
+  TimeMs next_renewal = 0;
+};
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/peer/cell_messages.cc
@@ -0,0 +1,116 @@
+#include "peer/cell_messages.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace limpethaven {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kLastNews = static_cast<int>(CellNews::kHandleServed);
+
+json OptionalTokens(const std::optional<Tokens>& tokens) {
+  return tokens ? json(*tokens) : json(nullptr);
+}
+
+}  // namespace
+
+// Messages are arrays: they go to and fro for every request, between data
+// centres too.
+
+void to_json(json& out, const PlaceAsk& ask) {
+  const PlacementRequest& request = ask.request;
+  out = json::array({ask.cell, request.request_id, request.team,
+                     request.weight, request.priority, request.data_centre,
+                     request.prompt_tokens, request.max_tokens,
+                     OptionalTokens(request.hint), request.prefix,
+                     request.budget_ms, request.patience_ms, request.direct,
+                     request.excluded});
+}
+
+void from_json(const json& in, PlaceAsk& ask) {
+  PlacementRequest& request = ask.request;
+  in.at(0).get_to(ask.cell);
+  in.at(1).get_to(request.request_id);
+  in.at(2).get_to(request.team);
+  in.at(3).get_to(request.weight);
+  in.at(4).get_to(request.priority);
+  in.at(5).get_to(request.data_centre);
+  in.at(6).get_to(request.prompt_tokens);
+  in.at(7).get_to(request.max_tokens);
+  if (!in.at(8).is_null()) request.hint = in.at(8).get<Tokens>();
+  in.at(9).get_to(request.prefix);
+  in.at(10).get_to(request.budget_ms);
+  in.at(11).get_to(request.patience_ms);
+  in.at(12).get_to(request.direct);
+  in.at(13).get_to(request.excluded);
+}
+
+void to_json(json& out, const Placement& placement) {
+  out = json::array({placement.reservation, placement.prefill,
+                     placement.decode, placement.runner_up, placement.tokens,
+                     placement.cached_tokens, placement.queued_ms,
+                     placement.lease_ms, placement.reason});
+}
+
+void from_json(const json& in, Placement& placement) {
+  in.at(0).get_to(placement.reservation);
+  in.at(1).get_to(placement.prefill);
+  in.at(2).get_to(placement.decode);
+  in.at(3).get_to(placement.runner_up);
+  in.at(4).get_to(placement.tokens);
+  in.at(5).get_to(placement.cached_tokens);
+  in.at(6).get_to(placement.queued_ms);
+  in.at(7).get_to(placement.lease_ms);
+  in.at(8).get_to(placement.reason);
+}
+
+void to_json(json& out, const CellReport& report) {
+  json notices = json::array();
+  std::ranges::for_each(report.notices, [&notices](const CellNotice2& notice) {
+    notices.push_back(json::array(
+        {static_cast<int>(notice.news), notice.cell, notice.reservation,
+         notice.request_id, notice.engine, notice.tokens,
+         notice.measured_ms}));
+  });
+  json renewals = json::array();
+  std::ranges::for_each(report.renewals, [&renewals](const auto& row) {
+    const Renewal& renewal = row.second;
+    renewals.push_back(json::array(
+        {row.first, renewal.reservation, renewal.request_id, renewal.engine,
+         renewal.prompt_tokens, renewal.max_tokens, renewal.expected,
+         renewal.produced}));
+  });
+  out = json::array({std::move(notices), std::move(renewals)});
+}
+
+void from_json(const json& in, CellReport& report) {
+  std::ranges::for_each(in.at(0), [&report](const json& row) {
+    CellNotice2 notice;
+    const int news = row.at(0).get<int>();
+    if (news < 0 || news > kLastNews) return;
+    notice.news = static_cast<CellNews>(news);
+    row.at(1).get_to(notice.cell);
+    row.at(2).get_to(notice.reservation);
+    row.at(3).get_to(notice.request_id);
+    row.at(4).get_to(notice.engine);
+    row.at(5).get_to(notice.tokens);
+    row.at(6).get_to(notice.measured_ms);
+    report.notices.push_back(std::move(notice));
+  });
+  std::ranges::for_each(in.at(1), [&report](const json& row) {
+    Renewal renewal;
+    row.at(1).get_to(renewal.reservation);
+    row.at(2).get_to(renewal.request_id);
+    row.at(3).get_to(renewal.engine);
+    row.at(4).get_to(renewal.prompt_tokens);
+    row.at(5).get_to(renewal.max_tokens);
+    row.at(6).get_to(renewal.expected);
+    row.at(7).get_to(renewal.produced);
+    report.renewals.emplace_back(row.at(0).get<std::string>(),
+                                 std::move(renewal));
+  });
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/peer/cell_messages.h
@@ -0,0 +1,55 @@
+/// @file
+/// JSON bodies of calls about cells.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "limpethaven/cell_scheduler.h"
+
+namespace limpethaven {
+
+/// Asks the owner of a cell for a placement.
+struct PlaceAsk {
+  std::string cell;
+  PlacementRequest request;
+};
+
+/// What an entry tells the owner of a cell.
+enum class CellNews {
+  kPrefillDone,   ///< A prompt was read; `measured_ms` says how fast.
+  kFinished,      ///< A generation ended; `tokens` of a whole answer.
+  kWithdrawn,     ///< The caller is gone.
+  kFailed,        ///< An engine failed.
+  kServed,        ///< An engine served.
+  kFull,          ///< An engine had no memory for what was placed there.
+  kHandleFailed,  ///< An engine's prefilled memory could not be fetched.
+  kHandleServed,  ///< An engine's prefilled memory was fetched.
+};
+
+/// One notice. Notices may be repeated.
+struct CellNotice2 {
+  CellNews news = CellNews::kServed;
+  std::string cell;
+  std::string reservation;
+  std::string request_id;
+  std::string engine;
+  Tokens tokens = 0;
+  DurationMs measured_ms = 0;
+};
+
+/// What one entry tells one owner at once.
+struct CellReport {
+  std::vector<CellNotice2> notices;
+  std::vector<std::pair<std::string, Renewal>> renewals;  ///< With their cell.
+};
+
+void to_json(nlohmann::json& out, const PlaceAsk& ask);
+void from_json(const nlohmann::json& in, PlaceAsk& ask);
+void to_json(nlohmann::json& out, const Placement& placement);
+void from_json(const nlohmann::json& in, Placement& placement);
+void to_json(nlohmann::json& out, const CellReport& report);
+void from_json(const nlohmann::json& in, CellReport& report);
+
+}  // namespace limpethaven
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -1,6 +1,8 @@
 #include "peer/peer_link.h"
 
+#include <algorithm>
 #include <charconv>
+#include <memory>
 
 #include "limpethaven/crypto.h"
 
@@ -17,11 +19,24 @@
 constexpr std::string_view kNonceHeader = "Limpethaven-Nonce";
 constexpr std::string_view kTagHeader = "Limpethaven-Tag";
 constexpr int kOk = 200;
+/// Stands for any refusal in the proof of a long call's answer.
+constexpr int kRefused = 500;
+/// Sent while a long call waits.
+constexpr std::string_view kStillHere = " ";
+/// A peer that says nothing for this long while a call waits is gone.
+constexpr DurationMs kLongSilentMs = 2 * kStillHereMs;
 
 std::string TextOf(const VmId& vm) {
   return vm.address + "@" + std::to_string(vm.incarnation);
 }
 
+Error Unanswered(const std::string& ip, CallFault fault) {
+  const bool sent = fault != CallFault::kConnect;
+  return Error::Of(ErrorKind::kEndpointFailed,
+                   "peer " + ip + ": " + std::string(NameOf(fault)))
+      .WithRan(sent ? Ran::kUnknown : Ran::kNo);
+}
+
 VmId VmIdFrom(std::string_view text) {
   VmId vm;
   const auto at = text.find('@');
@@ -34,6 +49,11 @@
 
 }  // namespace
 
+Task<> PeerCall::SayStillHere() {
+  // A peer that is gone shows in the exchange.
+  co_await this->exchange.Send(std::string(kStillHere));
+}
+
 PeerLink::PeerLink(Loop& event_loop, PeerIdentity peer_identity)
     : loop(event_loop),
       identity(std::move(peer_identity)),
@@ -48,7 +68,13 @@
 }
 
 void PeerLink::Handle(std::string path, PeerHandler2 handler) {
-  this->handlers.insert_or_assign(std::move(path), std::move(handler));
+  this->handlers.insert_or_assign(std::move(path),
+                                  Handler{std::move(handler), false});
+}
+
+void PeerLink::HandleLong(std::string path, PeerHandler2 handler) {
+  this->handlers.insert_or_assign(std::move(path),
+                                  Handler{std::move(handler), true});
 }
 
 bool PeerLink::Start() {
@@ -64,40 +90,84 @@
 
 Task<Result<std::string>> PeerLink::Call(std::string ip, std::string path,
                                          std::string body, TimeMs deadline) {
-  const std::string address = ip + ":" + std::to_string(this->identity.port);
+  SignedCall call = this->Sign(ip, path, body);
+  const HttpAnswer answer =
+      co_await CallWhole(this->loop, this->pool, call.address,
+                         std::move(call.bytes), deadline);
+  if (answer.fault != CallFault::kNone) co_return Unanswered(ip, answer.fault);
+  co_return this->Check(ip, answer.head.status, answer.body,
+                        answer.head.headers.Get(kTagHeader), call.tag);
+}
+
+Task<Result<std::string>> PeerLink::CallLong(std::string ip, std::string path,
+                                             std::string body,
+                                             DurationMs ack_ms, TimeMs deadline,
+                                             Cancellation& cancel) {
+  SignedCall signed_call = this->Sign(ip, path, body);
+  HttpCall call(this->loop, this->pool, signed_call.address);
+  const CancelScope scope(cancel, [&call] { call.Cancel(); });
+  const TimeMs acked_by = LoopNow() + ack_ms;
+  CallFault fault = co_await call.Send(std::move(signed_call.bytes), kIdleMs,
+                                       acked_by, deadline);
+  if (fault == CallFault::kNone) fault = co_await call.ReadHead(acked_by);
+  std::string text;
+  bool ended = false;
+  while (fault == CallFault::kNone && !ended) {
+    std::string piece;
+    const TimeMs silent_at =
+        std::min(deadline, LoopNow() + kLongSilentMs + ack_ms);
+    fault = co_await call.ReadBody(piece, silent_at);
+    text += piece;
+    ended = call.Done() && piece.empty();
+  }
+  if (fault != CallFault::kNone) co_return Unanswered(ip, fault);
+  // The last line proves who answered; keep-alives precede the answer.
+  std::string proof;
+  if (!signed_call.tag.empty()) {
+    const auto line = text.rfind('\n');
+    proof = line == std::string::npos ? "" : text.substr(line + 1);
+    text.resize(line == std::string::npos ? 0 : line);
+  }
+  text.erase(0, std::min(text.size(), text.find_first_not_of(kStillHere)));
+  const bool refused = ErrorFromJsonBody(text).has_value();
+  co_return this->Check(ip, refused ? kRefused : kOk, std::move(text), proof,
+                        signed_call.tag);
+}
+
+PeerLink::SignedCall PeerLink::Sign(const std::string& ip,
+                                    const std::string& path,
+                                    const std::string& body) const {
+  SignedCall call;
+  call.address = ip + ":" + std::to_string(this->identity.port);
   const std::string from = TextOf(this->identity.self);
   RequestHead head{"POST", path, {}};
-  head.headers.Add("Host", address);
+  head.headers.Add("Host", call.address);
   head.headers.Add(kFromHeader, from);
-  std::string tag;
   if (!this->identity.secret.empty()) {
     const std::string nonce = RandomHex(kNonceBytes);
-    tag = this->TagOf(from, ip, path, nonce, body);
+    call.tag = this->TagOf(from, ip, path, nonce, body);
     head.headers.Add(kNonceHeader, nonce);
-    head.headers.Add(kTagHeader, tag);
-  }
-  const HttpAnswer answer = co_await CallWhole(
-      this->loop, this->pool, address, WriteRequest(head, body), deadline);
-  if (answer.fault != CallFault::kNone) {
-    const bool sent = answer.fault != CallFault::kConnect;
-    co_return Error::Of(ErrorKind::kEndpointFailed,
-                        "peer " + ip + ": " + std::string(NameOf(answer.fault)))
-        .WithRan(sent ? Ran::kUnknown : Ran::kNo);
+    head.headers.Add(kTagHeader, call.tag);
   }
+  call.bytes = WriteRequest(head, body);
+  return call;
+}
+
+Result<std::string> PeerLink::Check(const std::string& ip, int status,
+                                    std::string body, std::string_view proof,
+                                    const std::string& tag) const {
   if (!tag.empty()) {
-    const std::string expected =
-        HmacSha256Hex(this->identity.secret,
-                      tag + std::to_string(answer.head.status) + answer.body);
-    if (!ConstantTimeEqual(expected, answer.head.headers.Get(kTagHeader))) {
-      co_return Error::Of(ErrorKind::kPeerRejected,
-                          ip + " did not prove that it is a peer");
+    const std::string expected = HmacSha256Hex(
+        this->identity.secret, tag + std::to_string(status) + body);
+    if (!ConstantTimeEqual(expected, proof)) {
+      return Error::Of(ErrorKind::kPeerRejected,
+                       ip + " did not prove that it is a peer");
     }
   }
-  if (answer.head.status == kOk) co_return answer.body;
-  if (auto error = ErrorFromJsonBody(answer.body)) co_return *error;
-  co_return Error::Of(ErrorKind::kInternal,
-                      "peer " + ip + " answered " +
-                          std::to_string(answer.head.status));
+  if (status == kOk) return body;
+  if (auto error = ErrorFromJsonBody(body)) return *error;
+  return Error::Of(ErrorKind::kInternal,
+                   "peer " + ip + " answered " + std::to_string(status));
 }
 
 Task<> PeerLink::Answer(Exchange& exchange) {
@@ -116,7 +186,11 @@
     result = Error::Of(ErrorKind::kPeerRejected, "wrong authentication tag");
   } else if (handler != this->handlers.end()) {
     PeerCall call{VmIdFrom(from), exchange.Body(), exchange};
-    result = co_await handler->second(call);
+    if (handler->second.is_long) {
+      co_await this->AnswerLong(call, handler->second.answer, tag);
+      co_return;
+    }
+    result = co_await handler->second.answer(call);
   }
   ResponseHead head{kOk, {}};
   std::string body;
@@ -135,6 +209,24 @@
   co_await exchange.Answer(head, std::move(body));
 }
 
+Task<> PeerLink::AnswerLong(PeerCall& call, const PeerHandler2& handler,
+                            std::string tag) {
+  ResponseHead head{kOk, {}};
+  head.headers.Add("Content-Type", "application/json");
+  const bool begun = co_await call.exchange.Begin(std::move(head));
+  if (!begun) co_return;
+  const Result<std::string> result = co_await handler(call);
+  std::string body = result ? result.value() : ToJsonBody(result.error());
+  if (!tag.empty()) {
+    const int status = result ? kOk : kRefused;
+    const std::string proof = HmacSha256Hex(
+        this->identity.secret, tag + std::to_string(status) + body);
+    body += "\n" + proof;
+  }
+  co_await call.exchange.Send(std::move(body));
+  co_await call.exchange.End();
+}
+
 std::string PeerLink::TagOf(std::string_view from, std::string_view to,
                             std::string_view path, std::string_view nonce,
                             std::string_view body) const {
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -5,7 +5,7 @@
 
 Task<std::optional<Error>> PlainSession::Run() {
   SendOutcome last = SendOutcome::kNotSent;
-  while (this->record.MaySend() && !this->gone) {
+  while (this->record.MaySend() && !this->Gone()) {
     const EndpointRecord* chosen = this->core.Choose(
         *this->admitted.pool, PoolRole::kService, this->tried);
     if (chosen == nullptr) break;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -13,6 +13,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "peer/gossip.h"
+#include "peer/cell_exchange.h"
 #include "peer/share_exchange.h"
 #include "router/dialect.h"
 
@@ -26,6 +27,7 @@
   ConnectionPool& pool;
   EndpointTable& table;
   ShareExchange& shares;
+  CellExchange& cells;
   const Gossip& gossip;
   RetrySettings retries;
   std::string data_centre;
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -78,15 +78,23 @@
 }
 
 Task<Ran> Session::Serve() {
-  this->exchange.OnGone([this] {
-    this->gone = true;
-    if (this->call != nullptr) this->call->Cancel();
-  });
+  this->exchange.OnGone([this] { this->cancel.Request(); });
   this->core.BudgetOf(this->admitted.pool->name).OnRequest(LoopNow());
+  LogEvent(EventId::kRequestAccepted,
+           {{"request", this->admitted.request.attempt_id},
+            {"team", this->admitted.team},
+            {"route", this->admitted.route->name},
+            LogField::Of("version", this->admitted.config->version),
+            LogField::Of("prompt", this->admitted.request.prompt_tokens),
+            LogField::Of("max_output",
+                         this->admitted.request.max_output_tokens),
+            LogField::Of("hint",
+                         this->admitted.request.output_hint.value_or(-1)),
+            LogField::Of("left_ms", this->admitted.deadline - LoopNow())});
   const std::optional<Error> error = co_await this->Run();
   this->exchange.OnGone(nullptr);
   const std::string& id = this->admitted.request.attempt_id;
-  if (this->gone) {
+  if (this->Gone()) {
     LogEvent(EventId::kRequestCancelled,
              {{"request", id},
               {"phase", std::string(NameOf(this->record.Phase()))},
@@ -117,6 +125,7 @@
               {"route", this->admitted.route->name},
               {"endpoint", this->tried.empty() ? "" : this->tried.back()},
               LogField::Of("sends", this->record.Sends()),
+              LogField::Of("last_event", this->splitter.LastId().value_or(-1)),
               LogField::Of("elapsed_ms",
                            LoopNow() - this->exchange.ReceivedAt())});
   }
@@ -133,6 +142,7 @@
   this->record.OnSend();
   HttpCall attempt(this->core.parts.loop, this->core.parts.pool,
                    endpoint.address);
+  const CancelScope scope(this->cancel, [&attempt] { attempt.Cancel(); });
   const bool once = this->admitted.route->repeat == RepeatRule::kOnce;
   CallFault fault = co_await this->Start(
       attempt,
@@ -156,8 +166,7 @@
       outcome = co_await this->PassWhole(attempt, kind);
     }
   }
-  this->call = nullptr;
-  if (outcome != SendOutcome::kAnswered && !this->gone) {
+  if (outcome != SendOutcome::kAnswered && !this->Gone()) {
     LogEvent(EventId::kEndpointCallFailed,
              {{"request", this->admitted.request.attempt_id},
               {"endpoint", endpoint.id},
@@ -168,12 +177,14 @@
   co_return outcome;
 }
 
+bool Session::Gone() const noexcept { return this->cancel.Requested(); }
+
 NextStep Session::Judge(SendOutcome outcome) {
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
   const TimeMs now = LoopNow();
   const bool in_time = now < this->admitted.deadline;
   const NextStep step = this->record.OnOutcome(
-      outcome, in_time && !this->gone && budget.Left(now) >= 1.0);
+      outcome, in_time && !this->Gone() && budget.Left(now) >= 1.0);
   if (step == NextStep::kSendAgain && this->record.NextIsRepeat()) {
     budget.OnRepeat(now);
     LogEvent(EventId::kRetry,
@@ -209,7 +220,6 @@
 
 Task<CallFault> Session::Start(HttpCall& attempt, std::string bytes,
                                DurationMs max_idle_ms) {
-  this->call = &attempt;
   const TimeMs deadline = this->admitted.deadline;
   const CallFault fault = co_await attempt.Send(
       std::move(bytes), max_idle_ms, LoopNow() + kConnectMs, deadline);
@@ -240,21 +250,22 @@
                                                 stream.Head().headers)};
     this->record.OnBegun();
     const bool begun = co_await this->exchange.Begin(std::move(head));
-    this->gone = this->gone || !begun;
+    if (!begun) this->cancel.Request();
   }
   CallFault fault = CallFault::kNone;
   bool ended = false;
-  while (fault == CallFault::kNone && !this->gone && !ended) {
+  while (fault == CallFault::kNone && !this->Gone() && !ended) {
     std::string piece;
     fault = co_await stream.ReadBody(piece, this->SilenceDeadline());
     ended = fault == CallFault::kNone && stream.Done() && piece.empty();
     std::string events = this->splitter.Put(piece);
     const bool sent = co_await this->exchange.Send(std::move(events));
-    this->gone = this->gone || !sent;
+    if (this->on_progress) this->on_progress();
+    if (!sent) this->cancel.Request();
   }
   const bool cut_event = this->splitter.HasPartial();
   this->splitter.DropPartial();
-  if (this->gone || fault != CallFault::kNone || cut_event) {
+  if (this->Gone() || fault != CallFault::kNone || cut_event) {
     stream.Cancel();
     co_return OutcomeOf(stream, fault);
   }
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -2,6 +2,7 @@
 /// One request while it is served.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "limpethaven/event_splitter.h"
 #include "limpethaven/request_record.h"
+#include "net/cancellation.h"
 #include "router/router.h"
 
 namespace limpethaven {
@@ -55,9 +57,11 @@
   [[nodiscard]] Dispatch DispatchTo(const EndpointRecord& endpoint) const;
   /// The error that says what is true of this request now.
   [[nodiscard]] Error Failure(SendOutcome last) const;
-  /// Sends a call that `OnGone` cancels. @returns its fault.
+  /// Connects and sends; the rest of a long body goes out while the answer is
+  /// read.
   Task<CallFault> Start(HttpCall& call, std::string bytes,
                         DurationMs max_idle_ms);
+  [[nodiscard]] bool Gone() const noexcept;
 
   RouterCore& core;
   Exchange& exchange;
@@ -65,8 +69,8 @@
   RequestRecord record;
   EventSplitter splitter;
   std::vector<std::string> tried;  ///< Endpoints that had it.
-  HttpCall* call = nullptr;        ///< The one in flight.
-  bool gone = false;               ///< The caller has left.
+  Cancellation cancel;             ///< Requested when the caller leaves.
+  std::function<void()> on_progress;  ///< Called as events are passed on.
 
  private:
   Task<SendOutcome> PassStream(HttpCall& stream);
@@ -96,7 +100,29 @@
   Task<std::optional<Error>> Run() override;
 
  private:
-  Task<std::optional<KvHandle>> ReadPrompt();
+  /// What reading a prompt at a prefill engine has brought.
+  struct Prefilled {
+    std::optional<KvHandle> memory;
+    bool rejected = false;  ///< The engine has not taken the call.
+    DurationMs elapsed_ms = 0;
+  };
+
+  /// Asks for a place, and uses it.
+  Task<Result<SendOutcome>> RunOnce();
+  Task<Prefilled> ReadPrompt(const EndpointRecord& engine);
+  /// Sends to the engine that was chosen; once more without memory that could
+  /// not be fetched.
+  Task<SendOutcome> Generate(const CellPlacement& placed,
+                             const EndpointRecord& engine,
+                             std::optional<KvHandle> memory);
+  [[nodiscard]] PlacementRequest AskFor() const;
+  /// Tokens that were passed on so far.
+  [[nodiscard]] Tokens Produced() const;
+  void Tell(const CellPlacement& placed, CellNews news,
+            const std::string& engine, Tokens tokens, DurationMs measured_ms);
+
+  std::string placement_id;  ///< Of this request at the cell's owner.
+  bool prefilled = false;    ///< An engine has accepted a prefill call.
 };
 
 }  // namespace limpethaven
--- a/tests/cell_scheduler_test.cc
+++ b/tests/cell_scheduler_test.cc
@@ -13,9 +13,24 @@
 namespace limpethaven {
 namespace {
 
+CellEngine Engine(const std::string& id, PoolRole role, std::int64_t pieces) {
+  CellEngine engine;
+  engine.id = id;
+  engine.data_centre = "zone";
+  engine.role = role;
+  engine.memory = pieces * kTokensPerPiece;
+  return engine;
+}
+
+/// What an entry says of a reservation of one piece.
+Renewal OnePiece(const std::string& id, const std::string& request,
+                 std::int64_t pieces = 1) {
+  return Renewal{id, request, "d:1", 0, pieces * kTokensPerPiece, 0, 0};
+}
+
 std::vector<CellEngine> OneOfEach(std::int64_t pieces) {
-  return {CellEngine{"p:1", "zone", PoolRole::kPrefill, pieces, false},
-          CellEngine{"d:1", "zone", PoolRole::kDecode, pieces, false}};
+  return {Engine("p:1", PoolRole::kPrefill, pieces),
+          Engine("d:1", PoolRole::kDecode, pieces)};
 }
 
 PlacementRequest Ask(const std::string& id, Tokens prompt, Tokens answer,
@@ -49,7 +64,7 @@
   REQUIRE(placed.size() == 1);
   REQUIRE(placed[0].placement.prefill == "p:1");
   REQUIRE(placed[0].placement.decode == "d:1");
-  REQUIRE(placed[0].placement.pieces == 2);
+  REQUIRE(placed[0].placement.tokens == 1900);
 }
 
 TEST_CASE("cell starts no prefill before decode memory is free") {
@@ -61,7 +76,7 @@
   const auto placed = Only<PlaceCommand>(cell.Tick(0));
   REQUIRE(placed.size() == 1);
   REQUIRE(cell.QueueLength() == 1);
-  cell.Finish(placed[0].placement.reservation, 10);
+  cell.Finish(placed[0].placement.reservation, 0, 10);
   REQUIRE(Only<PlaceCommand>(cell.Tick(10)).size() == 1);
 }
 
@@ -91,7 +106,7 @@
   cell.Submit(Ask("r1", 500, 400), 0);
   const std::string id =
       Only<PlaceCommand>(cell.Tick(0)).at(0).placement.reservation;
-  cell.Renew({{id, "r1", "d:1", 1}}, 800);
+  cell.Renew({OnePiece(id, "r1")}, 800);
   REQUIRE(Only<CancelCommand>(cell.Tick(1500)).empty());
   const auto first = Only<CancelCommand>(cell.Tick(1800));
   REQUIRE(first.size() == 1);
@@ -102,17 +117,17 @@
   cell.CancelDone(id);
   REQUIRE(Only<CancelCommand>(cell.Tick(2400)).empty());
   // A renewal that arrives late must not bring the lease back.
-  cell.Renew({{id, "r1", "d:1", 1}}, 2500);
+  cell.Renew({OnePiece(id, "r1")}, 2500);
   REQUIRE(cell.Reservations() == 0);
 }
 
 TEST_CASE("cell adopts reservations that an earlier owner made") {
   CellScheduler cell("m/0", "new-owner");
   cell.Configure(OneOfEach(2), 0);
-  cell.Renew({{"old-owner-1", "r1", "d:1", 2}}, 0);
+  cell.Renew({OnePiece("old-owner-1", "r1", 2)}, 0);
   cell.Submit(Ask("r2", 500, 400), 0);
   REQUIRE(Only<PlaceCommand>(cell.Tick(0)).empty());
-  cell.Finish("old-owner-1", 5);
+  cell.Finish("old-owner-1", 0, 5);
   REQUIRE(Only<PlaceCommand>(cell.Tick(5)).size() == 1);
 }
 
@@ -137,7 +152,7 @@
 TEST_CASE("cell gives leaving and ejected engines no new work") {
   CellScheduler cell("m/0", "o");
   auto engines = OneOfEach(8);
-  engines.push_back(CellEngine{"d:2", "zone", PoolRole::kDecode, 8, false});
+  engines.push_back(Engine("d:2", PoolRole::kDecode, 8));
   cell.Configure(engines, 0);
   for (int failure = 0; failure < 3; ++failure) cell.EngineFailed("d:1", 0);
   engines[2].leaving = true;
@@ -151,7 +166,7 @@
 TEST_CASE("cell prefers the prefill engine that holds the prefix") {
   CellScheduler cell("m/0", "o");
   auto engines = OneOfEach(64);
-  engines.push_back(CellEngine{"p:2", "zone", PoolRole::kPrefill, 64, false});
+  engines.push_back(Engine("p:2", PoolRole::kPrefill, 64));
   cell.Configure(engines, 0);
   cell.OnCacheEvents("p:2", {CacheEvent{1, 11, true}, CacheEvent{2, 12, true}});
   auto request = Ask("r1", 2500, 100);
@@ -180,7 +195,7 @@
   }
   for (int round = 0; round < 200; ++round) {
     now += 50;
-    for (const std::string& id : open) cell.Finish(id, now);
+    for (const std::string& id : open) cell.Finish(id, 0, now);
     open.clear();
     for (const auto& place : Only<PlaceCommand>(cell.Tick(now))) {
       open.push_back(place.placement.reservation);
@@ -195,10 +210,10 @@
 TEST_CASE(
     "cell never reserves more memory than an engine has, for any order of "
     "events") {
-  REQUIRE(rc::check("reserved <= pieces, every request answered once", [] {
+  REQUIRE(rc::check("reserved <= memory, every request answered once", [] {
     CellScheduler cell("m/0", "o", CellSettings{.lease_ms = 500});
     auto engines = OneOfEach(6);
-    engines.push_back(CellEngine{"d:2", "zone", PoolRole::kDecode, 4, false});
+    engines.push_back(Engine("d:2", PoolRole::kDecode, 4));
     cell.Configure(engines, 0);
     const auto steps = *rc::gen::container<std::vector<unsigned>>(
         rc::gen::inRange(0U, 10'000U));
@@ -216,7 +231,7 @@
                       now);
           break;
         case 2:
-          if (!open.empty()) cell.Finish(open[step % open.size()], now);
+          if (!open.empty()) cell.Finish(open[step % open.size()], 0, now);
           break;
         case 3:
           if (!open.empty()) cell.PrefillDone(open[step % open.size()], 5, now);
@@ -227,7 +242,7 @@
           }
           break;
         default:
-          cell.EngineFailed(engines[step % engines.size()].address, now);
+          cell.EngineFailed(engines[step % engines.size()].id, now);
           break;
       }
       for (const CellCommand& command : cell.Tick(now)) {
@@ -240,8 +255,8 @@
         }
       }
       for (const EngineView& engine : cell.Engines(now)) {
-        RC_ASSERT(engine.reserved >= 0);
-        RC_ASSERT(engine.reserved <= engine.pieces);
+        RC_ASSERT(engine.peak >= 0);
+        RC_ASSERT(engine.peak <= engine.memory);
       }
     }
     for (const auto& [request, count] : answers) {
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -204,7 +204,7 @@
       held += cell.engines.size();
       REQUIRE(cell.engines.size() <= 64);
       for (const CellEngine& engine : cell.engines) {
-        engines.insert(engine.address);
+        engines.insert(engine.id);
         if (per_centre == 40) REQUIRE(engine.data_centre == cell.data_centre);
       }
     }
