Several cells to a pool: a home cell, and a move to one that has room

Change: requests go to a cell of their own data centre; a cell that cannot place at once hands them to one whose owner says that it has room; owners tell each other every 100 ms. Owners are near their engines and no weaker than half of the strongest VM.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -149,6 +149,14 @@
   bool usable = false;
 };
 
+/// How much work a cell has, for requests that may go to another.
+struct CellLoad {
+  std::int64_t waiting = 0;  ///< Requests in its queue.
+  DurationMs wait_ms = 0;    ///< Until queued work has had its turn.
+  Tokens room = 0;           ///< Memory that nothing is forecast to need.
+  friend auto operator<=>(const CellLoad&, const CellLoad&) = default;
+};
+
 /// What an entry says of a reservation that it uses.
 struct Renewal {
   std::string reservation;
@@ -213,6 +221,7 @@
   [[nodiscard]] std::vector<CellCommand> Tick(TimeMs now);
 
   [[nodiscard]] std::vector<EngineView> Engines(TimeMs now) const;
+  [[nodiscard]] CellLoad Load(TimeMs now) const;
   [[nodiscard]] std::size_t QueueLength() const noexcept;
   [[nodiscard]] std::size_t Reservations() const noexcept;
   [[nodiscard]] const std::string& Name() const noexcept;
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -58,6 +58,7 @@
       0;  ///< Raised by the member itself to refute suspicion.
   MemberState state = MemberState::kUnknown;
   bool serving = false;  ///< Has what it needs to serve callers.
+  std::int64_t strength = 0;  ///< Processor share, in thousandths of a core.
   friend auto operator<=>(const MemberUpdate&, const MemberUpdate&) = default;
 };
 
@@ -84,6 +85,7 @@
   std::uint64_t from_refutation = 0;
   bool from_leaving = false;
   bool from_serving = false;
+  std::int64_t from_strength = 0;
   std::uint64_t to_incarnation = 0;  ///< 0: the sender does not know it yet.
   std::uint64_t sequence = 0;
   std::string
@@ -126,6 +128,8 @@
   void SetListed(const std::vector<ListedVm>& vms, TimeMs now);
   /// Version and digest that messages carry.
   void SetConfig(std::uint64_t version, std::string_view digest);
+  /// Processor share that this process tells, in thousandths of a core.
+  void SetStrength(std::int64_t strength);
   /// Says whether this process has what it needs to serve callers.
   void SetServing(bool serving);
   /// Announces that this process is leaving.
@@ -156,6 +160,8 @@
       std::string_view data_centre) const;
   /// Addresses that serve callers: alive and serving, this process included.
   [[nodiscard]] std::vector<std::string> ServingAddresses() const;
+  /// The same with what is known of each.
+  [[nodiscard]] std::vector<MemberUpdate> Serving() const;
   /// Data centre of a member; empty when unknown.
   [[nodiscard]] std::string DataCentreOf(std::string_view address) const;
   [[nodiscard]] const VmId& Self() const noexcept;
@@ -215,6 +221,7 @@
   std::uint64_t refutation = 0;
   bool leaving = false;
   bool serving = false;
+  std::int64_t strength = 0;
   bool paused = false;
   TimeMs last_tick = 0;
   TimeMs next_probe = 0;
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -575,6 +575,25 @@
   return views;
 }
 
+CellLoad CellScheduler::Load(TimeMs now) const {
+  const Tables& state = *this->tables;
+  CellLoad load;
+  load.waiting = static_cast<std::int64_t>(state.QueueLength());
+  load.wait_ms = state.ExpectedWaitMs();
+  std::ranges::for_each(state.engines.Rows(), [&](const EngineRow& engine) {
+    const bool takes = engine.usable && engine.Decodes() &&
+                       static_cast<std::int64_t>(engine.generations.size()) <
+                           engine.spec.slots;
+    if (!takes) return;
+    const auto planned =
+        static_cast<Tokens>(static_cast<double>(engine.spec.memory) *
+                            state.settings.memory_part);
+    load.room += std::max<Tokens>(
+        0, planned - state.engines.PeakWith(engine, HeldGeneration{}, now));
+  });
+  return load;
+}
+
 std::size_t CellScheduler::QueueLength() const noexcept {
   return this->tables->QueueLength();
 }
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -11,13 +11,13 @@
 using nlohmann::json;
 
 constexpr std::size_t kTagBytes = 16;
-constexpr std::size_t kMessageFields = 12;
-constexpr std::size_t kUpdateFields = 6;
+constexpr std::size_t kMessageFields = 13;
+constexpr std::size_t kUpdateFields = 7;
 
 json ToJson(const MemberUpdate& update) {
   return json::array({update.address, update.data_centre, update.incarnation,
                       update.refutation, static_cast<int>(update.state),
-                      update.serving});
+                      update.serving, update.strength});
 }
 
 template <typename EnumType>
@@ -35,7 +35,7 @@
                       in.at(2).get<std::uint64_t>(),
                       in.at(3).get<std::uint64_t>(),
                       EnumFrom(in.at(4), MemberState::kLeaving),
-                      in.at(5).get<bool>()};
+                      in.at(5).get<bool>(), in.at(6).get<std::int64_t>()};
 }
 
 GossipMessage MessageFrom(const json& in) {
@@ -53,6 +53,7 @@
   message.config_version = in.at(9).at(0).get<std::uint64_t>();
   message.config_digest = in.at(9).at(1).get<std::string>();
   message.from_serving = in.at(11).get<bool>();
+  message.from_strength = in.at(12).get<std::int64_t>();
   std::ranges::transform(in.at(10), std::back_inserter(message.updates),
                          UpdateFrom);
   return message;
@@ -70,7 +71,7 @@
        message.from_refutation, message.from_leaving, message.to_incarnation,
        message.sequence, message.target,
        json::array({message.config_version, message.config_digest}), updates,
-       message.from_serving});
+       message.from_serving, message.from_strength});
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
   return HmacSha256(secret, body).substr(0, kTagBytes) + body;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -98,6 +98,10 @@
   this->config_digest = std::string(digest.substr(0, 16));
 }
 
+void Membership::SetStrength(std::int64_t own_strength) {
+  this->strength = own_strength;
+}
+
 void Membership::SetServing(bool now_serving) {
   if (this->serving == now_serving) return;
   this->serving = now_serving;
@@ -254,15 +258,27 @@
 }
 
 std::vector<std::string> Membership::ServingAddresses() const {
+  const std::vector<MemberUpdate> serving_now = this->Serving();
   std::vector<std::string> addresses;
-  if (!this->leaving && this->serving) addresses.push_back(this->self.address);
-  std::ranges::for_each(this->members, [&addresses](const auto& row) {
+  std::ranges::transform(serving_now, std::back_inserter(addresses),
+                         &MemberUpdate::address);
+  return addresses;
+}
+
+std::vector<MemberUpdate> Membership::Serving() const {
+  std::vector<MemberUpdate> rows;
+  if (!this->leaving && this->serving) {
+    rows.push_back(MemberUpdate{this->self.address, this->data_centre,
+                                this->self.incarnation, this->refutation,
+                                MemberState::kAlive, true, this->strength});
+  }
+  std::ranges::for_each(this->members, [&rows](const auto& row) {
     const MemberUpdate& news = row.second.news;
     if (news.state == MemberState::kAlive && news.serving) {
-      addresses.push_back(news.address);
+      rows.push_back(news);
     }
   });
-  return addresses;
+  return rows;
 }
 
 std::string Membership::DataCentreOf(std::string_view address) const {
@@ -282,6 +298,7 @@
   message.from_refutation = this->refutation;
   message.from_leaving = this->leaving;
   message.from_serving = this->serving;
+  message.from_strength = this->strength;
   message.sequence = this->next_sequence++;
   message.config_version = this->config_version;
   message.config_digest = this->config_digest;
@@ -420,7 +437,8 @@
       message.from.address, message.from_data_centre, message.from.incarnation,
       message.from_refutation,
       message.from_leaving ? MemberState::kLeaving : MemberState::kAlive,
-      message.from_serving};
+      message.from_serving,
+      message.from_strength};
   this->Merge(update, now);
   this->members[message.from.address].config_version = message.config_version;
 }
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -34,8 +34,8 @@
 PeerIdentity IdentityOf(const NodeSettings& settings) {
   // No clock: it may jump between two starts.
   return PeerIdentity{VmId{settings.ip, RandomBits() | 1U},
-                      settings.data_centre, settings.peer_port,
-                      settings.fleet_secret};
+                      settings.data_centre, settings.strength,
+                      settings.peer_port, settings.fleet_secret};
 }
 
 Error CannotListen(const std::string& address) {
@@ -54,7 +54,8 @@
       gossip(event_loop, this->identity, MembershipSettings{}, *this),
       link(event_loop, this->identity),
       shares(this->link, this->gossip, this->settings.tolerance),
-      cells(this->link, this->gossip, this->settings.cells),
+      cells(this->link, this->gossip, this->settings.data_centre,
+            this->settings.cells),
       state(this->link, this->gossip, this->table, *this),
       router(RouterParts{event_loop, *this->dialects.callers,
                          *this->dialects.endpoints, this->pool, this->table,
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -25,6 +25,7 @@
   std::string callers_address;    ///< `IP:port` that serves callers.
   std::string ready_address;      ///< Readiness; empty: not served apart.
   std::string addresses_address;  ///< Callers' questions for addresses.
+  std::int64_t strength = 1000;  ///< Processor share, thousandths of a core.
   int peer_port = 0;
   std::vector<std::string> seeds;  ///< IP numbers of VMs to ask first.
   std::string fleet_secret;
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -24,6 +24,13 @@
 /// Beyond a request's own patience, before an ask is given up.
 constexpr DurationMs kPlaceSlackMs = 100;
 
+/// Between two tellings of a cell's load to the owners of its neighbours.
+constexpr DurationMs kLoadPeriodMs = 100;
+/// An older load says nothing.
+constexpr DurationMs kLoadFreshMs = 500;
+/// A cell is roomy when it has room for this many times the request.
+constexpr Tokens kRoomFactor = 4;
+
 json ParseOrNull(const std::string& text) {
   return json::parse(text, nullptr, false);
 }
@@ -31,8 +38,12 @@
 }  // namespace
 
 CellExchange::CellExchange(PeerLink& peer_link, const Gossip& peer_gossip,
+                           std::string own_data_centre,
                            CellSettings cell_settings)
-    : link(peer_link), gossip(peer_gossip), settings(cell_settings) {
+    : link(peer_link),
+      gossip(peer_gossip),
+      data_centre(std::move(own_data_centre)),
+      settings(cell_settings) {
   this->link.HandleLong(std::string(kPlacePath), [this](PeerCall& call) {
     return this->AnswerPlace(call);
   });
@@ -55,29 +66,51 @@
 Task<Result<CellPlacement>> CellExchange::Place(std::string pool,
                                                 PlacementRequest request,
                                                 Cancellation& cancel) {
-  const CellSpec* found = this->CellOf(pool, request);
-  if (found == nullptr) {
-    co_return Error::Of(ErrorKind::kNoEndpoint, "no engine of " + pool);
+  const TimeMs asked_at = LoopNow();
+  std::string name = this->HomeCell(pool);
+  bool may_move = true;
+  while (!name.empty()) {
+    const CellSpec* found = this->FindCell(name);
+    if (found == nullptr) break;
+    const CellSpec cell = *found;
+    PlacementRequest ask = request;
+    ask.budget_ms -= LoopNow() - asked_at;
+    const Result<Placed> placed =
+        co_await this->PlaceIn(cell, std::move(ask), may_move, cancel);
+    if (!placed) co_return placed.error();
+    const Placed& answer = placed.value();
+    if (answer.answer.move_to.empty()) {
+      co_return CellPlacement{cell.name, answer.owner,
+                              answer.answer.placement};
+    }
+    // Moved once: the other cell queues it.
+    name = answer.answer.move_to;
+    may_move = false;
   }
-  const CellSpec cell = *found;
+  co_return Error::Of(ErrorKind::kNoEndpoint, "no engine of " + pool);
+}
+
+Task<Result<CellExchange::Placed>> CellExchange::PlaceIn(
+    const CellSpec& cell, PlacementRequest request, bool may_move,
+    Cancellation& cancel) {
   const std::string& self = this->gossip.Members().Self().address;
   const TimeMs asked_at = LoopNow();
   for (const std::string& owner : this->OwnersOf(cell)) {
     if (owner == self) break;
-    PlacementRequest ask = request;
-    ask.budget_ms -= LoopNow() - asked_at;
-    const Result<Placement> placed =
-        co_await this->Ask(owner, cell.name, std::move(ask), cancel);
-    if (placed) co_return CellPlacement{cell.name, owner, placed.value()};
-    if (cancel.Requested()) co_return placed.error();
+    PlaceAsk ask{cell.name, request, may_move};
+    ask.request.budget_ms -= LoopNow() - asked_at;
+    const Result<PlaceAnswer> answer =
+        co_await this->Ask(owner, std::move(ask), cancel);
+    if (answer) co_return Placed{owner, answer.value()};
+    if (cancel.Requested()) co_return answer.error();
     // A refusal by the scheduler is its decision; only an owner out of reach is
     // passed over.
-    const ErrorKind kind = placed.error().kind;
-    if (kind != ErrorKind::kEndpointFailed) co_return placed.error();
+    const ErrorKind kind = answer.error().kind;
+    if (kind != ErrorKind::kEndpointFailed) co_return answer.error();
     LogEvent(EventId::kCellOwnerLost, {{"request", request.request_id},
                                        {"cell", cell.name},
                                        {"owner", owner},
-                                       {"why", placed.error().message}});
+                                       {"why", answer.error().message}});
     this->owners[owner].avoid_until = LoopNow() + kAvoidMs;
     // It may have placed the request all the same: that must be freed.
     CellNotice2 notice;
@@ -86,11 +119,12 @@
     notice.request_id = request.request_id;
     this->Tell(owner, std::move(notice));
   }
-  request.budget_ms -= LoopNow() - asked_at;
-  const Result<Placement> placed =
-      co_await this->PlaceHere(cell, std::move(request), cancel, nullptr);
-  if (!placed) co_return placed.error();
-  co_return CellPlacement{cell.name, self, placed.value()};
+  PlaceAsk ask{cell.name, std::move(request), may_move};
+  ask.request.budget_ms -= LoopNow() - asked_at;
+  const Result<PlaceAnswer> answer =
+      co_await this->PlaceHere(cell, std::move(ask), cancel, nullptr);
+  if (!answer) co_return answer.error();
+  co_return Placed{self, answer.value()};
 }
 
 void CellExchange::Tell(const std::string& owner, CellNotice2 notice) {
@@ -125,6 +159,7 @@
     moved = moved || owner != row.owner;
     row.owner = owner;
   });
+  this->TellLoads(now);
   const bool renew = moved || now >= this->next_renewal;
   if (renew) this->next_renewal = now + kRenewMs;
   this->Flush(now, renew);
@@ -151,14 +186,33 @@
 }
 
 std::vector<std::string> CellExchange::OwnersOf(const CellSpec& cell) const {
-  const Membership& members = this->gossip.Members();
-  std::vector<std::string> candidates = members.ServingAddresses();
+  std::vector<MemberUpdate> candidates = this->gossip.Members().Serving();
   const TimeMs now = LoopNow();
-  std::erase_if(candidates, [&](const std::string& address) {
-    const auto row = this->owners.find(address);
+  std::erase_if(candidates, [&](const MemberUpdate& member) {
+    const auto row = this->owners.find(member.address);
     return row != this->owners.end() && now < row->second.avoid_until;
   });
-  return RendezvousTop("cell/" + cell.name, candidates, kOwnersTried);
+  const bool any_near =
+      std::ranges::any_of(candidates, [&cell](const MemberUpdate& member) {
+        return member.data_centre == cell.data_centre;
+      });
+  if (any_near) {
+    std::erase_if(candidates, [&cell](const MemberUpdate& member) {
+      return member.data_centre != cell.data_centre;
+    });
+  }
+  std::int64_t strongest = 0;
+  std::ranges::for_each(candidates, [&strongest](const MemberUpdate& member) {
+    strongest = std::max(strongest, member.strength);
+  });
+  // Much weaker VMs would slow all others down.
+  std::erase_if(candidates, [strongest](const MemberUpdate& member) {
+    return 2 * member.strength < strongest;
+  });
+  std::vector<std::string> addresses;
+  std::ranges::transform(candidates, std::back_inserter(addresses),
+                         &MemberUpdate::address);
+  return RendezvousTop("cell/" + cell.name, addresses, kOwnersTried);
 }
 
 const CellSpec* CellExchange::FindCell(std::string_view name) const {
@@ -166,11 +220,39 @@
   return found == this->cells.end() ? nullptr : &*found;
 }
 
-const CellSpec* CellExchange::CellOf(std::string_view pool,
-                                     const PlacementRequest& request) const {
-  static_cast<void>(request);
-  const auto found = std::ranges::find(this->cells, pool, &CellSpec::model);
-  return found == this->cells.end() ? nullptr : &*found;
+std::string CellExchange::HomeCell(std::string_view pool) const {
+  std::vector<std::string> all;
+  std::vector<std::string> near;
+  std::ranges::for_each(this->cells, [&](const CellSpec& cell) {
+    if (cell.model != pool) return;
+    all.push_back(cell.name);
+    if (cell.data_centre == this->data_centre) near.push_back(cell.name);
+  });
+  const std::vector<std::string>& from = near.empty() ? all : near;
+  if (from.empty()) return {};
+  const std::string& self = this->gossip.Members().Self().address;
+  return RendezvousTop("home/" + self, from, 1).front();
+}
+
+std::string CellExchange::RoomierCell(const CellSpec& cell, Tokens tokens,
+                                      TimeMs now) {
+  std::string best;
+  Tokens best_room = 0;
+  std::ranges::for_each(this->cells, [&](const CellSpec& other) {
+    if (other.model != cell.model || other.name == cell.name) return;
+    const auto row = this->loads.find(other.name);
+    if (row == this->loads.end()) return;
+    const LoadRow& load = row->second;
+    const bool roomy = now - load.heard_at <= kLoadFreshMs &&
+                       load.load.waiting == 0 &&
+                       load.load.room >= kRoomFactor * tokens;
+    if (!roomy || load.load.room <= best_room) return;
+    best = other.name;
+    best_room = load.load.room;
+  });
+  // What is sent there counts until that cell says how it stands.
+  if (!best.empty()) this->loads[best].load.room -= tokens;
+  return best;
 }
 
 CellExchange::HostedCell& CellExchange::Host(const CellSpec& cell) {
@@ -185,19 +267,29 @@
   return *this->hosted.emplace(cell.name, std::move(host)).first->second;
 }
 
-Task<Result<Placement>> CellExchange::PlaceHere(const CellSpec& cell,
-                                                PlacementRequest request,
-                                                Cancellation& cancel,
-                                                PeerCall* call) {
+Task<Result<PlaceAnswer>> CellExchange::PlaceHere(const CellSpec& cell,
+                                                  PlaceAsk ask,
+                                                  Cancellation& cancel,
+                                                  PeerCall* call) {
   HostedCell& host = this->Host(cell);
-  const std::string id = request.request_id;
+  const std::string id = ask.request.request_id;
+  const Tokens tokens = ask.request.prompt_tokens;
   const TimeMs give_up_at =
-      LoopNow() + std::max(request.patience_ms, request.budget_ms) +
+      LoopNow() + std::max(ask.request.patience_ms, ask.request.budget_ms) +
       kPlaceSlackMs;
   Waiting waiting(this->link.OfLoop());
   host.waiting.insert_or_assign(id, &waiting);
-  host.scheduler.Submit(std::move(request), LoopNow());
+  host.scheduler.Submit(std::move(ask.request), LoopNow());
   this->RunTick(host, LoopNow());
+  const bool placed = waiting.decision && waiting.decision->has_value();
+  if (!placed && ask.may_move) {
+    const std::string other = this->RoomierCell(cell, tokens, LoopNow());
+    if (!other.empty()) {
+      host.waiting.erase(id);
+      host.scheduler.Withdraw(id, LoopNow());
+      co_return PlaceAnswer{other, {}};
+    }
+  }
   const CancelScope scope(cancel, [&waiting] { waiting.decided.Notify(); });
   while (!waiting.decision && !cancel.Requested() && LoopNow() < give_up_at) {
     const TimeMs said_at = LoopNow() + kStillHereMs;
@@ -207,24 +299,27 @@
     if (call != nullptr && silent) co_await call->SayStillHere();
   }
   host.waiting.erase(id);
-  if (waiting.decision && !cancel.Requested()) co_return *waiting.decision;
+  if (waiting.decision && !cancel.Requested()) {
+    const Result<Placement> decision = *waiting.decision;
+    if (!decision) co_return decision.error();
+    co_return PlaceAnswer{"", decision.value()};
+  }
   host.scheduler.Withdraw(id, LoopNow());
   co_return Error::Of(ErrorKind::kCapacity, "no placement in time");
 }
 
-Task<Result<Placement>> CellExchange::Ask(std::string owner, std::string cell,
-                                          PlacementRequest request,
-                                          Cancellation& cancel) {
+Task<Result<PlaceAnswer>> CellExchange::Ask(std::string owner, PlaceAsk ask,
+                                            Cancellation& cancel) {
   const TimeMs deadline =
-      LoopNow() + std::max(request.patience_ms, request.budget_ms) +
+      LoopNow() + std::max(ask.request.patience_ms, ask.request.budget_ms) +
       kPlaceSlackMs;
-  const json ask = PlaceAsk{std::move(cell), std::move(request)};
+  const json body = ask;
   const Result<std::string> answer =
-      co_await this->link.CallLong(owner, std::string(kPlacePath), ask.dump(),
+      co_await this->link.CallLong(owner, std::string(kPlacePath), body.dump(),
                                    kAckMs, deadline, cancel);
   if (!answer) co_return answer.error();
   try {
-    co_return ParseOrNull(answer.value()).get<Placement>();
+    co_return ParseOrNull(answer.value()).get<PlaceAnswer>();
   } catch (const json::exception& fault) {
     co_return Error::Of(ErrorKind::kEndpointFailed, fault.what());
   }
@@ -244,12 +339,12 @@
   const CellSpec cell = *found;
   Cancellation cancel;
   call.exchange.OnGone([&cancel] { cancel.Request(); });
-  const Result<Placement> placed =
-      co_await this->PlaceHere(cell, std::move(ask.request), cancel, &call);
+  const Result<PlaceAnswer> answer =
+      co_await this->PlaceHere(cell, std::move(ask), cancel, &call);
   call.exchange.OnGone(nullptr);
-  if (!placed) co_return placed.error();
-  const json answer = placed.value();
-  co_return answer.dump();
+  if (!answer) co_return answer.error();
+  const json body = answer.value();
+  co_return body.dump();
 }
 
 Task<Result<std::string>> CellExchange::AnswerNews(PeerCall& call) {
@@ -263,6 +358,9 @@
 
 void CellExchange::Take(const CellReport& report) {
   const TimeMs now = LoopNow();
+  std::ranges::for_each(report.loads, [&](const auto& row) {
+    this->loads.insert_or_assign(row.first, LoadRow{row.second, now});
+  });
   std::ranges::for_each(report.renewals, [&](const auto& row) {
     const CellSpec* cell = this->FindCell(row.first);
     if (cell != nullptr) this->Host(*cell).scheduler.Renew({row.second}, now);
@@ -343,6 +441,25 @@
   }
 }
 
+void CellExchange::TellLoads(TimeMs now) {
+  if (now < this->next_loads) return;
+  this->next_loads = now + kLoadPeriodMs;
+  const std::string& self = this->gossip.Members().Self().address;
+  std::ranges::for_each(this->hosted, [&](const auto& entry) {
+    const CellSpec* cell = this->FindCell(entry.first);
+    if (cell == nullptr) return;
+    const std::vector<std::string> order = this->OwnersOf(*cell);
+    if (order.empty() || order.front() != self) return;
+    const CellLoad load = entry.second->scheduler.Load(now);
+    std::ranges::for_each(this->cells, [&](const CellSpec& other) {
+      if (other.model != cell->model || other.name == cell->name) return;
+      const std::vector<std::string> owners_there = this->OwnersOf(other);
+      if (owners_there.empty()) return;
+      this->outbox[owners_there.front()].loads.emplace_back(cell->name, load);
+    });
+  });
+}
+
 void CellExchange::Flush(TimeMs now, bool renew) {
   static_cast<void>(now);
   if (renew) {
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -35,7 +35,7 @@
 class CellExchange {
  public:
   CellExchange(PeerLink& peer_link, const Gossip& peer_gossip,
-               CellSettings cell_settings);
+               std::string own_data_centre, CellSettings cell_settings);
 
   /// Sets the cells of all pools.
   void Configure(std::vector<CellSpec> next);
@@ -56,6 +56,16 @@
   [[nodiscard]] std::size_t QueueLength() const;
 
  private:
+  /// An answer and who gave it.
+  struct Placed {
+    std::string owner;
+    PlaceAnswer answer;
+  };
+  /// What the owner of another cell said of it.
+  struct LoadRow {
+    CellLoad load;
+    TimeMs heard_at = 0;
+  };
   struct Waiting {
     explicit Waiting(Loop& loop) : decided(loop) {}
     Notifier decided;
@@ -81,31 +91,40 @@
 
   [[nodiscard]] std::vector<std::string> OwnersOf(const CellSpec& cell) const;
   [[nodiscard]] const CellSpec* FindCell(std::string_view name) const;
-  [[nodiscard]] const CellSpec* CellOf(std::string_view pool,
-                                       const PlacementRequest& request) const;
+  /// Cell of a pool that requests from here go to first; empty without one.
+  [[nodiscard]] std::string HomeCell(std::string_view pool) const;
+  /// Another cell of the same pool that has room; empty without one.
+  [[nodiscard]] std::string RoomierCell(const CellSpec& cell, Tokens tokens,
+                                        TimeMs now);
   HostedCell& Host(const CellSpec& cell);
+  /// Asks the owners of a cell in turn, and schedules here when none answers.
+  Task<Result<Placed>> PlaceIn(const CellSpec& cell, PlacementRequest request,
+                               bool may_move, Cancellation& cancel);
   /// @param call The peer's call that waits for this; null for own requests.
-  Task<Result<Placement>> PlaceHere(const CellSpec& cell,
-                                    PlacementRequest request,
-                                    Cancellation& cancel, PeerCall* call);
-  Task<Result<Placement>> Ask(std::string owner, std::string cell,
-                              PlacementRequest request,
-                              Cancellation& cancel);
+  Task<Result<PlaceAnswer>> PlaceHere(const CellSpec& cell, PlaceAsk ask,
+                                      Cancellation& cancel, PeerCall* call);
+  Task<Result<PlaceAnswer>> Ask(std::string owner, PlaceAsk ask,
+                                Cancellation& cancel);
   Task<Result<std::string>> AnswerPlace(PeerCall& call);
   Task<Result<std::string>> AnswerNews(PeerCall& call);
   void Take(const CellReport& report);
   void RunTick(HostedCell& cell, TimeMs now);
   void Flush(TimeMs now, bool renew);
+  /// Tells the owners of neighbouring cells how much room there is here.
+  void TellLoads(TimeMs now);
 
   PeerLink& link;
   const Gossip& gossip;
+  std::string data_centre;
   CellSettings settings;
   std::vector<CellSpec> cells;
   std::map<std::string, std::unique_ptr<HostedCell>, std::less<>> hosted;
   std::unordered_map<std::string, HeldRow> held;  ///< By reservation.
   std::unordered_map<std::string, CellReport> outbox;  ///< By owner.
   std::unordered_map<std::string, OwnerRow> owners;
+  std::unordered_map<std::string, LoadRow> loads;  ///< Of other cells.
   TimeMs next_renewal = 0;
+  TimeMs next_loads = 0;
 };
 
 }  // namespace limpethaven
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -26,7 +26,7 @@
                      request.prompt_tokens, request.max_tokens,
                      OptionalTokens(request.hint), request.prefix,
                      request.budget_ms, request.patience_ms, request.direct,
-                     request.excluded});
+                     request.excluded, ask.may_move});
 }
 
 void from_json(const json& in, PlaceAsk& ask) {
@@ -45,25 +45,29 @@
   in.at(11).get_to(request.patience_ms);
   in.at(12).get_to(request.direct);
   in.at(13).get_to(request.excluded);
+  in.at(14).get_to(ask.may_move);
 }
 
-void to_json(json& out, const Placement& placement) {
-  out = json::array({placement.reservation, placement.prefill,
+void to_json(json& out, const PlaceAnswer& answer) {
+  const Placement& placement = answer.placement;
+  out = json::array({answer.move_to, placement.reservation, placement.prefill,
                      placement.decode, placement.runner_up, placement.tokens,
                      placement.cached_tokens, placement.queued_ms,
                      placement.lease_ms, placement.reason});
 }
 
-void from_json(const json& in, Placement& placement) {
-  in.at(0).get_to(placement.reservation);
-  in.at(1).get_to(placement.prefill);
-  in.at(2).get_to(placement.decode);
-  in.at(3).get_to(placement.runner_up);
-  in.at(4).get_to(placement.tokens);
-  in.at(5).get_to(placement.cached_tokens);
-  in.at(6).get_to(placement.queued_ms);
-  in.at(7).get_to(placement.lease_ms);
-  in.at(8).get_to(placement.reason);
+void from_json(const json& in, PlaceAnswer& answer) {
+  Placement& placement = answer.placement;
+  in.at(0).get_to(answer.move_to);
+  in.at(1).get_to(placement.reservation);
+  in.at(2).get_to(placement.prefill);
+  in.at(3).get_to(placement.decode);
+  in.at(4).get_to(placement.runner_up);
+  in.at(5).get_to(placement.tokens);
+  in.at(6).get_to(placement.cached_tokens);
+  in.at(7).get_to(placement.queued_ms);
+  in.at(8).get_to(placement.lease_ms);
+  in.at(9).get_to(placement.reason);
 }
 
 void to_json(json& out, const CellReport& report) {
@@ -82,7 +86,13 @@
          renewal.prompt_tokens, renewal.max_tokens, renewal.expected,
          renewal.produced}));
   });
-  out = json::array({std::move(notices), std::move(renewals)});
+  json loads = json::array();
+  std::ranges::for_each(report.loads, [&loads](const auto& row) {
+    loads.push_back(json::array({row.first, row.second.waiting,
+                                 row.second.wait_ms, row.second.room}));
+  });
+  out = json::array(
+      {std::move(notices), std::move(renewals), std::move(loads)});
 }
 
 void from_json(const json& in, CellReport& report) {
@@ -111,6 +121,12 @@
     report.renewals.emplace_back(row.at(0).get<std::string>(),
                                  std::move(renewal));
   });
+  std::ranges::for_each(in.at(2), [&report](const json& row) {
+    report.loads.emplace_back(
+        row.at(0).get<std::string>(),
+        CellLoad{row.at(1).get<std::int64_t>(), row.at(2).get<DurationMs>(),
+                 row.at(3).get<Tokens>()});
+  });
 }
 
 }  // namespace limpethaven
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -14,6 +14,13 @@
 struct PlaceAsk {
   std::string cell;
   PlacementRequest request;
+  bool may_move = false;  ///< Another cell may take it.
+};
+
+/// What the owner of a cell answers.
+struct PlaceAnswer {
+  std::string move_to;  ///< Cell that has room; empty when it was placed.
+  Placement placement;
 };
 
 /// What an entry tells the owner of a cell.
@@ -43,12 +50,13 @@
 struct CellReport {
   std::vector<CellNotice2> notices;
   std::vector<std::pair<std::string, Renewal>> renewals;  ///< With their cell.
+  std::vector<std::pair<std::string, CellLoad>> loads;    ///< By cell.
 };
 
 void to_json(nlohmann::json& out, const PlaceAsk& ask);
 void from_json(const nlohmann::json& in, PlaceAsk& ask);
-void to_json(nlohmann::json& out, const Placement& placement);
-void from_json(const nlohmann::json& in, Placement& placement);
+void to_json(nlohmann::json& out, const PlaceAnswer& answer);
+void from_json(const nlohmann::json& in, PlaceAnswer& answer);
 void to_json(nlohmann::json& out, const CellReport& report);
 void from_json(const nlohmann::json& in, CellReport& report);
 
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -24,7 +24,9 @@
       membership(this->identity.self, this->identity.data_centre, settings,
                  RandomBits()),
       socket(event_loop,
-             [this](std::string_view bytes) { this->OnDatagram(bytes); }) {}
+             [this](std::string_view bytes) { this->OnDatagram(bytes); }) {
+  this->membership.SetStrength(this->identity.strength);
+}
 
 bool Gossip::Start(const std::vector<std::string>& seeds) {
   if (!this->socket.Open(this->PeerAddress(this->identity.self.address))) {
