--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -117,6 +117,7 @@
   const std::vector<CellSpec> cells = BuildCells(config, 64);
   const std::size_t members = static_cast<std::size_t>(state.range(1));
   std::vector<std::string> vms;
+  vms.reserve(members);
   for (std::size_t member = 0; member < members; ++member) {
     vms.push_back("10.1.0." + std::to_string(member));
   }
@@ -139,6 +140,7 @@
   CellScheduler scheduler("model/0", "owner");
   scheduler.Configure(Engines(64), 0);
   std::vector<Renewal> renewals;
+  renewals.reserve(static_cast<std::size_t>(state.range(0)));
   for (std::int64_t index = 0; index < state.range(0); ++index) {
     renewals.push_back(Renewal{"x-" + std::to_string(index),
                                "r" + std::to_string(index), "10.0.0.1:9000", 0,
@@ -156,6 +158,7 @@
   CellScheduler scheduler("model/0", "owner");
   scheduler.Configure(Engines(64), 0);
   std::vector<Renewal> renewals;
+  renewals.reserve(static_cast<std::size_t>(state.range(0)));
   for (std::int64_t index = 0; index < state.range(0); ++index) {
     renewals.push_back(Renewal{"x-" + std::to_string(index),
                                "r" + std::to_string(index), "10.0.0.1:9000", 0,
--- a/include/limpethaven/caller_request.h
+++ b/include/limpethaven/caller_request.h
@@ -28,9 +28,9 @@
   std::string model;
   Tokens prompt_tokens = 0;
   Tokens max_output_tokens = 0;
-  bool counts_tokens = false;           ///< Whether token counts were given.
-  std::optional<Tokens> output_hint;    ///< The caller's estimate.
-  std::vector<PromptPart> prefix;       ///< Parts of the prompt, in order.
+  bool counts_tokens = false;         ///< Whether token counts were given.
+  std::optional<Tokens> output_hint;  ///< The caller's estimate.
+  std::vector<PromptPart> prefix;     ///< Parts of the prompt, in order.
   std::optional<std::int64_t> resume_after;  ///< Last event that it has.
   friend auto operator<=>(const CallerRequest&, const CallerRequest&) = default;
 };
--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -82,10 +82,10 @@
   std::string request_id;
   std::string team;
   std::int64_t weight = 1;
-  std::int64_t priority = 0;  ///< Rank, 0 first.
-  std::string data_centre;    ///< Where its answer goes.
-  Tokens prompt_tokens = 0;   ///< With what was generated already.
-  Tokens max_tokens = 0;      ///< Most that it may produce.
+  std::int64_t priority = 0;   ///< Rank, 0 first.
+  std::string data_centre;     ///< Where its answer goes.
+  Tokens prompt_tokens = 0;    ///< With what was generated already.
+  Tokens max_tokens = 0;       ///< Most that it may produce.
   std::optional<Tokens> hint;  ///< The caller's estimate of what it produces.
   std::vector<std::uint64_t>
       prefix;                ///< Chained hashes of the prompt's leading blocks.
@@ -103,7 +103,7 @@
 /// A decision: where a request goes.
 struct Placement {
   std::string
-      reservation;  ///< Unique; also the attempt's nonce on the engines.
+      reservation;      ///< Unique; also the attempt's nonce on the engines.
   std::string prefill;  ///< Empty: the decode engine reads the prompt.
   std::string decode;
   std::string
--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -104,11 +104,11 @@
   std::string host;         ///< Host that callers name; empty for any.
   std::vector<WeightedPool> targets;  ///< Pools by weight; empty: `pool`.
   RepeatRule repeat = RepeatRule::kOnce;
-  bool streams = false;         ///< The answer is a series of events.
+  bool streams = false;          ///< The answer is a series of events.
   bool shares_prefixes = false;  ///< Its prompts share parts.
-  std::int64_t max_sends = 1;   ///< Endpoints that one request may be sent to.
-  DurationMs timeout_ms = 0;    ///< Longest time to a final answer; 0: none.
-  std::int64_t priority = 0;    ///< Rank, 0 first.
+  std::int64_t max_sends = 1;    ///< Endpoints that one request may be sent to.
+  DurationMs timeout_ms = 0;     ///< Longest time to a final answer; 0: none.
+  std::int64_t priority = 0;     ///< Rank, 0 first.
   /// Callers leave after this long without an event; 0: not known.
   DurationMs patience_ms = 0;
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
@@ -164,8 +164,8 @@
   NamedTable<PoolSpec> pools;
   /// By path, `path#model` for models, or host and path where a host is named.
   NamedTable<RouteSpec> routes;
-  NamedTable<LinkSpec> links;    ///< By `from>to`.
-  NamedTable<GoalSpec> goals;    ///< By pool.
+  NamedTable<LinkSpec> links;  ///< By `from>to`.
+  NamedTable<GoalSpec> goals;  ///< By pool.
 
   /// Team whose key has this digest, or null.
   [[nodiscard]] const TeamSpec* FindTeamByKeyDigest(
--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -17,14 +17,14 @@
 
 /// One lifetime of an endpoint, as it announced itself.
 struct EndpointRecord {
-  std::string id;           ///< Name under which it announced itself.
-  std::int64_t born = 0;    ///< Start of this lifetime; grows with each start.
-  std::string address;      ///< `IP:port`.
+  std::string id;         ///< Name under which it announced itself.
+  std::int64_t born = 0;  ///< Start of this lifetime; grows with each start.
+  std::string address;    ///< `IP:port`.
   std::string data_centre;
   std::string pool;
   PoolRole role = PoolRole::kService;
-  std::int64_t slots = 1;   ///< Requests that it runs at once.
-  bool leaving = false;     ///< Takes no new work.
+  std::int64_t slots = 1;  ///< Requests that it runs at once.
+  bool leaving = false;    ///< Takes no new work.
   friend auto operator<=>(const EndpointRecord&,
                           const EndpointRecord&) = default;
 };
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -2,11 +2,11 @@
 /// Membership: which processes are alive, found by probing and spread by
 /// gossip.
 ///
-/// Seeds or the platform's lagging list of VMs name whom to probe first; members
-/// learn of the others from each other. Each process has a random incarnation:
-/// incarnations have no order, so a successor is known by what the process
-/// itself says, or by news of it once its predecessor is dead. Members are
-/// alive, suspect, dead or leaving.
+/// Seeds or the platform's lagging list of VMs name whom to probe first;
+/// members learn of the others from each other. Each process has a random
+/// incarnation: incarnations have no order, so a successor is known by what the
+/// process itself says, or by news of it once its predecessor is dead. Members
+/// are alive, suspect, dead or leaving.
 #pragma once
 
 #include <compare>
@@ -57,7 +57,7 @@
   std::uint64_t refutation =
       0;  ///< Raised by the member itself to refute suspicion.
   MemberState state = MemberState::kUnknown;
-  bool serving = false;  ///< Has what it needs to serve callers.
+  bool serving = false;       ///< Has what it needs to serve callers.
   std::int64_t strength = 0;  ///< Processor share, in thousandths of a core.
   friend auto operator<=>(const MemberUpdate&, const MemberUpdate&) = default;
 };
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the packages that building, testing and linting need.
 set -euo pipefail
-packages=(cmake ninja-build g++ clang clang-format clang-tidy libclang-rt-14-dev ccache pkg-config
+packages=(cmake ninja-build g++ clang clang-format clang-tidy-19 libclang-rt-14-dev python3 ccache pkg-config
   make curl openssl bc spin libtbb-dev libcpp-httplib-dev prometheus-cpp-dev libcli11-dev
   libgoogle-glog-dev libboost-dev catch2 librapidcheck-dev nlohmann-json3-dev
   libtomlplusplus-dev libssl-dev libbenchmark-dev)
--- a/src/core/cell_engines.cc
+++ b/src/core/cell_engines.cc
@@ -57,10 +57,9 @@
 
 std::size_t PrefixCacheView::Match(
     const std::vector<std::uint64_t>& prefix) const {
-  const auto miss =
-      std::ranges::find_if_not(prefix, [this](std::uint64_t block) {
-        return this->positions.contains(block);
-      });
+  const auto miss = std::ranges::find_if_not(
+      prefix,
+      [this](std::uint64_t block) { return this->positions.contains(block); });
   return static_cast<std::size_t>(miss - prefix.begin());
 }
 
@@ -148,8 +147,7 @@
                            this->OwnMs(decode, request.prompt_tokens);
   const DurationMs direct_ready =
       std::max<DurationMs>(0, decode.direct_until - now) +
-      static_cast<DurationMs>(direct_ms) +
-      this->ReadMs(0);
+      static_cast<DurationMs>(direct_ms) + this->ReadMs(0);
   const bool prefill_in_time =
       choice.prefill != kNoEngine &&
       this->rows[choice.prefill].Backlog(now) <=
@@ -176,10 +174,9 @@
                              const HeldGeneration& more, TimeMs now) const {
   std::vector<HeldGeneration> held;
   held.reserve(engine.generations.size() + 1);
-  std::ranges::transform(engine.generations, std::back_inserter(held),
-                         [&](const auto& row) {
-                           return this->ForecastOf(row.second, now);
-                         });
+  std::ranges::transform(
+      engine.generations, std::back_inserter(held),
+      [&](const auto& row) { return this->ForecastOf(row.second, now); });
   if (more.held > 0) held.push_back(more);
   return PeakMemory(std::move(held)) + engine.foreign;
 }
@@ -210,14 +207,13 @@
 double CellEngines::Pace() const noexcept { return this->pace; }
 
 void CellEngines::LearnPrefill(EngineRow& engine, Tokens uncached, bool queued,
-                               DurationMs expected_ms,
-                               DurationMs measured_ms) {
+                               DurationMs expected_ms, DurationMs measured_ms) {
   if (uncached < kMinTokensToLearn || measured_ms <= 0) return;
-  const double ratio = static_cast<double>(measured_ms) /
-                       static_cast<double>(std::max<DurationMs>(1, expected_ms));
-  engine.slowness =
-      std::clamp(engine.slowness * std::pow(ratio, kLearningRate),
-                 1.0 / kMaxSlowness, kMaxSlowness);
+  const double ratio =
+      static_cast<double>(measured_ms) /
+      static_cast<double>(std::max<DurationMs>(1, expected_ms));
+  engine.slowness = std::clamp(engine.slowness * std::pow(ratio, kLearningRate),
+                               1.0 / kMaxSlowness, kMaxSlowness);
   if (queued) return;
   this->prefill_ms.Add(static_cast<double>(uncached),
                        static_cast<double>(measured_ms) / engine.slowness);
@@ -276,8 +272,8 @@
     const bool fits = static_cast<double>(peak) <= room ||
                       (running == 0 && peak <= engine.spec.memory);
     if (!fits) continue;
-    const double fullness = static_cast<double>(peak) /
-                            static_cast<double>(engine.spec.memory);
+    const double fullness =
+        static_cast<double>(peak) / static_cast<double>(engine.spec.memory);
     const bool far = engine.spec.data_centre != request.data_centre;
     const double cost = fullness + (far ? this->settings.far_cost : 0);
     if (cost >= best) continue;
@@ -289,8 +285,7 @@
 
 void CellEngines::ChoosePrefill(const PlacementRequest& request, TimeMs now,
                                 EngineChoice& choice) const {
-  const std::string& decode_centre =
-      this->rows[choice.decode].spec.data_centre;
+  const std::string& decode_centre = this->rows[choice.decode].spec.data_centre;
   double best = std::numeric_limits<double>::max();
   double second = std::numeric_limits<double>::max();
   for (std::size_t index = 0; index < this->rows.size(); ++index) {
@@ -301,11 +296,10 @@
       continue;
     }
     if (IsExcluded(request, engine.spec.id)) continue;
-    const Tokens cached =
-        std::min<Tokens>(static_cast<Tokens>(engine.cache.Match(
-                             request.prefix)) *
-                             kTokensPerPiece,
-                         std::max<Tokens>(0, request.prompt_tokens - 1));
+    const Tokens cached = std::min<Tokens>(
+        static_cast<Tokens>(engine.cache.Match(request.prefix)) *
+            kTokensPerPiece,
+        std::max<Tokens>(0, request.prompt_tokens - 1));
     const double own_ms = this->OwnMs(engine, request.prompt_tokens - cached);
     const bool far = engine.spec.data_centre != decode_centre;
     const double cost = own_ms + static_cast<double>(engine.Backlog(now)) +
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -85,8 +85,8 @@
   OutputForecast outputs;
   std::unordered_map<std::string, WaitingRow> waiting;
   std::map<std::int64_t, FairQueue> in_time;  ///< By rank.
-  FairQueue late;       ///< Those that missed their objective.
-  double queued_cost = 0;  ///< Of all that wait.
+  FairQueue late;                  ///< Those that missed their objective.
+  double queued_cost = 0;          ///< Of all that wait.
   std::vector<std::string> fresh;  ///< Submitted since the last tick.
   std::map<std::string, ReservationRow, std::less<>> reservations;
   std::unordered_map<std::string, std::string> reservation_of;  ///< By request.
@@ -137,8 +137,8 @@
     const TimeMs latest =
         row.objective_at - this->engines.ReadMs(request.prompt_tokens);
     this->in_time.try_emplace(request.priority, FairQueue(kMaxBypass))
-        .first->second.Push(QueueItem{id, request.team, request.weight, tokens,
-                                      order, latest});
+        .first->second.Push(
+            QueueItem{id, request.team, request.weight, tokens, order, latest});
   }
 
   /// Moves those that can no longer meet their objective behind the others, and
@@ -173,8 +173,7 @@
     const auto item = queue.PopFirst([&](const QueueItem& candidate) {
       const WaitingRow& row = this->waiting.at(candidate.id);
       const TimeMs due = row.late ? row.give_up_at : row.objective_at;
-      choice =
-          this->engines.Choose(row.request, row.expected, due - now, now);
+      choice = this->engines.Choose(row.request, row.expected, due - now, now);
       return choice.decode != kNoEngine;
     });
     if (!item) return false;
@@ -226,8 +225,7 @@
     const PlacementRequest& request = row.request;
     EngineRow& decode = this->engines.Rows()[choice.decode];
     const bool direct = choice.prefill == kNoEngine;
-    EngineRow& reader =
-        direct ? decode : this->engines.Rows()[choice.prefill];
+    EngineRow& reader = direct ? decode : this->engines.Rows()[choice.prefill];
     const std::string id =
         this->owner + "-" + std::to_string(this->next_reservation++);
     Placement placement;
@@ -241,17 +239,15 @@
     if (choice.runner_up != kNoEngine) {
       placement.runner_up = this->engines.Rows()[choice.runner_up].spec.id;
     }
-    placement.reason =
-        "ready in " + std::to_string(choice.ready_ms) + " ms, " +
-        std::to_string(static_cast<int>(choice.fullness * 100)) +
-        "% of memory forecast, " + std::to_string(row.expected) +
-        " tokens expected" + (row.late ? ", late" : "");
+    placement.reason = "ready in " + std::to_string(choice.ready_ms) + " ms, " +
+                       std::to_string(static_cast<int>(choice.fullness * 100)) +
+                       "% of memory forecast, " + std::to_string(row.expected) +
+                       " tokens expected" + (row.late ? ", late" : "");
     ReservationRow reservation;
     reservation.request_id = request_id;
     reservation.decode = decode.spec.id;
     reservation.prefill = reader.spec.id;
-    reservation.uncached_tokens =
-        request.prompt_tokens - choice.cached_tokens;
+    reservation.uncached_tokens = request.prompt_tokens - choice.cached_tokens;
     reservation.hint = request.hint;
     reservation.expected_prefill_ms = choice.ready_ms;
     reservation.queued_prefill = reader.prefills > 0;
@@ -262,8 +258,7 @@
                              request.max_tokens, 0, 0});
     this->engines.health.OnChosen(decode.spec.id, now);
     if (direct) {
-      decode.direct_until =
-          std::max(now, decode.direct_until) + choice.own_ms;
+      decode.direct_until = std::max(now, decode.direct_until) + choice.own_ms;
     } else {
       this->engines.health.OnChosen(reader.spec.id, now);
       this->engines.handles.OnChosen(reader.spec.id, now);
@@ -408,9 +403,9 @@
   const DurationMs read = state.engines.ReadMs(request.prompt_tokens);
   row.submitted_at = now;
   row.objective_at = now + request.budget_ms;
-  row.give_up_at =
-      request.patience_ms == 0 ? now : now + std::max<DurationMs>(
-                                                 0, patience - read);
+  row.give_up_at = request.patience_ms == 0
+                       ? now
+                       : now + std::max<DurationMs>(0, patience - read);
   const double half = static_cast<double>(row.expected) / 2;
   row.cost = (static_cast<double>(request.prompt_tokens) + half) *
              (static_cast<double>(row.expected) / state.engines.Pace() +
@@ -478,9 +473,8 @@
   ReservationRow& row = found->second;
   EngineRow* engine = state.engines.Find(row.prefill);
   if (engine != nullptr && row.prefilling) {
-    state.engines.LearnPrefill(*engine, row.uncached_tokens,
-                               row.queued_prefill, row.expected_prefill_ms,
-                               measured_ms);
+    state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
+                               row.expected_prefill_ms, measured_ms);
   }
   state.EndPrefill(row, now);
 }
@@ -585,9 +579,8 @@
                        static_cast<std::int64_t>(engine.generations.size()) <
                            engine.spec.slots;
     if (!takes) return;
-    const auto planned =
-        static_cast<Tokens>(static_cast<double>(engine.spec.memory) *
-                            state.settings.memory_part);
+    const auto planned = static_cast<Tokens>(
+        static_cast<double>(engine.spec.memory) * state.settings.memory_part);
     load.room += std::max<Tokens>(
         0, planned - state.engines.PeakWith(engine, HeldGeneration{}, now));
   });
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -23,8 +23,7 @@
   this->highest = std::max(this->highest, revision);
   Row& row = this->rows[endpoint.id];
   if (revision < row.revision) return false;
-  const bool same =
-      row.revision != 0 && !row.gone && row.endpoint == endpoint;
+  const bool same = row.revision != 0 && !row.gone && row.endpoint == endpoint;
   row = Row{endpoint, std::max<std::uint64_t>(1, revision), false};
   return !same;
 }
@@ -41,8 +40,8 @@
   const auto gone = static_cast<std::size_t>(std::ranges::count_if(
       this->rows, [](const auto& entry) { return entry.second.gone; }));
   if (gone > kMaxGoneRows) {
-    const auto oldest = std::ranges::min_element(
-        this->rows, {}, [](const auto& entry) {
+    const auto oldest =
+        std::ranges::min_element(this->rows, {}, [](const auto& entry) {
           return std::pair(!entry.second.gone, entry.second.revision);
         });
     this->rows.erase(oldest);
@@ -60,8 +59,8 @@
   });
   std::ranges::for_each(this->rows, [&](auto& entry) {
     Row& row = entry.second;
-    const bool missing = !row.gone && !named.contains(entry.first) &&
-                         row.revision <= revision;
+    const bool missing =
+        !row.gone && !named.contains(entry.first) && row.revision <= revision;
     if (missing && row.missing_until == 0) {
       row.missing_until = std::max(keep_missing_until, now);
     }
@@ -123,8 +122,6 @@
   return all;
 }
 
-std::uint64_t EndpointTable::Revision() const noexcept {
-  return this->highest;
-}
+std::uint64_t EndpointTable::Revision() const noexcept { return this->highest; }
 
 }  // namespace limpethaven
--- a/src/core/event_splitter.cc
+++ b/src/core/event_splitter.cc
@@ -10,8 +10,7 @@
 std::size_t EndOfEvents(std::string_view text) {
   const auto plain = text.rfind("\n\n");
   const auto with_returns = text.rfind("\r\n\r\n");
-  const std::size_t first =
-      plain == std::string_view::npos ? 0 : plain + 2;
+  const std::size_t first = plain == std::string_view::npos ? 0 : plain + 2;
   const std::size_t second =
       with_returns == std::string_view::npos ? 0 : with_returns + 4;
   return std::max(first, second);
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -35,8 +35,7 @@
     Entry& entry = this->entries.at(id);
     if (fits(entry.item)) {
       TeamRow& team = this->teams.at(turn.team);
-      const Turn taken = turn;
-      this->turns.erase(taken);
+      const Turn taken = this->turns.extract(turn).value();
       this->virtual_time = std::max(this->virtual_time, taken.start_tag);
       team.start_tag =
           taken.start_tag + static_cast<double>(entry.item.cost) /
@@ -74,8 +73,7 @@
   this->entries.erase(found);
   this->late.erase(Late{entry.item.latest_start, entry.item.id});
   TeamRow& team = this->teams.at(entry.item.team);
-  team.waiting.erase(
-      Waiting{entry.item.order, entry.sequence, entry.item.id});
+  team.waiting.erase(Waiting{entry.item.order, entry.sequence, entry.item.id});
   if (team.waiting.empty()) {
     this->turns.erase(Turn{team.start_tag, entry.item.team});
     if (team.start_tag <= this->virtual_time) {
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -31,11 +31,13 @@
 
 MemberUpdate UpdateFrom(const json& in) {
   if (in.size() != kUpdateFields) throw std::out_of_range("update");
-  return MemberUpdate{in.at(0).get<std::string>(), in.at(1).get<std::string>(),
+  return MemberUpdate{in.at(0).get<std::string>(),
+                      in.at(1).get<std::string>(),
                       in.at(2).get<std::uint64_t>(),
                       in.at(3).get<std::uint64_t>(),
                       EnumFrom(in.at(4), MemberState::kLeaving),
-                      in.at(5).get<bool>(), in.at(6).get<std::int64_t>()};
+                      in.at(5).get<bool>(),
+                      in.at(6).get<std::int64_t>()};
 }
 
 GossipMessage MessageFrom(const json& in) {
@@ -65,13 +67,13 @@
                          const GossipMessage& message) {
   json updates = json::array();
   std::ranges::transform(message.updates, std::back_inserter(updates), ToJson);
-  const json fields = json::array(
-      {static_cast<int>(message.kind), message.from.address,
-       message.from.incarnation, message.from_data_centre,
-       message.from_refutation, message.from_leaving, message.to_incarnation,
-       message.sequence, message.target,
-       json::array({message.config_version, message.config_digest}), updates,
-       message.from_serving, message.from_strength});
+  const json fields =
+      json::array({static_cast<int>(message.kind), message.from.address,
+                   message.from.incarnation, message.from_data_centre,
+                   message.from_refutation, message.from_leaving,
+                   message.to_incarnation, message.sequence, message.target,
+                   json::array({message.config_version, message.config_digest}),
+                   updates, message.from_serving, message.from_strength});
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
   return HmacSha256(secret, body).substr(0, kTagBytes) + body;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -42,8 +42,7 @@
 }
 
 bool IsRetired(const Member& member, std::uint64_t incarnation) {
-  return std::ranges::find(member.retired, incarnation) !=
-         member.retired.end();
+  return std::ranges::find(member.retired, incarnation) != member.retired.end();
 }
 
 void Retire(Member& member) {
@@ -434,7 +433,9 @@
 
 void Membership::HearFrom(const GossipMessage& message, TimeMs now) {
   const MemberUpdate update{
-      message.from.address, message.from_data_centre, message.from.incarnation,
+      message.from.address,
+      message.from_data_centre,
+      message.from.incarnation,
       message.from_refutation,
       message.from_leaving ? MemberState::kLeaving : MemberState::kAlive,
       message.from_serving,
--- a/src/core/online_regression.cc
+++ b/src/core/online_regression.cc
@@ -36,8 +36,8 @@
 double OnlineRegression::Slope() const noexcept {
   const double mean_x = this->x_sum / this->weight_sum;
   const double variance = this->xx_sum / this->weight_sum - mean_x * mean_x;
-  const double covariance = this->xy_sum / this->weight_sum -
-                            mean_x * this->y_sum / this->weight_sum;
+  const double covariance =
+      this->xy_sum / this->weight_sum - mean_x * this->y_sum / this->weight_sum;
   return variance < kMinVariance ? 0 : covariance / variance;
 }
 
--- a/src/core/output_forecast.cc
+++ b/src/core/output_forecast.cc
@@ -38,9 +38,9 @@
   if (hint && *hint > 0) {
     // The mean of a log-normal lies above its median.
     const double variance = std::min(1.0, this->by_hint.ResidualVariance());
-    expected = std::exp(
-        this->by_hint.Predict(std::log(static_cast<double>(*hint))) +
-        variance / 2);
+    expected =
+        std::exp(this->by_hint.Predict(std::log(static_cast<double>(*hint))) +
+                 variance / 2);
   } else if (this->samples > 0) {
     expected = this->mean;
   }
@@ -55,9 +55,8 @@
       static_cast<Tokens>(kOverrunPart * static_cast<double>(produced));
   const Tokens remaining =
       std::max({expected - produced, overrun, kMinRemaining});
-  return maximum > 0
-             ? std::clamp<Tokens>(maximum - produced, 0, remaining)
-             : remaining;
+  return maximum > 0 ? std::clamp<Tokens>(maximum - produced, 0, remaining)
+                     : remaining;
 }
 
 }  // namespace limpethaven
--- a/src/core/resume_token.cc
+++ b/src/core/resume_token.cc
@@ -30,9 +30,10 @@
   const auto tilde = text.find('~');
   if (tilde == std::string_view::npos) return std::nullopt;
   std::int64_t offset = 0;
-  const auto number = std::from_chars(text.data(), text.data() + tilde, offset);
-  if (number.ec != std::errc() || number.ptr != text.data() + tilde ||
-      offset < 0) {
+  const char* const end =
+      std::next(text.data(), static_cast<std::ptrdiff_t>(tilde));
+  const auto number = std::from_chars(text.data(), end, offset);
+  if (number.ec != std::errc() || number.ptr != end || offset < 0) {
     return std::nullopt;
   }
   const auto fields = nlohmann::json::parse(
--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -43,16 +43,16 @@
 
 double RetryBudget::Left(TimeMs now) noexcept {
   this->Advance(now);
-  const Slot sum = std::accumulate(
-      this->slots.begin(), this->slots.end(), Slot{},
-      [](const Slot& left, const Slot& right) {
-        return Slot{left.requests + right.requests,
-                    left.repeats + right.repeats};
-      });
+  const Slot sum =
+      std::accumulate(this->slots.begin(), this->slots.end(), Slot{},
+                      [](const Slot& left, const Slot& right) {
+                        return Slot{left.requests + right.requests,
+                                    left.repeats + right.repeats};
+                      });
   // The oldest slot has partly left the window: its repeats still count, its
   // requests no longer.
-  const auto oldest = static_cast<std::size_t>(this->current + 1) %
-                      this->slots.size();
+  const auto oldest =
+      static_cast<std::size_t>(this->current + 1) % this->slots.size();
   const auto requests =
       static_cast<double>(sum.requests - this->slots[oldest].requests);
   const double allowed =
--- a/src/core/share_ledger.cc
+++ b/src/core/share_ledger.cc
@@ -29,19 +29,17 @@
   this->slots = std::max<std::int64_t>(1, slot_count);
   const MilliTokens at_start =
       this->settings.start_tokens * kMilli / this->slots;
-  std::erase_if(this->rows, [&](const auto& row) {
-    return !teams.contains(row.first);
-  });
+  std::erase_if(this->rows,
+                [&](const auto& row) { return !teams.contains(row.first); });
   std::ranges::for_each(teams, [&](const auto& entry) {
     const TeamSpec& team = entry.second;
     // An earlier process on this slot may have lent tokens that are still in
     // flight: nothing is earned until every such transfer has expired.
     const TimeMs first_accrual = now + this->settings.transfer_ttl_ms;
-    Row& row =
-        this->rows
-            .try_emplace(team.name,
-                         Row{.level = at_start, .accrued_at = first_accrual})
-            .first->second;
+    Row& row = this->rows
+                   .try_emplace(team.name, Row{.level = at_start,
+                                               .accrued_at = first_accrual})
+                   .first->second;
     row.rate_per_s = team.rate_tokens_per_s;
     row.burst = team.burst_tokens * kMilli;
     row.cap = row.burst / this->slots;
--- a/src/entry/cell_service.cc
+++ b/src/entry/cell_service.cc
@@ -209,8 +209,7 @@
       return this->PlaceHere(cell, request);
     }
     const DurationMs timeout_ms =
-        std::max(request.patience_ms, request.budget_ms) +
-        kPlaceSlackMs;
+        std::max(request.patience_ms, request.budget_ms) + kPlaceSlackMs;
     const auto text =
         this->peers.Call(owner, "/peer/v1/place",
                          WriteJson(PlaceBody{cell.name, request}), timeout_ms);
@@ -232,8 +231,7 @@
   const std::shared_ptr<HostedCell> host = this->Host(cell);
   const std::string id = request.request_id;
   const DurationMs wait_ms =
-      std::max(request.patience_ms, request.budget_ms) +
-      kPlaceSlackMs / 2;
+      std::max(request.patience_ms, request.budget_ms) + kPlaceSlackMs / 2;
   std::future<Result<Placement>> decision;
   {
     const std::lock_guard lock(host->mutex);
@@ -285,11 +283,11 @@
     CellScheduler& scheduler = host->scheduler;
     switch (notice.kind) {
       case NoticeKind::kRenew:
-        scheduler.Renew({Renewal{notice.reservation, notice.request_id,
-                                 notice.engine, 0,
-                                 notice.pieces * kTokensPerPiece,
-                                 notice.pieces * kTokensPerPiece, 0}},
-                        now);
+        scheduler.Renew(
+            {Renewal{notice.reservation, notice.request_id, notice.engine, 0,
+                     notice.pieces * kTokensPerPiece,
+                     notice.pieces * kTokensPerPiece, 0}},
+            now);
         return;
       case NoticeKind::kPrefillDone:
         scheduler.PrefillDone(notice.reservation, notice.measured_ms, now);
--- a/src/entry/completion_session.cc
+++ b/src/entry/completion_session.cc
@@ -321,7 +321,9 @@
 
 bool CompletionSession::TakeRetry() {
   const std::lock_guard lock(this->context.retry_mutex);
-  if (!this->context.retry_budget.TryRetry(this->context.clock.Now())) return false;
+  if (!this->context.retry_budget.TryRetry(this->context.clock.Now())) {
+    return false;
+  }
   this->context.metrics.CountRetry();
   return true;
 }
--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -57,6 +57,7 @@
 std::vector<std::pair<double, double>> Distribution(
     const std::vector<double>& sorted) {
   std::vector<std::pair<double, double>> points;
+  points.reserve(sorted.size());
   for (std::size_t index = 0; index < sorted.size(); ++index) {
     points.emplace_back(sorted[index], 100.0 * static_cast<double>(index + 1) /
                                            static_cast<double>(sorted.size()));
--- a/src/log/event_log.cc
+++ b/src/log/event_log.cc
@@ -15,9 +15,8 @@
 
 /// Appends a value, quoted where a reader would otherwise split it.
 void AppendValue(std::string_view value, std::string& line) {
-  const bool quote =
-      value.empty() ||
-      value.find_first_of(" =\"\\\n\r\t") != std::string_view::npos;
+  const bool quote = value.empty() || value.find_first_of(" =\"\\\n\r\t") !=
+                                          std::string_view::npos;
   if (!quote) {
     line += value;
     return;
@@ -48,10 +47,10 @@
     const std::int64_t lost = budget.dropped;
     budget = Budget{wall_ms / kMsPerS};
     if (lost > 0) {
-      this->Append(EventId::kLogLinesDropped,
-                   {{"event", std::string(NameOf(event))},
-                    LogField::Of("lines", lost)},
-                   wall_ms);
+      this->Append(
+          EventId::kLogLinesDropped,
+          {{"event", std::string(NameOf(event))}, LogField::Of("lines", lost)},
+          wall_ms);
     }
   }
   if (++budget.lines > this->bounds.lines_per_event_s) {
--- a/src/log/event_log.h
+++ b/src/log/event_log.h
@@ -45,7 +45,7 @@
 
 /// Bounds of what is written.
 struct LogBounds {
-  std::int64_t lines_per_event_s = 200;   ///< Of one event, each second.
+  std::int64_t lines_per_event_s = 200;    ///< Of one event, each second.
   std::size_t max_buffer_bytes = 262'144;  ///< Lines that wait for the reader.
   bool flush_each = false;  ///< Hands each line to the kernel at once.
 };
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -4,10 +4,12 @@
 /// One thread runs the loop; nothing here is thread safe.
 #pragma once
 
-// g++ 12 needs <utility> before Asio's awaitable.hpp, which lacks it.
+// Asio's awaitable.hpp lacks <utility>, which therefore goes first.
+// clang-format off
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+// clang-format on
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/net/connection.cc
+++ b/src/net/connection.cc
@@ -18,8 +18,7 @@
 
 void SetOption(int socket, int level, int name, int value) {
   // A kernel without the option still closes silent connections, only later.
-  static_cast<void>(
-      ::setsockopt(socket, level, name, &value, sizeof(value)));
+  static_cast<void>(::setsockopt(socket, level, name, &value, sizeof(value)));
 }
 
 void WatchForSilence(int socket, const SilenceSettings& silence) {
@@ -120,8 +119,7 @@
   error_code fault;
   // Most answers fit the socket's buffer at once.
   this->socket.non_blocking(true, fault);
-  const std::size_t first =
-      this->socket.write_some(asio::buffer(bytes), fault);
+  const std::size_t first = this->socket.write_some(asio::buffer(bytes), fault);
   this->written += first;
   if (!fault && first == bytes.size()) co_return true;
   if (fault && fault != asio::error::would_block &&
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -33,8 +33,7 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   /// Connects to `IP:port`. @returns null when that fails or `deadline` passes.
-  static Task<std::shared_ptr<Connection>> Dial(Loop& loop,
-                                                std::string address,
+  static Task<std::shared_ptr<Connection>> Dial(Loop& loop, std::string address,
                                                 TimeMs deadline);
 
   Connection(Loop& event_loop, asio::ip::tcp::socket tcp_socket,
--- a/src/net/datagrams.cc
+++ b/src/net/datagrams.cc
@@ -62,8 +62,8 @@
     if (fault) co_return;
     for (int count = 0; count < kDatagramsPerWake; ++count) {
       asio::ip::udp::endpoint from;
-      const std::size_t length = this->socket.receive_from(
-          asio::buffer(*buffer), from, 0, fault);
+      const std::size_t length =
+          this->socket.receive_from(asio::buffer(*buffer), from, 0, fault);
       if (fault) break;
       this->handler(std::string_view(buffer->data(), length));
     }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -50,16 +50,15 @@
     const Idle candidate = std::move(row->second.back());
     row->second.pop_back();
     const TimeMs now = LoopNow();
-    const bool usable =
-        candidate.connection->State() == InputState::kOpen &&
-        candidate.connection->Input().empty() && now < candidate.until &&
-        now - candidate.since < max_idle_ms;
+    const bool usable = candidate.connection->State() == InputState::kOpen &&
+                        candidate.connection->Input().empty() &&
+                        now < candidate.until &&
+                        now - candidate.since < max_idle_ms;
     if (usable) co_return candidate.connection;
     candidate.connection->Close();
   }
   ++this->dialled;
-  co_return co_await Connection::Dial(this->loop, std::move(address),
-                                      deadline);
+  co_return co_await Connection::Dial(this->loop, std::move(address), deadline);
 }
 
 void ConnectionPool::Give(ConnectionPtr connection, DurationMs keep_ms) {
@@ -83,8 +82,8 @@
 void ConnectionPool::Tick(TimeMs now) {
   std::ranges::for_each(this->idle, [now](auto& row) {
     std::erase_if(row.second, [now](const Idle& entry) {
-      const bool over = now >= entry.until ||
-                        entry.connection->State() != InputState::kOpen;
+      const bool over =
+          now >= entry.until || entry.connection->State() != InputState::kOpen;
       if (over) entry.connection->Close();
       return over;
     });
@@ -113,8 +112,8 @@
     co_return CallFault::kCancelled;
   }
   this->reused = this->pool.Dialled() == dialled_before;
-  this->parser = std::make_unique<HttpParser>(HttpParser::Kind::kResponse,
-                                              kAnswerLimits);
+  this->parser =
+      std::make_unique<HttpParser>(HttpParser::Kind::kResponse, kAnswerLimits);
   this->sent = true;
   this->sending = std::make_shared<Sending>();
   this->sending->done = false;
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -18,8 +18,7 @@
     "expect"};
 
 char Lower(char character) {
-  return static_cast<char>(
-      std::tolower(static_cast<unsigned char>(character)));
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
 }
 
 std::string_view Trim(std::string_view text) {
@@ -92,8 +91,7 @@
 }
 
 int HexValue(char digit) {
-  const auto found =
-      kHexDigits.find(static_cast<char>(std::toupper(digit)));
+  const auto found = kHexDigits.find(static_cast<char>(std::toupper(digit)));
   return found == std::string_view::npos ? -1 : static_cast<int>(found);
 }
 
--- a/src/net/http_parser.cc
+++ b/src/net/http_parser.cc
@@ -1,10 +1,9 @@
 #include "net/http_parser.h"
 
-#include <utility>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <utility>
 
 namespace limpethaven {
 
@@ -87,8 +86,7 @@
   void on_response_impl(int status, Text, int, error_code&) override {
     this->response.status = status;
   }
-  void on_field_impl(http::field, Text name, Text value,
-                     error_code&) override {
+  void on_field_impl(http::field, Text name, Text value, error_code&) override {
     // Trailers could otherwise set what only the head may say.
     if (this->head_seen) return;
     Headers& headers =
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -60,8 +60,7 @@
       router(RouterParts{event_loop, *this->dialects.callers,
                          *this->dialects.endpoints, this->pool, this->table,
                          this->shares, this->cells, this->gossip,
-                         this->settings.retries,
-                         this->settings.data_centre}),
+                         this->settings.retries, this->settings.data_centre}),
       callers(
           event_loop,
           [this](Exchange& exchange) { return this->router.Serve(exchange); },
@@ -169,8 +168,8 @@
     co_await exchange.Answer(ResponseHead{503, {}}, "");
     co_return;
   }
-  const AddressAnswer answer = this->dialects.addresses->Answer(
-      chosen, this->settings.address_ttl_ms);
+  const AddressAnswer answer =
+      this->dialects.addresses->Answer(chosen, this->settings.address_ttl_ms);
   co_await exchange.Answer(answer.head, answer.body);
 }
 
@@ -225,14 +224,12 @@
   static_cast<void>(data_centre);
   const std::string& own = this->settings.callers_address;
   const std::string port = own.substr(own.rfind(':'));
-  std::vector<std::string> serving =
-      this->gossip.Members().ServingAddresses();
+  std::vector<std::string> serving = this->gossip.Members().ServingAddresses();
   std::mt19937_64 random(RandomBits());
   std::ranges::shuffle(serving, random);
   if (serving.size() > kMaxAddresses) serving.resize(kMaxAddresses);
-  std::ranges::transform(
-      serving, serving.begin(),
-      [&port](const std::string& ip) { return ip + port; });
+  std::ranges::transform(serving, serving.begin(),
+                         [&port](const std::string& ip) { return ip + port; });
   return serving;
 }
 
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -9,9 +9,9 @@
 #include "log/event_log.h"
 #include "net/http_server.h"
 #include "node/published_state.h"
+#include "peer/cell_exchange.h"
 #include "peer/gossip.h"
 #include "peer/peer_link.h"
-#include "peer/cell_exchange.h"
 #include "peer/share_exchange.h"
 #include "router/router.h"
 
@@ -25,7 +25,7 @@
   std::string callers_address;    ///< `IP:port` that serves callers.
   std::string ready_address;      ///< Readiness; empty: not served apart.
   std::string addresses_address;  ///< Callers' questions for addresses.
-  std::int64_t strength = 1000;  ///< Processor share, thousandths of a core.
+  std::int64_t strength = 1000;   ///< Processor share, thousandths of a core.
   int peer_port = 0;
   std::vector<std::string> seeds;  ///< IP numbers of VMs to ask first.
   std::string fleet_secret;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -40,9 +40,8 @@
       table(endpoint_table),
       listener(state_listener),
       config(std::make_shared<const Configuration>()) {
-  this->link.Handle(std::string(kStatePath), [this](PeerCall& call) {
-    return this->AnswerState(call);
-  });
+  this->link.Handle(std::string(kStatePath),
+                    [this](PeerCall& call) { return this->AnswerState(call); });
 }
 
 void PublishedState::OnConfiguration(const Configuration& next) {
@@ -56,8 +55,8 @@
   const bool was_known = known != nullptr;
   if (!this->table.Put(endpoint, revision)) return;
   if (endpoint.leaving && !was_leaving) {
-    LogEvent(EventId::kEndpointLeaving, {{"endpoint", endpoint.id},
-                                         LogField::Of("revision", revision)});
+    LogEvent(EventId::kEndpointLeaving,
+             {{"endpoint", endpoint.id}, LogField::Of("revision", revision)});
   } else if (!was_known) {
     LogEvent(EventId::kEndpointAnnounced,
              {{"endpoint", endpoint.id},
@@ -98,8 +97,7 @@
 }
 
 void PublishedState::OnUnreadable(const std::string& what, const Error& why) {
-  LogEvent(what.empty() ? EventId::kConfigRejected
-                        : EventId::kEndpointRejected,
+  LogEvent(what.empty() ? EventId::kConfigRejected : EventId::kEndpointRejected,
            {{"what", what}, {"why", why.message}});
 }
 
@@ -115,8 +113,7 @@
   this->NoteGone(this->table.Expire(now));
   const bool needs_peer = !this->reachable || !this->Complete();
   if (!needs_peer || this->pulling || now < this->next_pull) return;
-  std::vector<std::string> peers =
-      this->gossip.Members().UsableAddresses();
+  std::vector<std::string> peers = this->gossip.Members().UsableAddresses();
   std::erase(peers, this->gossip.Members().Self().address);
   if (peers.empty()) return;
   this->next_pull = now + kPullPeriodMs;
@@ -150,9 +147,9 @@
 void PublishedState::NoteGone(const std::vector<std::string>& ids) {
   if (ids.empty()) return;
   std::ranges::for_each(ids, [this](const std::string& id) {
-    LogEvent(EventId::kEndpointGone,
-             {{"endpoint", id},
-              LogField::Of("revision", this->table.Revision())});
+    LogEvent(
+        EventId::kEndpointGone,
+        {{"endpoint", id}, LogField::Of("revision", this->table.Revision())});
   });
   this->listener.OnEndpoints();
 }
@@ -181,9 +178,8 @@
 Task<> PublishedState::Pull(std::string peer) {
   const json ask = {{"version", this->config->version},
                     {"revision", this->table.Revision()}};
-  const Result<std::string> answer =
-      co_await this->link.Call(peer, std::string(kStatePath), ask.dump(),
-                               LoopNow() + kPullTimeoutMs);
+  const Result<std::string> answer = co_await this->link.Call(
+      peer, std::string(kStatePath), ask.dump(), LoopNow() + kPullTimeoutMs);
   this->pulling = false;
   if (answer) this->TakeNews(answer.value(), peer);
 }
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -47,9 +47,8 @@
   this->link.HandleLong(std::string(kPlacePath), [this](PeerCall& call) {
     return this->AnswerPlace(call);
   });
-  this->link.Handle(std::string(kNewsPath), [this](PeerCall& call) {
-    return this->AnswerNews(call);
-  });
+  this->link.Handle(std::string(kNewsPath),
+                    [this](PeerCall& call) { return this->AnswerNews(call); });
 }
 
 void CellExchange::Configure(std::vector<CellSpec> next) {
@@ -80,8 +79,7 @@
     if (!placed) co_return placed.error();
     const Placed& answer = placed.value();
     if (answer.answer.move_to.empty()) {
-      co_return CellPlacement{cell.name, answer.owner,
-                              answer.answer.placement};
+      co_return CellPlacement{cell.name, answer.owner, answer.answer.placement};
     }
     // Moved once: the other cell queues it.
     name = answer.answer.move_to;
@@ -163,9 +161,8 @@
   const bool renew = moved || now >= this->next_renewal;
   if (renew) this->next_renewal = now + kRenewMs;
   this->Flush(now, renew);
-  std::ranges::for_each(this->hosted, [&](auto& entry) {
-    this->RunTick(*entry.second, now);
-  });
+  std::ranges::for_each(
+      this->hosted, [&](auto& entry) { this->RunTick(*entry.second, now); });
 }
 
 std::vector<std::pair<std::string, std::vector<EngineView>>>
@@ -314,9 +311,8 @@
       LoopNow() + std::max(ask.request.patience_ms, ask.request.budget_ms) +
       kPlaceSlackMs;
   const json body = ask;
-  const Result<std::string> answer =
-      co_await this->link.CallLong(owner, std::string(kPlacePath), body.dump(),
-                                   kAckMs, deadline, cancel);
+  const Result<std::string> answer = co_await this->link.CallLong(
+      owner, std::string(kPlacePath), body.dump(), kAckMs, deadline, cancel);
   if (!answer) co_return answer.error();
   try {
     co_return ParseOrNull(answer.value()).get<PlaceAnswer>();
@@ -435,8 +431,8 @@
       // Only the process that opened a stream can end it; the entry that held
       // this reservation is gone, and its connections with it.
       cell.scheduler.CancelDone(cancel->reservation);
-      LogEvent(EventId::kReservationLapsed, {{"request", cancel->request_id},
-                                             {"engine", cancel->engine}});
+      LogEvent(EventId::kReservationLapsed,
+               {{"request", cancel->request_id}, {"engine", cancel->engine}});
     }
   }
 }
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -119,7 +119,7 @@
   CellSettings settings;
   std::vector<CellSpec> cells;
   std::map<std::string, std::unique_ptr<HostedCell>, std::less<>> hosted;
-  std::unordered_map<std::string, HeldRow> held;  ///< By reservation.
+  std::unordered_map<std::string, HeldRow> held;       ///< By reservation.
   std::unordered_map<std::string, CellReport> outbox;  ///< By owner.
   std::unordered_map<std::string, OwnerRow> owners;
   std::unordered_map<std::string, LoadRow> loads;  ///< Of other cells.
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -21,12 +21,12 @@
 
 void to_json(json& out, const PlaceAsk& ask) {
   const PlacementRequest& request = ask.request;
-  out = json::array({ask.cell, request.request_id, request.team,
-                     request.weight, request.priority, request.data_centre,
-                     request.prompt_tokens, request.max_tokens,
-                     OptionalTokens(request.hint), request.prefix,
-                     request.budget_ms, request.patience_ms, request.direct,
-                     request.excluded, ask.may_move});
+  out =
+      json::array({ask.cell, request.request_id, request.team, request.weight,
+                   request.priority, request.data_centre, request.prompt_tokens,
+                   request.max_tokens, OptionalTokens(request.hint),
+                   request.prefix, request.budget_ms, request.patience_ms,
+                   request.direct, request.excluded, ask.may_move});
 }
 
 void from_json(const json& in, PlaceAsk& ask) {
@@ -75,24 +75,23 @@
   std::ranges::for_each(report.notices, [&notices](const CellNotice2& notice) {
     notices.push_back(json::array(
         {static_cast<int>(notice.news), notice.cell, notice.reservation,
-         notice.request_id, notice.engine, notice.tokens,
-         notice.measured_ms}));
+         notice.request_id, notice.engine, notice.tokens, notice.measured_ms}));
   });
   json renewals = json::array();
   std::ranges::for_each(report.renewals, [&renewals](const auto& row) {
     const Renewal& renewal = row.second;
-    renewals.push_back(json::array(
-        {row.first, renewal.reservation, renewal.request_id, renewal.engine,
-         renewal.prompt_tokens, renewal.max_tokens, renewal.expected,
-         renewal.produced}));
+    renewals.push_back(
+        json::array({row.first, renewal.reservation, renewal.request_id,
+                     renewal.engine, renewal.prompt_tokens, renewal.max_tokens,
+                     renewal.expected, renewal.produced}));
   });
   json loads = json::array();
   std::ranges::for_each(report.loads, [&loads](const auto& row) {
-    loads.push_back(json::array({row.first, row.second.waiting,
-                                 row.second.wait_ms, row.second.room}));
+    loads.push_back(json::array(
+        {row.first, row.second.waiting, row.second.wait_ms, row.second.room}));
   });
-  out = json::array(
-      {std::move(notices), std::move(renewals), std::move(loads)});
+  out =
+      json::array({std::move(notices), std::move(renewals), std::move(loads)});
 }
 
 void from_json(const json& in, CellReport& report) {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -82,8 +82,7 @@
                                           std::string_view proof,
                                           const std::string& tag) const;
   [[nodiscard]] std::string TagOf(std::string_view from, std::string_view to,
-                                  std::string_view path,
-                                  std::string_view nonce,
+                                  std::string_view path, std::string_view nonce,
                                   std::string_view body) const;
 
   Loop& loop;
--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -60,9 +60,8 @@
           kTransferTtlMs,
           static_cast<Tokens>(static_cast<double>(limit_tolerance.slack) *
                               kStartPart)}) {
-  this->link.Handle(std::string(kLendPath), [this](PeerCall& call) {
-    return this->AnswerLend(call);
-  });
+  this->link.Handle(std::string(kLendPath),
+                    [this](PeerCall& call) { return this->AnswerLend(call); });
   this->link.Handle(std::string(kConfirmPath), [this](PeerCall& call) {
     return this->AnswerConfirm(call);
   });
@@ -109,16 +108,16 @@
     if (outcome.charged) co_return Success();
     this->poor_until[team] = LoopNow() + kPoorMs;
   }
-  Error error = Error::Of(ErrorKind::kTeamLimit,
-                          "team " + team + " is " +
-                              std::to_string(outcome.missing) + " of " +
-                              std::to_string(tokens) + " tokens short");
+  Error error =
+      Error::Of(ErrorKind::kTeamLimit,
+                "team " + team + " is " + std::to_string(outcome.missing) +
+                    " of " + std::to_string(tokens) + " tokens short");
   const auto rate = static_cast<double>(spec->second.rate_tokens_per_s) /
                     static_cast<double>(this->slots);
-  error.retry_after_ms = std::max(
-      error.retry_after_ms,
-      static_cast<DurationMs>(static_cast<double>(outcome.missing) * kMsPerS /
-                              std::max(1.0, rate)));
+  error.retry_after_ms =
+      std::max(error.retry_after_ms,
+               static_cast<DurationMs>(static_cast<double>(outcome.missing) *
+                                       kMsPerS / std::max(1.0, rate)));
   co_return error;
 }
 
@@ -166,8 +165,8 @@
   co_return std::string("{}");
 }
 
-Task<std::vector<ShareExchange::Loan>> ShareExchange::Borrow(
-    std::string team, Tokens missing) {
+Task<std::vector<ShareExchange::Loan>> ShareExchange::Borrow(std::string team,
+                                                             Tokens missing) {
   std::vector<Loan> loans;
   for (const std::string& lender : this->Lenders()) {
     if (missing <= 0) break;
--- a/src/router/dialect.h
+++ b/src/router/dialect.h
@@ -40,10 +40,10 @@
   const RequestHead& caller_head;
   const CallerRequest& request;
   const EndpointRecord& endpoint;
-  std::string team;           ///< Empty on routes open to all.
-  DurationMs left_ms = 0;     ///< Time until the caller stops waiting.
-  std::int64_t priority = 0;  ///< Rank, 0 first.
-  std::optional<KvHandle> memory;            ///< Where its prompt was read.
+  std::string team;                ///< Empty on routes open to all.
+  DurationMs left_ms = 0;          ///< Time until the caller stops waiting.
+  std::int64_t priority = 0;       ///< Rank, 0 first.
+  std::optional<KvHandle> memory;  ///< Where its prompt was read.
   std::optional<std::int64_t> resume_after;  ///< Last event that was passed on.
 };
 
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -81,9 +81,9 @@
   co_return outcome;
 }
 
-Task<SendOutcome> GenerationSession::Generate(
-    const CellPlacement& placed, const EndpointRecord& engine,
-    std::optional<KvHandle> memory) {
+Task<SendOutcome> GenerationSession::Generate(const CellPlacement& placed,
+                                              const EndpointRecord& engine,
+                                              std::optional<KvHandle> memory) {
   this->tried.push_back(engine.id);
   const bool fetches = memory.has_value();
   const std::string reader = placed.placement.prefill;
@@ -139,9 +139,8 @@
   const CancelScope scope(this->cancel, [&prefill] { prefill.Cancel(); });
   CallFault fault = co_await this->Start(
       prefill,
-      WriteRequest(
-          this->core.parts.endpoints.Prefill(this->DispatchTo(engine)),
-          this->exchange.Body()),
+      WriteRequest(this->core.parts.endpoints.Prefill(this->DispatchTo(engine)),
+                   this->exchange.Body()),
       kReuseIdleMs);
   const TimeMs deadline = this->admitted.deadline;
   if (fault == CallFault::kNone) fault = co_await prefill.ReadHead(deadline);
@@ -188,13 +187,11 @@
   ask.data_centre = this->core.parts.data_centre;
   const Tokens produced = this->Produced();
   ask.prompt_tokens = request.prompt_tokens + produced;
-  ask.max_tokens =
-      std::max<Tokens>(1, request.max_output_tokens - produced);
+  ask.max_tokens = std::max<Tokens>(1, request.max_output_tokens - produced);
   if (request.output_hint) {
     ask.hint = std::max<Tokens>(1, *request.output_hint - produced);
   }
-  ask.budget_ms =
-      begun + route.first_token_ms - kFirstTokenMarginMs - now;
+  ask.budget_ms = begun + route.first_token_ms - kFirstTokenMarginMs - now;
   const TimeMs leaves_at =
       route.patience_ms > 0
           ? std::min(this->admitted.deadline, begun + route.patience_ms)
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -12,8 +12,8 @@
 #include "limpethaven/retry_budget.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "peer/gossip.h"
 #include "peer/cell_exchange.h"
+#include "peer/gossip.h"
 #include "peer/share_exchange.h"
 #include "router/dialect.h"
 
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -80,17 +80,16 @@
 Task<Ran> Session::Serve() {
   this->exchange.OnGone([this] { this->cancel.Request(); });
   this->core.BudgetOf(this->admitted.pool->name).OnRequest(LoopNow());
-  LogEvent(EventId::kRequestAccepted,
-           {{"request", this->admitted.request.attempt_id},
-            {"team", this->admitted.team},
-            {"route", this->admitted.route->name},
-            LogField::Of("version", this->admitted.config->version),
-            LogField::Of("prompt", this->admitted.request.prompt_tokens),
-            LogField::Of("max_output",
-                         this->admitted.request.max_output_tokens),
-            LogField::Of("hint",
-                         this->admitted.request.output_hint.value_or(-1)),
-            LogField::Of("left_ms", this->admitted.deadline - LoopNow())});
+  LogEvent(
+      EventId::kRequestAccepted,
+      {{"request", this->admitted.request.attempt_id},
+       {"team", this->admitted.team},
+       {"route", this->admitted.route->name},
+       LogField::Of("version", this->admitted.config->version),
+       LogField::Of("prompt", this->admitted.request.prompt_tokens),
+       LogField::Of("max_output", this->admitted.request.max_output_tokens),
+       LogField::Of("hint", this->admitted.request.output_hint.value_or(-1)),
+       LogField::Of("left_ms", this->admitted.deadline - LoopNow())});
   const std::optional<Error> error = co_await this->Run();
   this->exchange.OnGone(nullptr);
   const std::string& id = this->admitted.request.attempt_id;
@@ -101,16 +100,16 @@
               LogField::Of("sends", this->record.Sends())});
     this->exchange.Abort();
   } else if (error) {
-    LogEvent(EventId::kRequestRefused,
-             {{"request", id},
-              {"team", this->admitted.team},
-              {"kind", std::string(RowOf(error->kind).name)},
-              {"ran", std::string(NameOf(error->ran))},
-              {"phase", std::string(NameOf(this->record.Phase()))},
-              LogField::Of("sends", this->record.Sends()),
-              LogField::Of("elapsed_ms",
-                           LoopNow() - this->exchange.ReceivedAt()),
-              {"why", error->message}});
+    LogEvent(
+        EventId::kRequestRefused,
+        {{"request", id},
+         {"team", this->admitted.team},
+         {"kind", std::string(RowOf(error->kind).name)},
+         {"ran", std::string(NameOf(error->ran))},
+         {"phase", std::string(NameOf(this->record.Phase()))},
+         LogField::Of("sends", this->record.Sends()),
+         LogField::Of("elapsed_ms", LoopNow() - this->exchange.ReceivedAt()),
+         {"why", error->message}});
     if (this->exchange.Begun()) {
       this->exchange.Abort();
     } else {
@@ -119,15 +118,15 @@
           this->core.parts.callers.RefusalBody(*error));
     }
   } else {
-    LogEvent(EventId::kRequestFinished,
-             {{"request", id},
-              {"team", this->admitted.team},
-              {"route", this->admitted.route->name},
-              {"endpoint", this->tried.empty() ? "" : this->tried.back()},
-              LogField::Of("sends", this->record.Sends()),
-              LogField::Of("last_event", this->splitter.LastId().value_or(-1)),
-              LogField::Of("elapsed_ms",
-                           LoopNow() - this->exchange.ReceivedAt())});
+    LogEvent(
+        EventId::kRequestFinished,
+        {{"request", id},
+         {"team", this->admitted.team},
+         {"route", this->admitted.route->name},
+         {"endpoint", this->tried.empty() ? "" : this->tried.back()},
+         LogField::Of("sends", this->record.Sends()),
+         LogField::Of("last_event", this->splitter.LastId().value_or(-1)),
+         LogField::Of("elapsed_ms", LoopNow() - this->exchange.ReceivedAt())});
   }
   const Ran ran = this->record.MayHaveRun();
   this->record.OnDone();
@@ -211,9 +210,9 @@
 Error Session::Failure(SendOutcome last) const {
   const bool late =
       last == SendOutcome::kSilent || LoopNow() >= this->admitted.deadline;
-  Error error = Error::Of(late ? ErrorKind::kDeadline
-                               : ErrorKind::kEndpointFailed,
-                          std::string(NameOf(last)));
+  Error error =
+      Error::Of(late ? ErrorKind::kDeadline : ErrorKind::kEndpointFailed,
+                std::string(NameOf(last)));
   error.ran = this->record.MayHaveRun();
   return error;
 }
@@ -246,8 +245,8 @@
 
 Task<SendOutcome> Session::PassStream(HttpCall& stream) {
   if (!this->exchange.Begun()) {
-    ResponseHead head{stream.Head().status, this->core.parts.endpoints.Passed(
-                                                stream.Head().headers)};
+    ResponseHead head{stream.Head().status,
+                      this->core.parts.endpoints.Passed(stream.Head().headers)};
     this->record.OnBegun();
     const bool begun = co_await this->exchange.Begin(std::move(head));
     if (!begun) this->cancel.Request();
@@ -292,8 +291,8 @@
       this->record.Sends() < this->admitted.route->max_sends &&
       this->core.BudgetOf(this->admitted.pool->name).Left(LoopNow()) >= 1.0;
   if (!kind.success && repeatable) co_return SendOutcome::kFailed;
-  ResponseHead head{answer.Head().status, this->core.parts.endpoints.Passed(
-                                              answer.Head().headers)};
+  ResponseHead head{answer.Head().status,
+                    this->core.parts.endpoints.Passed(answer.Head().headers)};
   co_await this->exchange.Answer(std::move(head), std::move(body));
   co_return SendOutcome::kAnswered;
 }
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -68,8 +68,8 @@
   Admitted admitted;
   RequestRecord record;
   EventSplitter splitter;
-  std::vector<std::string> tried;  ///< Endpoints that had it.
-  Cancellation cancel;             ///< Requested when the caller leaves.
+  std::vector<std::string> tried;     ///< Endpoints that had it.
+  Cancellation cancel;                ///< Requested when the caller leaves.
   std::function<void()> on_progress;  ///< Called as events are passed on.
 
  private:
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -220,6 +220,7 @@
   REQUIRE(fleet.CallService(1, kSouthKey, "/s/ledger/transfer", "t1", ticket)
               .error_kind == "team_mismatch");
   std::vector<std::thread> callers;
+  callers.reserve(9);
   std::atomic<int> succeeded = 0;
   for (std::size_t copy = 0; copy < 9; ++copy) {
     callers.emplace_back([&, copy] {
