--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -112,8 +112,12 @@
     config.pools.at("p").endpoints.push_back(
         EndpointSpec{"10.0.0.1:" + std::to_string(worker), "centre", false});
   }
-  config.routes.emplace("r", RouteSpec{"/v1/completions", "m", "p", "p", "",
-                                       true, false, 920, 48});
+  RouteSpec route;
+  route.path = "/v1/completions";
+  route.model = "m";
+  route.prefill_pool = "p";
+  route.decode_pool = "p";
+  config.routes.emplace("r", route);
   const std::vector<CellSpec> cells = BuildCells(config, 64);
   const std::size_t members = static_cast<std::size_t>(state.range(1));
   std::vector<std::string> vms;
--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -94,7 +94,6 @@
   std::string prefill_pool;  ///< Empty for services.
   std::string decode_pool;   ///< Empty for services.
   std::string pool;          ///< Service pool; empty for models.
-  bool repeatable = true;    ///< False: runs at most once and needs a ticket.
   bool open = false;         ///< True: no key needed.
   DurationMs first_token_ms = 0;
   DurationMs token_gap_ms = 0;
@@ -103,10 +102,10 @@
   std::string name;         ///< For logs; empty where the path serves.
   std::string host;         ///< Host that callers name; empty for any.
   std::vector<WeightedPool> targets;  ///< Pools by weight; empty: `pool`.
-  RepeatRule repeat = RepeatRule::kOnce;
+  RepeatRule repeat = RepeatRule::kRepeatable;
   bool streams = false;          ///< The answer is a series of events.
   bool shares_prefixes = false;  ///< Its prompts share parts.
-  std::int64_t max_sends = 1;    ///< Endpoints that one request may be sent to.
+  std::int64_t max_sends = 3;    ///< Endpoints that one request may be sent to.
   DurationMs timeout_ms = 0;     ///< Longest time to a final answer; 0: none.
   std::int64_t priority = 0;     ///< Rank, 0 first.
   /// Callers leave after this long without an event; 0: not known.
@@ -134,7 +133,7 @@
 /// Settings that hold for the whole fleet.
 struct FleetSpec {
   std::int64_t share_slots =
-      8;  ///< Most entry processes that can be alive at once.
+      8;  ///< Most entry processes that can be alive at once; 0: not known.
   CallerLimits limits;
   friend auto operator<=>(const FleetSpec&, const FleetSpec&) = default;
 };
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -49,6 +49,7 @@
   kReservationLapsed = 430,
   kOrphanCancelled = 431,
   kCancelRetried = 432,
+  kRunEnded = 433,
   kTokensBorrowed = 440,
   kTokensLent = 441,
   kTicketMinted = 450,
--- a/include/limpethaven/interfaces.h
+++ b/include/limpethaven/interfaces.h
@@ -86,6 +86,11 @@
   std::int64_t pieces_used = 0;
   std::int64_t pieces_total = 0;
   std::vector<HeldRequest> held;
+  /// Of engines that count tokens and do not name what they hold.
+  Tokens tokens_used = 0;
+  Tokens tokens_total = 0;
+  std::int64_t queued = 0;
+  std::int64_t running = 0;
   friend auto operator<=>(const EngineLoad&, const EngineLoad&) = default;
 };
 
--- a/src/edge/flags.cc
+++ b/src/cli/flags.cc
@@ -1,4 +1,4 @@
-#include "edge/flags.h"
+#include "cli/flags.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/src/core/config_codec.cc
+++ b/src/core/config_codec.cc
@@ -39,7 +39,7 @@
                               {RepeatRule::kRepeatable, "repeatable"},
                               {RepeatRule::kResumable, "resumable"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    RouteSpec, path, model, prefill_pool, decode_pool, pool, repeatable, open,
+    RouteSpec, path, model, prefill_pool, decode_pool, pool, open,
     first_token_ms, token_gap_ms, serve_late, name, host, targets, repeat,
     streams, shares_prefixes, max_sends, timeout_ms, priority, patience_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LinkSpec, from, to, mbytes_per_s)
--- a/src/core/config_file.cc
+++ b/src/core/config_file.cc
@@ -315,7 +315,8 @@
   void ReadRoute(TableReader& reader, const FaultSink& sink) {
     RouteSpec route;
     route.path = reader.Text("path", true);
-    route.repeatable = reader.Boolean("repeatable", true);
+    route.repeat = reader.Boolean("repeatable", true) ? RepeatRule::kRepeatable
+                                                      : RepeatRule::kOnce;
     route.open = reader.Boolean("open", false);
     if (route.path.starts_with("/s/")) {
       route.pool = reader.Text("pool", true);
@@ -329,6 +330,10 @@
       sink.Add(reader.Where(),
                "route.path: expected /v1/completions or /s/SERVICE/...");
     }
+    // Another engine goes on from the text so far.
+    if (route.repeat == RepeatRule::kRepeatable) {
+      route.repeat = RepeatRule::kResumable;
+    }
     route.model = reader.Text("model", true);
     route.prefill_pool = reader.Text("prefill", true);
     route.decode_pool = reader.Text("decode", true);
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -46,6 +46,7 @@
     EventRow{EventId::kReservationLapsed, "reservation_lapsed"},
     EventRow{EventId::kOrphanCancelled, "orphan_cancelled"},
     EventRow{EventId::kCancelRetried, "cancel_retried"},
+    EventRow{EventId::kRunEnded, "run_ended"},
     EventRow{EventId::kTokensBorrowed, "tokens_borrowed"},
     EventRow{EventId::kTokensLent, "tokens_lent"},
     EventRow{EventId::kTicketMinted, "ticket_minted"},
--- a/src/edge/engine_client.cc
+++ b/src/edge/engine_client.cc
@@ -1,7 +1,7 @@
 #include "edge/engine_client.h"
 
-#include "edge/engine_messages.h"
-#include "edge/sse.h"
+#include "protocol/engine_messages.h"
+#include "protocol/sse.h"
 
 namespace limpethaven {
 namespace {
--- a/src/edge/http_server.cc
+++ b/src/edge/http_server.cc
@@ -1,11 +1,7 @@
 #include "edge/http_server.h"
 
-#include <openssl/ssl.h>
 #include <sys/socket.h>
 
-#include <filesystem>
-#include <mutex>
-
 #include "edge/log.h"
 #include "edge/task_pool.h"
 
@@ -28,74 +24,9 @@
 
 }  // namespace
 
-class TlsFiles {
- public:
-  TlsFiles(std::string certificate, std::string key)
-      : certificate_file(std::move(certificate)), key_file(std::move(key)) {}
-
-  /// Sets up a server context so that every handshake asks for the current
-  /// certificate.
-  bool Install(SSL_CTX& context) {
-    this->Reload();
-    if (!this->loaded) return false;
-    SSL_CTX_set_min_proto_version(&context, TLS1_2_VERSION);
-    SSL_CTX_set_cert_cb(
-        &context,
-        [](SSL* ssl, void* self) {
-          return static_cast<TlsFiles*>(self)->Present(ssl) ? 1 : 0;
-        },
-        this);
-    return true;
-  }
-
- private:
-  bool Present(SSL* ssl) {
-    const std::lock_guard lock(this->mutex);
-    this->ReloadIfChanged();
-    return this->loaded != nullptr &&
-           SSL_set_SSL_CTX(ssl, this->loaded.get()) != nullptr;
-  }
-
-  void ReloadIfChanged() {
-    std::error_code ignored;
-    const auto changed =
-        std::filesystem::last_write_time(this->certificate_file, ignored);
-    if (changed != this->loaded_at) this->Reload();
-  }
-
-  /// Keeps the old certificate when the new files do not fit together.
-  void Reload() {
-    std::error_code ignored;
-    this->loaded_at =
-        std::filesystem::last_write_time(this->certificate_file, ignored);
-    ContextPtr next(SSL_CTX_new(TLS_server_method()), &SSL_CTX_free);
-    const bool usable =
-        SSL_CTX_use_certificate_chain_file(
-            next.get(), this->certificate_file.c_str()) == 1 &&
-        SSL_CTX_use_PrivateKey_file(next.get(), this->key_file.c_str(),
-                                    SSL_FILETYPE_PEM) == 1 &&
-        SSL_CTX_check_private_key(next.get()) == 1;
-    if (usable) this->loaded = std::move(next);
-  }
-
-  using ContextPtr = std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)>;
-  std::string certificate_file;
-  std::string key_file;
-  std::mutex mutex;
-  ContextPtr loaded{nullptr, &SSL_CTX_free};
-  std::filesystem::file_time_type loaded_at;
-};
-
-HttpServer::HttpServer(HttpServerSettings initial)
+ThreadedHttpServer::ThreadedHttpServer(ThreadedHttpServerSettings initial)
     : settings(std::move(initial)) {
-  if (this->settings.tls_certificate_file.empty()) {
-    this->server = std::make_unique<httplib::Server>();
-  } else {
-    this->tls = std::make_unique<TlsFiles>(this->settings.tls_certificate_file,
-                                           this->settings.tls_key_file);
-    this->server = std::make_unique<httplib::SSLServer>(
-        [this](SSL_CTX& context) { return this->tls->Install(context); });
-  }
+  this->server = std::make_unique<httplib::Server>();
   httplib::Server& routes = *this->server;
   const std::size_t max_connections = this->settings.max_connections;
   routes.new_task_queue = [max_connections] {
@@ -137,16 +68,15 @@
   });
 }
 
-HttpServer::~HttpServer() { this->Stop(); }
+ThreadedHttpServer::~ThreadedHttpServer() { this->Stop(); }
 
-httplib::Server& HttpServer::Routes() noexcept { return *this->server; }
+httplib::Server& ThreadedHttpServer::Routes() noexcept { return *this->server; }
 
-Result<void> HttpServer::Start() {
+Result<void> ThreadedHttpServer::Start() {
   const std::string where =
       this->settings.address + ":" + std::to_string(this->settings.port);
   if (!this->server->is_valid()) {
-    return Error::Of(ErrorKind::kInternal,
-                     "cannot use the TLS certificate and key for " + where);
+    return Error::Of(ErrorKind::kInternal, "cannot serve on " + where);
   }
   if (this->settings.port == 0) {
     this->bound_port = this->server->bind_to_any_port(this->settings.address);
@@ -168,9 +98,9 @@
   return Success();
 }
 
-int HttpServer::Port() const noexcept { return this->bound_port; }
+int ThreadedHttpServer::Port() const noexcept { return this->bound_port; }
 
-void HttpServer::Stop() {
+void ThreadedHttpServer::Stop() {
   if (!this->thread.joinable()) return;
   this->server->stop();
   this->thread.join();
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -14,28 +14,22 @@
 namespace limpethaven {
 
 /// Settings of one listening address.
-struct HttpServerSettings {
+struct ThreadedHttpServerSettings {
   std::string address;
   int port = 0;                        ///< 0 takes any free port.
   std::size_t max_connections = 1200;  ///< Connections served at once.
   std::size_t max_body_bytes = 4'000'000;
   int read_timeout_s = 10;  ///< Longest wait for the next bytes of a request.
   int write_timeout_s = 5;  ///< Longest wait for a caller that does not read.
-  std::string tls_certificate_file;  ///< PEM chain; empty for plain HTTP.
-  std::string tls_key_file;
 };
 
-/// Presents the certificate that the files hold now; read again when they
-/// change.
-class TlsFiles;
-
 /// A server with its thread. Add routes to `Routes()` before `Start`.
-class HttpServer {
+class ThreadedHttpServer {
  public:
-  explicit HttpServer(HttpServerSettings settings);
-  ~HttpServer();
-  HttpServer(const HttpServer&) = delete;
-  HttpServer& operator=(const HttpServer&) = delete;
+  explicit ThreadedHttpServer(ThreadedHttpServerSettings settings);
+  ~ThreadedHttpServer();
+  ThreadedHttpServer(const ThreadedHttpServer&) = delete;
+  ThreadedHttpServer& operator=(const ThreadedHttpServer&) = delete;
 
   [[nodiscard]] httplib::Server& Routes() noexcept;
   /// Binds and serves on a thread of its own. Fails when the port is taken.
@@ -46,8 +40,7 @@
   void Stop();
 
  private:
-  HttpServerSettings settings;
-  std::unique_ptr<TlsFiles> tls;
+  ThreadedHttpServerSettings settings;
   std::unique_ptr<httplib::Server> server;
   std::thread thread;
   int bound_port = 0;
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -1,44 +1,32 @@
 /// @file
-/// The interface for callers: addresses, tickets, completions, cancels and
-/// plain services.
+/// The product's own caller interface: which part answers which call.
 #pragma once
 
-#include <httplib.h>
+#include <string>
 
-#include "entry/authenticator.h"
-#include "entry/entry_node.h"
+#include "entry/ticket_exchange.h"
+#include "node/entry_node.h"
 
 namespace limpethaven {
 
-/// Caller interface of one process.
+/// Answers callers of one process.
 class CallerApi {
  public:
-  explicit CallerApi(EntryNode& entry_node);
-  /// Adds the routes to a server.
-  void AddRoutes(httplib::Server& routes);
+  /// Takes over the callers' address of `entry_node`.
+  CallerApi(EntryNode& entry_node, std::string secret);
+
+  Task<> Answer(Exchange& exchange);
 
  private:
-  void Addresses(const httplib::Request& request, httplib::Response& response);
-  void MintTicket(const httplib::Request& request, httplib::Response& response);
-  void Complete(const httplib::Request& request, httplib::Response& response);
-  void Resume(const httplib::Request& request, httplib::Response& response);
-  void Cancel(const httplib::Request& request, httplib::Response& response);
-  void CallService(const httplib::Request& request,
-                   httplib::Response& response);
-
-  [[nodiscard]] Result<std::shared_ptr<CompletionSession>> Admit(
-      const httplib::Request& request, bool& stream);
-  [[nodiscard]] Result<std::shared_ptr<CompletionSession>> AdmitResume(
-      const httplib::Request& request);
-  [[nodiscard]] Result<ServiceAnswer> Route(const httplib::Request& request);
-  void Answer(const std::shared_ptr<CompletionSession>& session,
-              const std::string& id, const std::string& model, bool stream,
-              httplib::Response& response);
-  void Refuse(const httplib::Request& request, httplib::Response& response,
-              const Error& error);
-  [[nodiscard]] std::string NewRequestId() const;
+  Task<> AnswerAddresses(Exchange& exchange);
+  Task<> MintTicket(Exchange& exchange);
+  Task<> CancelRequest(Exchange& exchange);
+  Task<Result<std::string>> AnswerCancel(PeerCall& call);
+  /// Team of the key that a call shows.
+  [[nodiscard]] Result<std::string> TeamOf(const RequestHead& head) const;
 
   EntryNode& node;
+  TicketExchange tickets;
 };
 
 }  // namespace limpethaven
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -2,12 +2,16 @@
 
 #include <arpa/inet.h>
 
-#include "edge/flags.h"
+#include "cli/flags.h"
 
 namespace limpethaven {
 namespace {
 
 constexpr int kMaxPort = 65'535;
+/// Peers answer well within this time.
+constexpr DurationMs kSettleMs = 300;
+/// Between two load reports of an engine.
+constexpr DurationMs kReportPeriodMs = 500;
 
 Error WrongFlag(std::string message) {
   return Error::Of(ErrorKind::kBadRequest, std::move(message));
@@ -79,4 +83,32 @@
   return settings;
 }
 
+NodeSettings NodeSettingsOf(const EntrySettings& settings) {
+  const auto at = [](const std::string& address, int port) {
+    return address + ":" + std::to_string(port);
+  };
+  NodeSettings node;
+  node.vm = settings.address;
+  node.ip = settings.address;
+  node.data_centre = settings.data_centre;
+  node.callers_address = at(settings.address, settings.port);
+  node.admin_address = at(settings.admin_address, settings.admin_port);
+  node.peer_port = settings.peer_port;
+  node.seeds = settings.seed_vms;
+  node.fleet_secret = settings.fleet_secret;
+  node.tls_certificate = settings.tls_certificate;
+  node.tls_key = settings.tls_key;
+  node.address_ttl_ms = settings.address_ttl_ms;
+  node.stale_answers = 1;
+  node.stop_ms = settings.address_ttl_ms + settings.drain_limit_ms;
+  node.settle_ms = kSettleMs;
+  node.cut_withdrawn = true;
+  node.token_wait_ms = settings.token_wait_ms;
+  node.router.give_back_unused = true;
+  node.router.max_requests = settings.max_streams;
+  node.cell_size = settings.cell_size;
+  node.watcher.period_ms = kReportPeriodMs;
+  return node;
+}
+
 }  // namespace limpethaven
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -8,6 +8,7 @@
 
 #include "limpethaven/clock.h"
 #include "limpethaven/error.h"
+#include "node/entry_node.h"
 
 namespace limpethaven {
 
@@ -39,5 +40,7 @@
 void AddEntryFlags(CLI::App& app, EntrySettings& settings);
 /// Checks what single flags cannot, and reads the fleet secret.
 [[nodiscard]] Result<EntrySettings> FinishEntrySettings(EntrySettings settings);
+/// Settings of the node that an entry process is.
+[[nodiscard]] NodeSettings NodeSettingsOf(const EntrySettings& settings);
 
 }  // namespace limpethaven
--- /dev/null
+++ b/src/entry/native_endpoints.cc
@@ -0,0 +1,149 @@
+#include "entry/native_endpoints.h"
+
+#include <algorithm>
+#include <array>
+
+#include "entry/completion_stream.h"
+#include "protocol/engine_messages.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr std::int64_t kReattaches = 6;
+
+/// Headers of a caller that a service does not get: its proof of identity, and
+/// what the system means by them.
+constexpr std::array<std::string_view, 6> kNotForwarded = {
+    "Authorization",      "Host",       "Content-Length",
+    "Limpethaven-Ticket", "Request-Id", "Accept-Encoding"};
+
+OutgoingCall Post(std::string_view path, std::string body) {
+  RequestHead head{"POST", std::string(path), {}};
+  head.headers.Add("Content-Type", "application/json");
+  return OutgoingCall{std::move(head), std::move(body)};
+}
+
+bool IsCompletion(const Dispatch& dispatch) {
+  return dispatch.stream != nullptr;
+}
+
+OutgoingCall ServiceCallOf(const Dispatch& dispatch) {
+  OutgoingCall call;
+  call.head.method = dispatch.caller_head.method;
+  call.head.target = dispatch.caller_head.target;
+  call.head.headers = EndToEndHeaders(dispatch.caller_head.headers);
+  std::ranges::for_each(kNotForwarded, [&call](std::string_view name) {
+    call.head.headers.Remove(name);
+  });
+  call.head.headers.RemoveContaining(dispatch.request.key);
+  call.head.headers.Add("Host", dispatch.endpoint.address);
+  call.head.headers.Add("Request-Id", dispatch.request.attempt_id);
+  call.body = dispatch.caller_body;
+  return call;
+}
+
+}  // namespace
+
+NativeEndpoints::NativeEndpoints(std::string secret)
+    : fleet_secret(std::move(secret)) {}
+
+OutgoingCall NativeEndpoints::Run(const Dispatch& dispatch) const {
+  if (!IsCompletion(dispatch)) return ServiceCallOf(dispatch);
+  GenerateBody body;
+  body.request_id = dispatch.request.attempt_id;
+  body.attempt = dispatch.attempt;
+  if (dispatch.memory) {
+    body.kv_source = dispatch.memory->engine_address;
+    body.kv_handle = dispatch.memory->handle;
+  }
+  body.prompt_tokens = dispatch.request.prompt_tokens;
+  body.offset = dispatch.stream->Produced();
+  body.max_tokens = dispatch.request.max_output_tokens - body.offset;
+  body.pieces =
+      (dispatch.reserved_tokens + kTokensPerPiece - 1) / kTokensPerPiece;
+  body.resume = dispatch.reattach;
+  body.expected_attachment = dispatch.stream->Attachment();
+  return Post("/generate", WriteJson(body));
+}
+
+OutgoingCall NativeEndpoints::Prefill(const Dispatch& dispatch) const {
+  PrefillBody body;
+  body.request_id = dispatch.request.attempt_id;
+  body.attempt = dispatch.attempt;
+  body.prompt = dispatch.request.prompt + std::string(dispatch.stream->Text());
+  body.prompt_tokens =
+      dispatch.request.prompt_tokens + dispatch.stream->Produced();
+  return Post("/prefill", WriteJson(body));
+}
+
+std::optional<OutgoingCall> NativeEndpoints::FreeMemory(const KvHandle&) const {
+  return std::nullopt;
+}
+
+std::optional<OutgoingCall> NativeEndpoints::EndRun(
+    const Dispatch& dispatch) const {
+  if (!IsCompletion(dispatch)) return std::nullopt;
+  const CancelBody body{dispatch.request.attempt_id, dispatch.attempt,
+                        dispatch.stream->Attachment()};
+  return Post("/cancel", WriteJson(body));
+}
+
+std::optional<OutgoingCall> NativeEndpoints::CancelRun(
+    const CancelCommand& command) const {
+  return Post("/cancel", WriteJson(CancelBody{command.request_id,
+                                              command.reservation, 0}));
+}
+
+OutgoingCall NativeEndpoints::ReadReport() const {
+  return OutgoingCall{RequestHead{"GET", "/load", {}}, {}};
+}
+
+std::optional<OutgoingCall> NativeEndpoints::ReadCacheEvents(
+    std::int64_t after) const {
+  return OutgoingCall{
+      RequestHead{"GET", "/cache_events?after=" + std::to_string(after), {}},
+      {}};
+}
+
+AnswerClass NativeEndpoints::Classify(const ResponseHead& head,
+                                      std::string_view body,
+                                      const CallerRequest& request) const {
+  AnswerClass answer;
+  // An attempt is named in every event; a connection serves one call.
+  answer.own = true;
+  answer.success = head.status >= 200 && head.status < 300;
+  const bool service = request.max_output_tokens == 0 && !request.running;
+  answer.final_failure = service;
+  const auto error = ErrorFromJsonBody(body);
+  if (answer.success || !error) return answer;
+  answer.superseded = error->kind == ErrorKind::kSuperseded;
+  answer.not_run = !service && (error->ran == Ran::kNo ||
+                                error->kind == ErrorKind::kStreamGone ||
+                                error->kind == ErrorKind::kCancelled);
+  return answer;
+}
+
+Result<std::string> NativeEndpoints::ReadHandle(std::string_view body) const {
+  BOOST_OUTCOME_TRY(answer, ReadJson<PrefillAnswer>(body, "prefill answer"));
+  return answer.kv_handle;
+}
+
+Result<EngineLoad> NativeEndpoints::ReadLoad(std::string_view body) const {
+  return ReadJson<EngineLoad>(body, "engine load");
+}
+
+Result<std::vector<CacheEvent>> NativeEndpoints::ReadCacheEventsBody(
+    std::string_view body) const {
+  return ReadJson<std::vector<CacheEvent>>(body, "cache events");
+}
+
+std::unique_ptr<StreamTranslator> NativeEndpoints::NewStream(
+    const CallerRequest& request, const PoolSpec*) const {
+  return std::make_unique<CompletionStream>(request, this->fleet_secret);
+}
+
+std::int64_t NativeEndpoints::Reattaches() const noexcept {
+  return kReattaches;
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/entry/native_endpoints.h
@@ -0,0 +1,44 @@
+/// @file
+/// The product's own way to speak with engines and plain services.
+#pragma once
+
+#include <string>
+
+#include "router/dialect.h"
+
+namespace limpethaven {
+
+/// Engines of the product's protocol, and plain services.
+class NativeEndpoints final : public EndpointDialect {
+ public:
+  explicit NativeEndpoints(std::string secret);
+
+  [[nodiscard]] OutgoingCall Run(const Dispatch& dispatch) const override;
+  [[nodiscard]] OutgoingCall Prefill(const Dispatch& dispatch) const override;
+  [[nodiscard]] std::optional<OutgoingCall> FreeMemory(
+      const KvHandle& memory) const override;
+  [[nodiscard]] std::optional<OutgoingCall> EndRun(
+      const Dispatch& dispatch) const override;
+  [[nodiscard]] std::optional<OutgoingCall> CancelRun(
+      const CancelCommand& command) const override;
+  [[nodiscard]] OutgoingCall ReadReport() const override;
+  [[nodiscard]] std::optional<OutgoingCall> ReadCacheEvents(
+      std::int64_t after) const override;
+  [[nodiscard]] AnswerClass Classify(
+      const ResponseHead& head, std::string_view body,
+      const CallerRequest& request) const override;
+  [[nodiscard]] Result<std::string> ReadHandle(
+      std::string_view body) const override;
+  [[nodiscard]] Result<EngineLoad> ReadLoad(
+      std::string_view body) const override;
+  [[nodiscard]] Result<std::vector<CacheEvent>> ReadCacheEventsBody(
+      std::string_view body) const override;
+  [[nodiscard]] std::unique_ptr<StreamTranslator> NewStream(
+      const CallerRequest& request, const PoolSpec* pool) const override;
+  [[nodiscard]] std::int64_t Reattaches() const noexcept override;
+
+ private:
+  std::string fleet_secret;
+};
+
+}  // namespace limpethaven
--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -5,11 +5,11 @@
 #include <chrono>
 #include <thread>
 
-#include "edge/engine_messages.h"
 #include "edge/http_client.h"
-#include "edge/sse.h"
 #include "limpethaven/crypto.h"
 #include "limpethaven/prompt.h"
+#include "protocol/engine_messages.h"
+#include "protocol/sse.h"
 
 namespace limpethaven {
 namespace {
--- a/src/load/history.cc
+++ b/src/load/history.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "edge/engine_messages.h"
+#include "protocol/engine_messages.h"
 
 namespace limpethaven {
 namespace {
--- a/src/load/latency.cc
+++ b/src/load/latency.cc
@@ -8,9 +8,9 @@
 #include <thread>
 
 #include "edge/engine_client.h"
-#include "edge/sse.h"
 #include "limpethaven/crypto.h"
 #include "load/report.h"
+#include "protocol/sse.h"
 
 namespace limpethaven {
 namespace {
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -9,14 +9,14 @@
 #include <sstream>
 #include <thread>
 
-#include "edge/engine_messages.h"
-#include "edge/flags.h"
+#include "cli/flags.h"
 #include "edge/http_client.h"
 #include "load/caller.h"
 #include "load/history_check.h"
 #include "load/latency.h"
 #include "load/report.h"
 #include "load/trace.h"
+#include "protocol/engine_messages.h"
 
 namespace limpethaven {
 namespace {
--- a/src/log/event_log.cc
+++ b/src/log/event_log.cc
@@ -100,6 +100,10 @@
 
 void SetEventLog(EventLog* log) noexcept { process_log = log; }
 
+std::uint64_t DroppedLogLines() noexcept {
+  return process_log == nullptr ? 0 : process_log->Dropped();
+}
+
 void LogEvent(EventId event, std::initializer_list<LogField> fields) {
   if (process_log == nullptr) return;
   static std::mutex mutex;
--- a/src/log/event_log.h
+++ b/src/log/event_log.h
@@ -87,6 +87,8 @@
 
 /// The process's log. Without one, events are dropped.
 void SetEventLog(EventLog* log) noexcept;
+/// Lines that the process's log did not write.
+[[nodiscard]] std::uint64_t DroppedLogLines() noexcept;
 /// Writes an event to the process's log. Never pass a key or a secret. Calls of
 /// several threads follow one another.
 void LogEvent(EventId event, std::initializer_list<LogField> fields);
--- a/src/net/connection.cc
+++ b/src/net/connection.cc
@@ -7,12 +7,16 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <unordered_set>
+#include <vector>
 
 namespace limpethaven {
 namespace {
 
 /// Input read ahead and not yet consumed; the peer waits beyond it.
 constexpr std::size_t kMaxInputBytes = 65'536;
+/// Longest time to send what a handshake needs.
+constexpr DurationMs kHandshakeWriteMs = 5000;
 /// Bytes read with one call.
 constexpr std::size_t kReadBytes = 8192;
 
@@ -33,8 +37,47 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, silence.keepalive_probes);
 }
 
+/// The connections of one loop.
+class LiveConnections final : public asio::execution_context::service {
+ public:
+  using key_type = LiveConnections;
+  static asio::execution_context::id id;
+
+  explicit LiveConnections(asio::execution_context& context)
+      : asio::execution_context::service(context) {}
+
+  void Add(Connection* connection) { this->live.insert(connection); }
+  void Remove(Connection* connection) { this->live.erase(connection); }
+  [[nodiscard]] const std::unordered_set<Connection*>& All() const noexcept {
+    return this->live;
+  }
+
+ private:
+  void shutdown() override {}
+
+  std::unordered_set<Connection*> live;
+};
+
+asio::execution_context::id LiveConnections::id;
+
 }  // namespace
 
+void CloseAllConnections(Loop& loop) {
+  std::vector<ConnectionPtr> all;
+  std::ranges::transform(
+      asio::use_service<LiveConnections>(loop).All(), std::back_inserter(all),
+      [](Connection* connection) { return connection->shared_from_this(); });
+  std::ranges::for_each(
+      all, [](const ConnectionPtr& connection) { connection->Close(); });
+}
+
+std::size_t OpenConnections(Loop& loop) {
+  const auto& live = asio::use_service<LiveConnections>(loop).All();
+  return static_cast<std::size_t>(std::ranges::count_if(
+      live,
+      [](const Connection* connection) { return !connection->Closed(); }));
+}
+
 std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
@@ -85,9 +128,16 @@
       drained(event_loop),
       write_timer(event_loop) {
   WatchForSilence(this->socket.native_handle(), SilenceSettings{});
+  asio::use_service<LiveConnections>(this->loop).Add(this);
 }
 
-Connection::~Connection() = default;
+Connection::~Connection() {
+  asio::use_service<LiveConnections>(this->loop).Remove(this);
+}
+
+void Connection::UseTls(std::unique_ptr<TlsCodec> tls_codec) {
+  this->tls = std::move(tls_codec);
+}
 
 void Connection::Start() {
   Spawn(this->loop, [self = this->shared_from_this()]() -> Task<> {
@@ -114,6 +164,14 @@
 }
 
 Task<bool> Connection::Write(std::string bytes, TimeMs deadline) {
+  if (this->tls) {
+    if (!this->tls->Encrypt(bytes)) co_return false;
+    bytes = this->tls->TakeOutput();
+  }
+  co_return co_await this->WriteWire(std::move(bytes), deadline);
+}
+
+Task<bool> Connection::WriteWire(std::string bytes, TimeMs deadline) {
   const auto self = this->shared_from_this();
   if (this->closed) co_return false;
   error_code fault;
@@ -194,11 +252,33 @@
     this->NoteEnd(ended ? InputState::kEnded : InputState::kReset);
     return false;
   }
-  this->input.append(buffer.data(), count);
+  if (!this->Take(std::string_view(buffer.data(), count))) {
+    this->NoteEnd(InputState::kReset);
+    return false;
+  }
   this->readable.Notify();
   return true;
 }
 
+bool Connection::Take(std::string_view bytes) {
+  if (!this->tls) {
+    this->input.append(bytes);
+    return true;
+  }
+  const bool fits = this->tls->Receive(bytes, this->input);
+  // Handshakes and alerts answer what came, whether anybody writes or not.
+  std::string answer = this->tls->TakeOutput();
+  if (!answer.empty()) {
+    Spawn(this->loop,
+          [self = this->shared_from_this(),
+           text = std::move(answer)]() mutable -> Task<> {
+            co_await self->WriteWire(std::move(text),
+                                     LoopNow() + kHandshakeWriteMs);
+          });
+  }
+  return fits;
+}
+
 void Connection::NoteEnd(InputState final_state) {
   this->state = final_state;
   this->readable.Notify();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -10,6 +10,7 @@
 
 #include "net/asio.h"
 #include "net/notifier.h"
+#include "net/tls.h"
 
 namespace limpethaven {
 
@@ -42,6 +43,8 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
+  /// Speaks TLS from the first byte on. Call it before `Start`.
+  void UseTls(std::unique_ptr<TlsCodec> tls_codec);
   /// Starts to read ahead. Call it once, right after construction.
   void Start();
   /// Bytes received and not yet consumed.
@@ -67,6 +70,9 @@
 
  private:
   Task<> ReadAhead();
+  Task<bool> WriteWire(std::string bytes, TimeMs deadline);
+  /// Adds received bytes to the input. @returns false when they are no TLS.
+  [[nodiscard]] bool Take(std::string_view bytes);
   /// Takes what the kernel has. @returns false when the input has ended.
   [[nodiscard]] bool ReadAvailable();
   void NoteEnd(InputState final_state);
@@ -75,6 +81,7 @@
   asio::ip::tcp::socket socket;
   std::string peer;
   std::string input;
+  std::unique_ptr<TlsCodec> tls;  ///< Null for plain connections.
   InputState state = InputState::kOpen;
   bool closed = false;
   Notifier readable;
@@ -86,6 +93,11 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+/// Closes every connection of a loop at once, as the end of its process would.
+void CloseAllConnections(Loop& loop);
+/// Connections of a loop that are open.
+[[nodiscard]] std::size_t OpenConnections(Loop& loop);
+
 /// Address of `IP:port`; empty when it is none.
 [[nodiscard]] std::optional<asio::ip::tcp::endpoint> ParseAddress(
     std::string_view text);
--- a/src/net/datagrams.cc
+++ b/src/net/datagrams.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-DatagramSocket::DatagramSocket(Loop& event_loop, DatagramHandler2 on_datagram)
+DatagramSocket::DatagramSocket(Loop& event_loop, DatagramHandler on_datagram)
     : socket(event_loop), loop(event_loop), handler(std::move(on_datagram)) {}
 
 DatagramSocket::~DatagramSocket() = default;
--- a/src/net/datagrams.h
+++ b/src/net/datagrams.h
@@ -13,12 +13,12 @@
 namespace limpethaven {
 
 /// Called with each datagram.
-using DatagramHandler2 = std::function<void(std::string_view bytes)>;
+using DatagramHandler = std::function<void(std::string_view bytes)>;
 
 /// One UDP port. Datagrams may be lost, late or doubled.
 class DatagramSocket {
  public:
-  DatagramSocket(Loop& event_loop, DatagramHandler2 on_datagram);
+  DatagramSocket(Loop& event_loop, DatagramHandler on_datagram);
   ~DatagramSocket();
   DatagramSocket(const DatagramSocket&) = delete;
   DatagramSocket& operator=(const DatagramSocket&) = delete;
@@ -34,7 +34,7 @@
 
   asio::ip::udp::socket socket;
   Loop& loop;
-  DatagramHandler2 handler;
+  DatagramHandler handler;
 };
 
 }  // namespace limpethaven
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -173,6 +173,13 @@
   });
 }
 
+void Headers::RemoveContaining(std::string_view text) {
+  if (text.empty()) return;
+  std::erase_if(this->fields, [text](const HttpHeader& header) {
+    return header.value.find(text) != std::string::npos;
+  });
+}
+
 const std::vector<HttpHeader>& Headers::All() const noexcept {
   return this->fields;
 }
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -33,6 +33,8 @@
   /// Replaces every header of this name by one.
   void Set(std::string_view name, std::string_view value);
   void Remove(std::string_view name);
+  /// Removes every header whose value holds `text`, unless that is empty.
+  void RemoveContaining(std::string_view text);
   [[nodiscard]] const std::vector<HttpHeader>& All() const noexcept;
 
   friend bool operator==(const Headers&, const Headers&) = default;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -31,21 +31,22 @@
 
 }  // namespace
 
-Exchange::Exchange(ConnectionPtr caller_connection, RequestHead request_head,
-                   std::string request_body, TimeMs received)
+ServerExchange::ServerExchange(ConnectionPtr caller_connection,
+                               RequestHead request_head,
+                               std::string request_body, TimeMs received)
     : connection(std::move(caller_connection)),
       head(std::move(request_head)),
       body(std::move(request_body)),
       received_at(received),
       keep_alive(this->head.keep_alive) {}
 
-const RequestHead& Exchange::Head() const noexcept { return this->head; }
+const RequestHead& ServerExchange::Head() const noexcept { return this->head; }
 
-const std::string& Exchange::Body() const noexcept { return this->body; }
+const std::string& ServerExchange::Body() const noexcept { return this->body; }
 
-TimeMs Exchange::ReceivedAt() const noexcept { return this->received_at; }
+TimeMs ServerExchange::ReceivedAt() const noexcept { return this->received_at; }
 
-Task<bool> Exchange::Answer(ResponseHead answer, std::string text) {
+Task<bool> ServerExchange::Answer(ResponseHead answer, std::string text) {
   answer.keep_alive = this->keep_alive;
   this->begun = true;
   this->ended = true;
@@ -54,59 +55,59 @@
   co_return co_await this->Write(WriteResponse(answer, content));
 }
 
-Task<bool> Exchange::Begin(ResponseHead answer) {
+Task<bool> ServerExchange::Begin(ResponseHead answer) {
   answer.keep_alive = this->keep_alive;
   this->begun = true;
   co_return co_await this->Write(WriteChunkedHead(answer));
 }
 
-Task<bool> Exchange::Send(std::string bytes) {
+Task<bool> ServerExchange::Send(std::string bytes) {
   if (bytes.empty()) co_return true;
   co_return co_await this->Write(WriteChunk(bytes));
 }
 
-Task<bool> Exchange::End() {
+Task<bool> ServerExchange::End() {
   this->ended = true;
   co_return co_await this->Write(WriteChunk({}));
 }
 
-void Exchange::Abort() {
+void ServerExchange::Abort() {
   this->ended = true;
   this->keep_alive = false;
   this->connection->Reset();
 }
 
-void Exchange::CloseAfter() { this->keep_alive = false; }
+void ServerExchange::CloseAfter() { this->keep_alive = false; }
 
-bool Exchange::CallerGone() const noexcept {
+bool ServerExchange::CallerGone() const noexcept {
   return this->connection->State() != InputState::kOpen;
 }
 
-void Exchange::OnGone(std::function<void()> callback) {
+void ServerExchange::OnGone(std::function<void()> callback) {
   this->connection->OnEnd(std::move(callback));
 }
 
-bool Exchange::Begun() const noexcept { return this->begun; }
+bool ServerExchange::Begun() const noexcept { return this->begun; }
 
-bool Exchange::Ended() const noexcept { return this->ended; }
+bool ServerExchange::Ended() const noexcept { return this->ended; }
 
-bool Exchange::KeepAlive() const noexcept { return this->keep_alive; }
+bool ServerExchange::KeepAlive() const noexcept { return this->keep_alive; }
 
-Task<bool> Exchange::Write(std::string bytes) {
+Task<bool> ServerExchange::Write(std::string bytes) {
   co_return co_await this->connection->Write(std::move(bytes),
                                              LoopNow() + kWriteStallMs);
 }
 
-HttpServer2::HttpServer2(Loop& event_loop, ExchangeHandler on_request,
-                         std::size_t max_connections)
+HttpServer::HttpServer(Loop& event_loop, ExchangeHandler on_request,
+                       std::size_t max_connections)
     : loop(event_loop),
       acceptor(event_loop),
       handler(std::move(on_request)),
       connection_limit(max_connections) {}
 
-HttpServer2::~HttpServer2() = default;
+HttpServer::~HttpServer() = default;
 
-bool HttpServer2::Listen(const std::string& address) {
+bool HttpServer::Listen(const std::string& address) {
   const auto endpoint = ParseAddress(address);
   if (!endpoint) return false;
   error_code fault;
@@ -121,9 +122,13 @@
   return true;
 }
 
-void HttpServer2::SetLimits(const ServerLimits& next) { this->limits = next; }
+void HttpServer::UseTls(std::unique_ptr<TlsFiles> tls_files) {
+  this->tls = std::move(tls_files);
+}
+
+void HttpServer::SetLimits(const ServerLimits& next) { this->limits = next; }
 
-void HttpServer2::Drain(bool close_idle) {
+void HttpServer::Drain(bool close_idle) {
   this->draining = true;
   if (!close_idle) return;
   const auto open = this->connections;
@@ -133,20 +138,20 @@
   });
 }
 
-void HttpServer2::StopAccepting() {
+void HttpServer::StopAccepting() {
   error_code ignored;
   this->acceptor.close(ignored);
 }
 
-std::size_t HttpServer2::OpenConnections() const noexcept {
+std::size_t HttpServer::OpenConnections() const noexcept {
   return this->connections.size();
 }
 
-std::size_t HttpServer2::OpenRequests() const noexcept {
+std::size_t HttpServer::OpenRequests() const noexcept {
   return this->open_requests;
 }
 
-Task<> HttpServer2::Accept() {
+Task<> HttpServer::Accept() {
   while (this->acceptor.is_open()) {
     error_code fault;
     asio::ip::tcp::socket socket = co_await this->acceptor.async_accept(
@@ -160,6 +165,11 @@
     auto served = std::make_shared<Served>();
     served->connection =
         std::make_shared<Connection>(this->loop, std::move(socket), "");
+    if (this->tls) {
+      ssl_ctx_st* const context = this->tls->Current();
+      if (context == nullptr) continue;
+      served->connection->UseTls(std::make_unique<TlsCodec>(context));
+    }
     served->connection->Start();
     this->connections.insert(served);
     Spawn(this->loop,
@@ -167,14 +177,14 @@
   }
 }
 
-Task<> HttpServer2::Serve(ServedPtr served) {
+Task<> HttpServer::Serve(ServedPtr served) {
   bool more = true;
   while (more) more = co_await this->ServeOne(*served);
   served->connection->Close();
   this->connections.erase(served);
 }
 
-Task<bool> HttpServer2::ServeOne(Served& served) {
+Task<bool> HttpServer::ServeOne(Served& served) {
   Connection& connection = *served.connection;
   HttpParser parser(HttpParser::Kind::kRequest, this->limits.message);
   const DurationMs idle_ms = this->limits.idle_timeout_ms;
@@ -213,8 +223,8 @@
     }
   }
   ++this->open_requests;
-  Exchange exchange(served.connection, parser.Request(), parser.TakeBody(),
-                    LoopNow());
+  ServerExchange exchange(served.connection, parser.Request(),
+                          parser.TakeBody(), LoopNow());
   if (this->draining) exchange.CloseAfter();
   co_await this->handler(exchange);
   exchange.OnGone(nullptr);
@@ -224,8 +234,8 @@
   co_return exchange.KeepAlive() && !connection.Closed();
 }
 
-Task<> HttpServer2::Refuse(Connection& connection, ParseFault fault,
-                           bool timed_out) {
+Task<> HttpServer::Refuse(Connection& connection, ParseFault fault,
+                          bool timed_out) {
   if (fault == ParseFault::kTruncated) co_return;
   ResponseHead head{StatusOf(fault, timed_out), {}, false};
   co_await connection.Write(WriteResponse(head, {}),
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -24,34 +24,54 @@
   friend auto operator<=>(const ServerLimits&, const ServerLimits&) = default;
 };
 
-/// One request on a caller's connection, and the way to answer it.
+/// One request, and the way to answer it.
 class Exchange {
  public:
-  Exchange(ConnectionPtr caller_connection, RequestHead request_head,
-           std::string request_body, TimeMs received);
+  virtual ~Exchange() = default;
 
-  [[nodiscard]] const RequestHead& Head() const noexcept;
-  [[nodiscard]] const std::string& Body() const noexcept;
+  [[nodiscard]] virtual const RequestHead& Head() const noexcept = 0;
+  [[nodiscard]] virtual const std::string& Body() const noexcept = 0;
   /// When the request had been read whole.
-  [[nodiscard]] TimeMs ReceivedAt() const noexcept;
+  [[nodiscard]] virtual TimeMs ReceivedAt() const noexcept = 0;
 
   /// Sends a whole answer.
-  Task<bool> Answer(ResponseHead head, std::string body);
+  virtual Task<bool> Answer(ResponseHead head, std::string body) = 0;
   /// Sends the head of an answer whose body follows piece by piece.
-  Task<bool> Begin(ResponseHead head);
+  virtual Task<bool> Begin(ResponseHead head) = 0;
   /// Sends a piece of the body. @returns false when the caller is gone.
-  Task<bool> Send(std::string bytes);
+  virtual Task<bool> Send(std::string bytes) = 0;
   /// Sends the end of the body.
-  Task<bool> End();
+  virtual Task<bool> End() = 0;
   /// Breaks the connection, so that what was sent cannot look complete.
-  void Abort();
-  /// Ends the connection after the answer.
-  void CloseAfter();
+  virtual void Abort() = 0;
 
-  [[nodiscard]] bool CallerGone() const noexcept;
+  [[nodiscard]] virtual bool CallerGone() const noexcept = 0;
   /// Called once if the caller leaves before the answer has ended.
-  void OnGone(std::function<void()> callback);
-  [[nodiscard]] bool Begun() const noexcept;
+  virtual void OnGone(std::function<void()> callback) = 0;
+  /// Whether the caller has the head of an answer.
+  [[nodiscard]] virtual bool Begun() const noexcept = 0;
+};
+
+/// One request on a caller's connection.
+class ServerExchange final : public Exchange {
+ public:
+  ServerExchange(ConnectionPtr caller_connection, RequestHead request_head,
+                 std::string request_body, TimeMs received);
+
+  [[nodiscard]] const RequestHead& Head() const noexcept override;
+  [[nodiscard]] const std::string& Body() const noexcept override;
+  [[nodiscard]] TimeMs ReceivedAt() const noexcept override;
+  Task<bool> Answer(ResponseHead answer, std::string text) override;
+  Task<bool> Begin(ResponseHead answer) override;
+  Task<bool> Send(std::string bytes) override;
+  Task<bool> End() override;
+  void Abort() override;
+  [[nodiscard]] bool CallerGone() const noexcept override;
+  void OnGone(std::function<void()> callback) override;
+  [[nodiscard]] bool Begun() const noexcept override;
+
+  /// Ends the connection after the answer.
+  void CloseAfter();
   [[nodiscard]] bool Ended() const noexcept;
   [[nodiscard]] bool KeepAlive() const noexcept;
 
@@ -73,16 +93,18 @@
 using FaultAnswer = std::function<ResponseHead(ParseFault, bool timed_out)>;
 
 /// Accepts connections on one address and serves them.
-class HttpServer2 {
+class HttpServer {
  public:
-  HttpServer2(Loop& event_loop, ExchangeHandler on_request,
-              std::size_t max_connections);
-  ~HttpServer2();
-  HttpServer2(const HttpServer2&) = delete;
-  HttpServer2& operator=(const HttpServer2&) = delete;
+  HttpServer(Loop& event_loop, ExchangeHandler on_request,
+             std::size_t max_connections);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
 
   /// @returns false when the address cannot be had.
   [[nodiscard]] bool Listen(const std::string& address);
+  /// Serves TLS; call it before `Listen`.
+  void UseTls(std::unique_ptr<TlsFiles> tls_files);
   void SetLimits(const ServerLimits& next);
   /// From now on every answer ends its connection, and kept connections that
   /// are idle are closed when `close_idle` is set.
@@ -110,6 +132,7 @@
   asio::ip::tcp::acceptor acceptor;
   ExchangeHandler handler;
   std::size_t connection_limit;
+  std::unique_ptr<TlsFiles> tls;
   ServerLimits limits;
   std::unordered_set<ServedPtr> connections;
   std::size_t open_requests = 0;
--- /dev/null
+++ b/src/node/engine_watcher.cc
@@ -0,0 +1,103 @@
+#include "node/engine_watcher.h"
+
+#include <algorithm>
+
+#include "net/notifier.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr DurationMs kReadTimeoutMs = 500;
+/// Between looks when nothing is read.
+constexpr DurationMs kIdlePeriodMs = 1000;
+constexpr int kOk = 200;
+
+Task<HttpAnswer> Read(Loop& loop, ConnectionPool& pool, std::string address,
+                      OutgoingCall call) {
+  call.head.headers.Set("Host", address);
+  std::string bytes = WriteRequest(call.head, call.body);
+  HttpAnswer answer =
+      co_await CallWhole(loop, pool, std::move(address), std::move(bytes),
+                         LoopNow() + kReadTimeoutMs);
+  co_return answer;
+}
+
+}  // namespace
+
+EngineWatcher::EngineWatcher(Loop& event_loop,
+                             const EndpointDialect& endpoint_dialect,
+                             ConnectionPool& connections,
+                             const EndpointTable& endpoints,
+                             CellExchange& cell_exchange,
+                             WatcherSettings watcher_settings)
+    : loop(event_loop),
+      dialect(endpoint_dialect),
+      pool(connections),
+      table(endpoints),
+      cells(cell_exchange),
+      settings(watcher_settings) {}
+
+void EngineWatcher::Start() {
+  Spawn(this->loop, [this]() -> Task<> { co_await this->Watch(); });
+}
+
+Task<bool> EngineWatcher::Cancel(CancelCommand command) {
+  const EndpointRecord* engine = this->table.Find(command.engine);
+  std::optional<OutgoingCall> call = this->dialect.CancelRun(command);
+  // An engine that is gone holds nothing, and one whose runs end with their
+  // connections needs no call.
+  if (engine == nullptr || !call) co_return true;
+  const std::string address = engine->address;
+  const HttpAnswer answer =
+      co_await Read(this->loop, this->pool, address, std::move(*call));
+  co_return answer.fault == CallFault::kNone;
+}
+
+Task<> EngineWatcher::Watch() {
+  for (;;) {
+    co_await SleepFor(this->loop, this->settings.period_ms > 0
+                                      ? this->settings.period_ms
+                                      : kIdlePeriodMs);
+    if (this->settings.period_ms == 0) continue;
+    // Also a cell that nobody asks for may hold what a process that died left
+    // behind.
+    for (const CellSpec& cell : this->cells.Owned()) {
+      for (const CellEngine& engine : cell.engines) {
+        Spawn(this->loop,
+              [this, name = cell.name, id = engine.id, role = engine.role]()
+                  -> Task<> { co_await this->ReadEngine(name, id, role); });
+      }
+    }
+  }
+}
+
+Task<> EngineWatcher::ReadEngine(std::string cell, std::string engine,
+                                 PoolRole role) {
+  const EndpointRecord* record = this->table.Find(engine);
+  if (record == nullptr) co_return;
+  const std::string address = record->address;
+  const HttpAnswer report = co_await Read(this->loop, this->pool, address,
+                                          this->dialect.ReadReport());
+  const bool answered =
+      report.fault == CallFault::kNone && report.head.status == kOk;
+  if (!answered) {
+    this->cells.NoteReport(cell, engine, nullptr);
+    co_return;
+  }
+  const Result<EngineLoad> load = this->dialect.ReadLoad(report.body);
+  if (load) this->cells.NoteReport(cell, engine, &load.value());
+  if (role == PoolRole::kDecode) co_return;
+  std::optional<OutgoingCall> ask =
+      this->dialect.ReadCacheEvents(this->last_event[engine]);
+  if (!ask) co_return;
+  const HttpAnswer answer =
+      co_await Read(this->loop, this->pool, address, std::move(*ask));
+  if (answer.fault != CallFault::kNone || answer.head.status != kOk) co_return;
+  const Result<std::vector<CacheEvent>> events =
+      this->dialect.ReadCacheEventsBody(answer.body);
+  if (!events || events.value().empty()) co_return;
+  this->cells.NoteCacheEvents(cell, engine, events.value());
+  this->last_event[engine] = events.value().back().number;
+}
+
+}  // namespace limpethaven
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -44,8 +44,8 @@
 
 }  // namespace
 
-EntryNode2::EntryNode2(Loop& event_loop, NodeSettings node_settings,
-                       NodeDialects node_dialects)
+EntryNode::EntryNode(Loop& event_loop, NodeSettings node_settings,
+                     NodeDialects node_dialects)
     : loop(event_loop),
       settings(std::move(node_settings)),
       dialects(std::move(node_dialects)),
@@ -53,17 +53,24 @@
       pool(event_loop, kIdlePerEndpoint),
       gossip(event_loop, this->identity, MembershipSettings{}, *this),
       link(event_loop, this->identity),
-      shares(this->link, this->gossip, this->settings.tolerance),
+      shares(this->link, this->gossip, this->settings.tolerance,
+             this->settings.token_wait_ms),
       cells(this->link, this->gossip, this->settings.data_centre,
             this->settings.cells),
       state(this->link, this->gossip, this->table, *this),
       router(RouterParts{event_loop, *this->dialects.callers,
                          *this->dialects.endpoints, this->pool, this->table,
-                         this->shares, this->cells, this->gossip,
-                         this->settings.retries, this->settings.data_centre}),
+                         this->shares, this->cells, this->gossip, this->metrics,
+                         this->settings.data_centre},
+             this->settings.router),
+      watcher(event_loop, *this->dialects.endpoints, this->pool, this->table,
+              this->cells, this->settings.watcher),
+      admin_api(*this),
+      caller_handler(
+          [this](Exchange& exchange) { return this->router.Serve(exchange); }),
       callers(
           event_loop,
-          [this](Exchange& exchange) { return this->router.Serve(exchange); },
+          [this](Exchange& exchange) { return this->AnswerCaller(exchange); },
           kMaxConnections),
       ready(
           event_loop,
@@ -74,34 +81,64 @@
           [this](Exchange& exchange) {
             return this->AnswerAddresses(exchange);
           },
-          kMaxConnections) {}
+          kMaxConnections),
+      admin(
+          event_loop,
+          [this](Exchange& exchange) {
+            return this->admin_api.Answer(exchange);
+          },
+          kMaxConnections) {
+  this->cells.SetCanceller(&this->watcher);
+}
 
-EntryNode2::~EntryNode2() = default;
+EntryNode::~EntryNode() = default;
+
+void EntryNode::SetCallerHandler(ExchangeHandler handler) {
+  this->caller_handler = std::move(handler);
+}
+
+void EntryNode::SetTick(std::function<void(TimeMs)> callback) {
+  this->on_tick = std::move(callback);
+}
 
-Result<void> EntryNode2::Start(Source& source) {
+Result<void> EntryNode::Start(Source& source) {
+  this->started_at = LoopNow();
   LogEvent(EventId::kProcessStarted,
            {LogField::Of("incarnation", this->identity.self.incarnation),
             {"data_centre", this->settings.data_centre}});
-  if (!this->callers.Listen(this->settings.callers_address)) {
-    return CannotListen(this->settings.callers_address);
-  }
-  if (!this->settings.ready_address.empty() &&
-      !this->ready.Listen(this->settings.ready_address)) {
-    return CannotListen(this->settings.ready_address);
+  if (!this->settings.tls_certificate.empty()) {
+    auto files = std::make_unique<TlsFiles>(this->settings.tls_certificate,
+                                            this->settings.tls_key);
+    if (!files->Usable()) {
+      return Error::Of(ErrorKind::kInternal,
+                       "cannot use the TLS certificate and key");
+    }
+    this->callers.UseTls(std::move(files));
   }
-  if (!this->settings.addresses_address.empty() &&
-      !this->addresses.Listen(this->settings.addresses_address)) {
-    return CannotListen(this->settings.addresses_address);
+  struct Listener {
+    HttpServer& server;
+    const std::string& address;
+  };
+  for (const Listener& listener :
+       {Listener{this->callers, this->settings.callers_address},
+        Listener{this->ready, this->settings.ready_address},
+        Listener{this->addresses, this->settings.addresses_address},
+        Listener{this->admin, this->settings.admin_address}}) {
+    if (listener.address.empty()) continue;
+    if (!listener.server.Listen(listener.address)) {
+      return CannotListen(listener.address);
+    }
   }
   const std::string peers = this->gossip.PeerAddress(this->settings.ip);
   if (!this->link.Start()) return CannotListen(peers);
   if (!this->gossip.Start(this->settings.seeds)) return CannotListen(peers);
   source.Start(this->state);
+  this->watcher.Start();
   Spawn(this->loop, [this]() -> Task<> { co_await this->Tick(); });
   return Success();
 }
 
-void EntryNode2::Drain() {
+void EntryNode::Drain() {
   if (this->leaving) {
     this->hurry = true;
     return;
@@ -115,26 +152,41 @@
   this->callers.Drain(false);
 }
 
-void EntryNode2::Reconfigure(const NodeSettings& next) {
+void EntryNode::Sever() {
+  this->callers.StopAccepting();
+  this->ready.StopAccepting();
+  this->addresses.StopAccepting();
+  this->admin.StopAccepting();
+  this->link.Stop();
+  this->gossip.Stop();
+  CloseAllConnections(this->loop);
+}
+
+void EntryNode::Reconfigure(const NodeSettings& next) {
   this->settings.seeds = next.seeds;
   this->gossip.SetSeeds(next.seeds);
 }
 
-void EntryNode2::OnPeerVersion(const std::string& address,
-                               std::uint64_t version) {
+void EntryNode::OnPeerVersion(const std::string& address,
+                              std::uint64_t version) {
   this->state.OnPeerVersion(address, version);
 }
 
-void EntryNode2::OnMemberChange(const MemberChange& change) {
+void EntryNode::OnMemberChange(const MemberChange& change) {
   LogEvent(EventOf(change.member.news.state),
            {{"member", change.member.news.address},
             LogField::Of("incarnation", change.member.news.incarnation),
             {"before", std::string(NameOf(change.before))}});
 }
 
-void EntryNode2::OnPause() { LogEvent(EventId::kPauseDetected, {}); }
+void EntryNode::OnPause() { LogEvent(EventId::kPauseDetected, {}); }
 
-void EntryNode2::OnConfig(const std::shared_ptr<const Configuration>& config) {
+void EntryNode::OnListedVms(const std::vector<ListedVm>& vms) {
+  this->gossip.SetListed(vms);
+}
+
+void EntryNode::OnConfig(const std::shared_ptr<const Configuration>& config) {
+  this->config_at = LoopNow();
   const CallerLimits& limits = config->fleet.limits;
   this->callers.SetLimits(ServerLimits{
       MessageLimits{static_cast<std::uint32_t>(limits.max_header_bytes),
@@ -142,30 +194,47 @@
       limits.header_timeout_ms, limits.idle_timeout_ms});
   this->shares.Configure(*config);
   this->router.SetConfig(config);
+  if (this->settings.cut_withdrawn) {
+    this->router.Core().active.CutWithdrawn(*config);
+  }
   this->ConfigureCells();
   this->gossip.SetConfig(config->version, config->digest);
 }
 
-void EntryNode2::OnEndpoints() { this->ConfigureCells(); }
+void EntryNode::OnEndpoints() {
+  this->endpoints_at = LoopNow();
+  this->ConfigureCells();
+}
+
+void EntryNode::ConfigureCells() {
+  const Configuration& config = *this->state.Config();
+  std::vector<CellSpec> next = BuildCells(config, this->settings.cell_size);
+  std::ranges::move(
+      BuildCells(config, this->table.All(), this->settings.cell_size),
+      std::back_inserter(next));
+  this->cells.Configure(std::move(next));
+}
 
-void EntryNode2::ConfigureCells() {
-  this->cells.Configure(BuildCells(*this->state.Config(), this->table.All(),
-                                   this->settings.cell_size));
+Task<> EntryNode::AnswerCaller(Exchange& exchange) {
+  co_await this->caller_handler(exchange);
 }
 
-Task<> EntryNode2::AnswerReady(Exchange& exchange) {
-  co_await exchange.Answer(ResponseHead{this->Ready() ? 200 : 503, {}}, "");
+Task<> EntryNode::AnswerReady(Exchange& exchange) {
+  ResponseHead head{this->Ready() ? 200 : 503, {}};
+  co_await exchange.Answer(std::move(head), "");
 }
 
-Task<> EntryNode2::AnswerAddresses(Exchange& exchange) {
+Task<> EntryNode::AnswerAddresses(Exchange& exchange) {
   if (!this->dialects.addresses->Asks(exchange.Head())) {
-    co_await exchange.Answer(ResponseHead{404, {}}, "");
+    ResponseHead head{404, {}};
+    co_await exchange.Answer(std::move(head), "");
     co_return;
   }
   const std::vector<std::string> chosen = this->AddressesFor(
       this->dialects.addresses->CallerDataCentre(exchange.Head()));
   if (chosen.empty()) {
-    co_await exchange.Answer(ResponseHead{503, {}}, "");
+    ResponseHead head{503, {}};
+    co_await exchange.Answer(std::move(head), "");
     co_return;
   }
   const AddressAnswer answer =
@@ -173,7 +242,7 @@
   co_await exchange.Answer(answer.head, answer.body);
 }
 
-Task<> EntryNode2::Tick() {
+Task<> EntryNode::Tick() {
   bool was_ready = false;
   for (;;) {
     co_await SleepFor(this->loop, kTickMs);
@@ -193,11 +262,12 @@
                   LogField::Of("endpoints", this->table.All().size())});
       }
     }
+    if (this->on_tick) this->on_tick(now);
     if (this->leaving) this->TickDrain(now);
   }
 }
 
-void EntryNode2::TickDrain(TimeMs now) {
+void EntryNode::TickDrain(TimeMs now) {
   const DurationMs answers_lapse_ms =
       this->settings.address_ttl_ms * this->settings.stale_answers;
   const bool lapsed = now - this->left_at >= answers_lapse_ms;
@@ -215,11 +285,57 @@
   this->loop.stop();
 }
 
-bool EntryNode2::Ready() const {
-  return this->state.Complete() && !this->leaving;
+bool EntryNode::Serves() const {
+  return this->state.Complete() &&
+         LoopNow() - this->started_at >= this->settings.settle_ms;
+}
+
+bool EntryNode::Ready() const { return this->Serves() && !this->leaving; }
+
+bool EntryNode::Leaving() const noexcept { return this->leaving; }
+
+std::uint64_t EntryNode::ConfigVersion() const {
+  return this->state.Config()->version;
+}
+
+bool EntryNode::SeesMembers(std::size_t count) const {
+  return this->gossip.Members().Serving().size() == count;
+}
+
+Tokens EntryNode::TokensOf(std::string_view team) {
+  return this->shares.View(team).available;
+}
+
+std::string EntryNode::MetricsText() {
+  const TimeMs now = LoopNow();
+  MetricsReading reading;
+  reading.requests = this->router.Core().active.Size();
+  reading.connections = this->callers.OpenConnections();
+  reading.waiting = this->cells.QueueLength();
+  reading.reservations = this->cells.Held();
+  reading.borrowed = this->shares.Borrowed();
+  reading.retries_left = this->router.Core().RetriesLeft();
+  reading.config_version = this->state.Config()->version;
+  reading.config_age_ms = now - this->config_at;
+  reading.endpoints_age_ms = now - this->endpoints_at;
+  reading.endpoints = this->table.All().size();
+  reading.ejected = this->router.Core().Ejected();
+  reading.members = this->gossip.Members().Serving().size();
+  reading.dialled = this->pool.Dialled();
+  reading.dropped_log_lines = DroppedLogLines();
+  this->metrics.Take(reading);
+  return this->metrics.Text();
+}
+
+Tokens EntryNode::BorrowedTokens() const noexcept {
+  return this->shares.Borrowed();
+}
+
+void EntryNode::Offer(const Configuration& next) {
+  this->state.OnConfiguration(next);
 }
 
-std::vector<std::string> EntryNode2::AddressesFor(
+std::vector<std::string> EntryNode::AddressesFor(
     std::string_view data_centre) const {
   static_cast<void>(data_centre);
   const std::string& own = this->settings.callers_address;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -85,6 +85,10 @@
   this->listener.OnEndpoints();
 }
 
+void PublishedState::OnVms(const std::vector<ListedVm>& vms) {
+  this->listener.OnListedVms(vms);
+}
+
 void PublishedState::OnSourceReachable(bool now_reachable) {
   if (now_reachable == this->reachable && this->reachable_once) return;
   this->reachable = now_reachable;
@@ -137,7 +141,16 @@
 }
 
 void PublishedState::Adopt(const Configuration& next, const std::string& from) {
-  if (next.version <= this->config->version) return;
+  if (next.version < this->config->version) return;
+  if (next.version == this->config->version) {
+    if (next.digest != this->config->digest) {
+      LogEvent(EventId::kConfigConflict, {{"from", from},
+                                          LogField::Of("version", next.version),
+                                          {"kept", this->config->digest},
+                                          {"offered", next.digest}});
+    }
+    return;
+  }
   this->config = std::make_shared<const Configuration>(next);
   LogEvent(EventId::kConfigAdopted,
            {{"from", from}, LogField::Of("version", next.version)});
@@ -164,6 +177,7 @@
     co_return Error::Of(ErrorKind::kBadRequest, "not a request for state");
   }
   json answer = {{"version", this->config->version},
+                 {"digest", this->config->digest},
                  {"known", this->endpoints_known}};
   if (this->config->version > ask["version"].get<std::uint64_t>()) {
     answer["entities"] = EncodeEntityList(EncodeEntities(*this->config));
@@ -200,7 +214,18 @@
             });
       }
       next.version = answer.at("version").get<std::uint64_t>();
-      if (whole) this->Adopt(next, from);
+      next.digest = answer.at("digest").get<std::string>();
+      if (whole && !next.digest.empty()) {
+        EntityTable entity_table;
+        entity_table.Apply(entities.value(), {});
+        whole = entity_table.Digest() == next.digest;
+      }
+      if (whole) {
+        this->Adopt(next, from);
+      } else {
+        this->OnUnreadable("", Error::Of(ErrorKind::kConfigInvalid,
+                                         "configuration from " + from));
+      }
     }
     using Announced = std::vector<std::pair<EndpointRecord, std::uint64_t>>;
     using Gone = std::vector<std::pair<std::string, std::uint64_t>>;
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -20,6 +20,7 @@
   virtual ~StateListener() = default;
   virtual void OnConfig(const std::shared_ptr<const Configuration>& config) = 0;
   virtual void OnEndpoints() = 0;
+  virtual void OnListedVms(const std::vector<ListedVm>& vms) = 0;
 };
 
 /// Configuration and endpoints of one process. Versions never go back.
@@ -34,6 +35,7 @@
   void OnEndpointGone(const std::string& id, std::uint64_t revision) override;
   void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
                       std::uint64_t revision, bool complete) override;
+  void OnVms(const std::vector<ListedVm>& vms) override;
   void OnSourceReachable(bool reachable) override;
   void OnUnreadable(const std::string& what, const Error& why) override;
 
--- /dev/null
+++ b/src/node/run.cc
@@ -0,0 +1,101 @@
+#include "node/run.h"
+
+#include <glog/logging.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+#include "log/event_log.h"
+#include "net/notifier.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr DurationMs kLogFlushMs = 100;
+constexpr DurationMs kFileLookMs = 1000;
+
+Task<> FlushLog(Loop& loop, EventLog& log) {
+  for (;;) {
+    log.Flush();
+    co_await SleepFor(loop, kLogFlushMs);
+  }
+}
+
+void ReadSettings(EntryNode& node, const RunSettings& settings,
+                  const std::string& why) {
+  if (!settings.read_settings) return;
+  const Result<NodeSettings> next = settings.read_settings();
+  if (next) {
+    node.Reconfigure(next.value());
+    LogEvent(EventId::kSettingsRead, {{"why", why}});
+  } else {
+    LogEvent(EventId::kConfigRejected,
+             {{"what", "settings"}, {"why", next.error().message}});
+  }
+}
+
+Task<> WaitForSignals(asio::signal_set& signals, EntryNode& node,
+                      const RunSettings& settings) {
+  for (;;) {
+    error_code fault;
+    const int signal = co_await signals.async_wait(
+        asio::redirect_error(asio::use_awaitable, fault));
+    if (fault) co_return;
+    if (signal == SIGHUP) {
+      ReadSettings(node, settings, "signal");
+    } else {
+      node.Drain();
+    }
+  }
+}
+
+/// Settings may change without a signal.
+Task<> WatchFile(Loop& loop, EntryNode& node, const RunSettings& settings) {
+  if (settings.settings_file.empty()) co_return;
+  std::error_code missing;
+  auto known =
+      std::filesystem::last_write_time(settings.settings_file, missing);
+  for (;;) {
+    co_await SleepFor(loop, kFileLookMs);
+    const auto now =
+        std::filesystem::last_write_time(settings.settings_file, missing);
+    if (missing || now == known) continue;
+    known = now;
+    ReadSettings(node, settings, "file changed");
+  }
+}
+
+}  // namespace
+
+int RunNode(Loop& loop, EntryNode& node, Source& source,
+            const RunSettings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  google::InitGoogleLogging(settings.program.c_str());
+  google::InstallFailureSignalHandler();
+  EventLog log(settings.log_descriptor);
+  log.SetVm(settings.vm);
+  SetEventLog(&log);
+  asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+  const Result<void> started = node.Start(source);
+  if (!started) {
+    std::cerr << settings.program << ": " << started.error().message << '\n';
+    log.Flush();
+    return 1;
+  }
+  Spawn(loop, [&]() -> Task<> { co_await FlushLog(loop, log); });
+  Spawn(loop,
+        [&]() -> Task<> { co_await WaitForSignals(signals, node, settings); });
+  Spawn(loop, [&]() -> Task<> { co_await WatchFile(loop, node, settings); });
+  loop.run();
+  log.Flush();
+  SetEventLog(nullptr);
+  // Coroutines that still wait refer to parts of this process; its end frees
+  // them all at once.
+  std::cout.flush();
+  ::_exit(0);
+}
+
+}  // namespace limpethaven
--- a/src/node/source.h
+++ b/src/node/source.h
@@ -8,6 +8,7 @@
 #include "limpethaven/config_model.h"
 #include "limpethaven/endpoint_table.h"
 #include "limpethaven/error.h"
+#include "limpethaven/interfaces.h"
 
 namespace limpethaven {
 
@@ -24,6 +25,8 @@
   /// @param complete False when endpoints may be missing that are alive.
   virtual void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
                               std::uint64_t revision, bool complete) = 0;
+  /// The list of VMs, where the source keeps one.
+  virtual void OnVms(const std::vector<ListedVm>& vms) = 0;
   /// The source answers again, or no longer.
   virtual void OnSourceReachable(bool reachable) = 0;
   /// What the source holds could not be read; the last good state stays.
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -111,7 +111,7 @@
                                        {"why", answer.error().message}});
     this->owners[owner].avoid_until = LoopNow() + kAvoidMs;
     // It may have placed the request all the same: that must be freed.
-    CellNotice2 notice;
+    CellNotice notice;
     notice.news = CellNews::kWithdrawn;
     notice.cell = cell.name;
     notice.request_id = request.request_id;
@@ -125,8 +125,19 @@
   co_return Placed{self, answer.value()};
 }
 
-void CellExchange::Tell(const std::string& owner, CellNotice2 notice) {
-  this->outbox[owner].notices.push_back(std::move(notice));
+void CellExchange::SetCanceller(RunCanceller* run_canceller) {
+  this->canceller = run_canceller;
+}
+
+void CellExchange::Tell(const std::string& owner, CellNotice notice) {
+  std::string to = owner;
+  if (to.empty()) {
+    const CellSpec* cell = this->FindCell(notice.cell);
+    if (cell == nullptr) return;
+    const std::vector<std::string> order = this->OwnersOf(*cell);
+    to = order.empty() ? this->gossip.Members().Self().address : order.front();
+  }
+  this->outbox[to].notices.push_back(std::move(notice));
 }
 
 void CellExchange::Hold(const CellPlacement& placed, const Renewal& renewal) {
@@ -174,6 +185,44 @@
   return views;
 }
 
+std::size_t CellExchange::Held() const noexcept { return this->held.size(); }
+
+std::vector<CellSpec> CellExchange::Owned() const {
+  const std::string& self = this->gossip.Members().Self().address;
+  std::vector<CellSpec> owned;
+  std::ranges::copy_if(
+      this->cells, std::back_inserter(owned), [&](const CellSpec& cell) {
+        const std::vector<std::string> order = this->OwnersOf(cell);
+        return !order.empty() && order.front() == self;
+      });
+  return owned;
+}
+
+void CellExchange::NoteReport(const std::string& cell,
+                              const std::string& engine,
+                              const EngineLoad* load) {
+  const CellSpec* spec = this->FindCell(cell);
+  if (spec == nullptr) return;
+  HostedCell& host = this->Host(*spec);
+  const TimeMs now = LoopNow();
+  if (load == nullptr) {
+    host.scheduler.EngineFailed(engine, now);
+  } else {
+    host.scheduler.EngineServed(engine, now);
+    host.scheduler.Report(engine, *load, now);
+  }
+  this->RunTick(host, now);
+}
+
+void CellExchange::NoteCacheEvents(const std::string& cell,
+                                   const std::string& engine,
+                                   const std::vector<CacheEvent>& events) {
+  const CellSpec* spec = this->FindCell(cell);
+  if (spec != nullptr) {
+    this->Host(*spec).scheduler.OnCacheEvents(engine, events);
+  }
+}
+
 std::size_t CellExchange::QueueLength() const {
   std::size_t waiting = 0;
   std::ranges::for_each(this->hosted, [&waiting](const auto& entry) {
@@ -361,7 +410,7 @@
     const CellSpec* cell = this->FindCell(row.first);
     if (cell != nullptr) this->Host(*cell).scheduler.Renew({row.second}, now);
   });
-  std::ranges::for_each(report.notices, [&](const CellNotice2& notice) {
+  std::ranges::for_each(report.notices, [&](const CellNotice& notice) {
     const CellSpec* cell = this->FindCell(notice.cell);
     if (cell == nullptr) return;
     HostedCell& host = this->Host(*cell);
@@ -428,15 +477,31 @@
                 {"why", refuse->error.message}});
       answer(refuse->request_id, refuse->error);
     } else if (const auto* cancel = std::get_if<CancelCommand>(&command)) {
-      // Only the process that opened a stream can end it; the entry that held
-      // this reservation is gone, and its connections with it.
-      cell.scheduler.CancelDone(cancel->reservation);
-      LogEvent(EventId::kReservationLapsed,
-               {{"request", cancel->request_id}, {"engine", cancel->engine}});
+      this->Cancel(cell, *cancel);
     }
   }
 }
 
+void CellExchange::Cancel(HostedCell& cell, const CancelCommand& command) {
+  LogEvent(
+      command.orphan ? EventId::kOrphanCancelled : EventId::kReservationLapsed,
+      {{"request", command.request_id}, {"engine", command.engine}});
+  if (this->canceller == nullptr) {
+    // Where the stream's connection ends a run, the entry that held this
+    // reservation is gone, and its connections with it.
+    cell.scheduler.CancelDone(command.reservation);
+    return;
+  }
+  Spawn(this->link.OfLoop(),
+        [this, command, name = cell.scheduler.Name()]() -> Task<> {
+          const bool done = co_await this->canceller->Cancel(command);
+          const auto host = this->hosted.find(name);
+          if (done && host != this->hosted.end()) {
+            host->second->scheduler.CancelDone(command.reservation);
+          }
+        });
+}
+
 void CellExchange::TellLoads(TimeMs now) {
   if (now < this->next_loads) return;
   this->next_loads = now + kLoadPeriodMs;
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -31,29 +31,49 @@
   Placement placement;
 };
 
+/// Ends a run at an engine for a cell's owner.
+class RunCanceller {
+ public:
+  virtual ~RunCanceller() = default;
+  /// Asks an engine to end a run. @returns whether it agreed, or no longer
+  /// knows it.
+  virtual Task<bool> Cancel(CancelCommand command) = 0;
+};
+
 /// Placement of one process.
 class CellExchange {
  public:
   CellExchange(PeerLink& peer_link, const Gossip& peer_gossip,
                std::string own_data_centre, CellSettings cell_settings);
 
+  /// Sets who ends runs at engines; without one their connections do.
+  void SetCanceller(RunCanceller* run_canceller);
   /// Sets the cells of all pools.
   void Configure(std::vector<CellSpec> next);
   /// Asks for a placement, until `cancel` is requested.
   Task<Result<CellPlacement>> Place(std::string pool, PlacementRequest request,
                                     Cancellation& cancel);
   /// Tells the owner of a reservation what came of it; sent with the next tick.
-  void Tell(const std::string& owner, CellNotice2 notice);
+  void Tell(const std::string& owner, CellNotice notice);
   /// A reservation is used; it is renewed until `Release`.
   void Hold(const CellPlacement& placed, const Renewal& renewal);
   /// Tokens produced so far under a reservation.
   void Progress(const std::string& reservation, Tokens produced);
   void Release(const std::string& reservation);
   void Tick(TimeMs now);
+  /// Cells that this process owns by its view of the members.
+  [[nodiscard]] std::vector<CellSpec> Owned() const;
+  /// Takes in an engine's report; null when it did not answer.
+  void NoteReport(const std::string& cell, const std::string& engine,
+                  const EngineLoad* load);
+  void NoteCacheEvents(const std::string& cell, const std::string& engine,
+                       const std::vector<CacheEvent>& events);
   /// Cells hosted here, for operators.
   [[nodiscard]] std::vector<std::pair<std::string, std::vector<EngineView>>>
   Hosted(TimeMs now) const;
   [[nodiscard]] std::size_t QueueLength() const;
+  /// Reservations that requests served here use.
+  [[nodiscard]] std::size_t Held() const noexcept;
 
  private:
   /// An answer and who gave it.
@@ -109,6 +129,7 @@
   Task<Result<std::string>> AnswerNews(PeerCall& call);
   void Take(const CellReport& report);
   void RunTick(HostedCell& cell, TimeMs now);
+  void Cancel(HostedCell& cell, const CancelCommand& command);
   void Flush(TimeMs now, bool renew);
   /// Tells the owners of neighbouring cells how much room there is here.
   void TellLoads(TimeMs now);
@@ -117,6 +138,7 @@
   const Gossip& gossip;
   std::string data_centre;
   CellSettings settings;
+  RunCanceller* canceller = nullptr;
   std::vector<CellSpec> cells;
   std::map<std::string, std::unique_ptr<HostedCell>, std::less<>> hosted;
   std::unordered_map<std::string, HeldRow> held;       ///< By reservation.
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -72,7 +72,7 @@
 
 void to_json(json& out, const CellReport& report) {
   json notices = json::array();
-  std::ranges::for_each(report.notices, [&notices](const CellNotice2& notice) {
+  std::ranges::for_each(report.notices, [&notices](const CellNotice& notice) {
     notices.push_back(json::array(
         {static_cast<int>(notice.news), notice.cell, notice.reservation,
          notice.request_id, notice.engine, notice.tokens, notice.measured_ms}));
@@ -96,7 +96,7 @@
 
 void from_json(const json& in, CellReport& report) {
   std::ranges::for_each(in.at(0), [&report](const json& row) {
-    CellNotice2 notice;
+    CellNotice notice;
     const int news = row.at(0).get<int>();
     if (news < 0 || news > kLastNews) return;
     notice.news = static_cast<CellNews>(news);
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -36,7 +36,7 @@
 };
 
 /// One notice. Notices may be repeated.
-struct CellNotice2 {
+struct CellNotice {
   CellNews news = CellNews::kServed;
   std::string cell;
   std::string reservation;
@@ -48,7 +48,7 @@
 
 /// What one entry tells one owner at once.
 struct CellReport {
-  std::vector<CellNotice2> notices;
+  std::vector<CellNotice> notices;
   std::vector<std::pair<std::string, Renewal>> renewals;  ///< With their cell.
   std::vector<std::pair<std::string, CellLoad>> loads;    ///< By cell.
 };
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -37,6 +37,8 @@
   return true;
 }
 
+void Gossip::Stop() { this->socket.Close(); }
+
 void Gossip::SetSeeds(const std::vector<std::string>& seeds) {
   std::vector<ListedVm> listed;
   std::ranges::transform(seeds, std::back_inserter(listed),
@@ -46,6 +48,12 @@
   this->membership.SetListed(listed, LoopNow());
 }
 
+void Gossip::SetListed(const std::vector<ListedVm>& vms) {
+  this->membership.SetListed(vms, LoopNow());
+}
+
+std::uint64_t Gossip::Bytes() const noexcept { return this->bytes; }
+
 void Gossip::SetConfig(std::uint64_t version, std::string_view digest) {
   this->membership.SetConfig(version, digest);
   this->Send(this->membership.Announce(kNewsFanout));
@@ -67,8 +75,9 @@
   return std::string(ip) + ":" + std::to_string(this->identity.port);
 }
 
-void Gossip::OnDatagram(std::string_view bytes) {
-  const auto message = DecodeGossip(this->identity.secret, bytes);
+void Gossip::OnDatagram(std::string_view text) {
+  this->bytes += text.size();
+  const auto message = DecodeGossip(this->identity.secret, text);
   if (!message) return;
   const auto answers = this->membership.Receive(message.value(), LoopNow());
   if (!answers) return;
@@ -95,8 +104,10 @@
 
 void Gossip::Send(const std::vector<OutgoingGossip>& messages) {
   std::ranges::for_each(messages, [this](const OutgoingGossip& outgoing) {
-    this->socket.Send(this->PeerAddress(outgoing.address),
-                      EncodeGossip(this->identity.secret, outgoing.message));
+    const std::string text =
+        EncodeGossip(this->identity.secret, outgoing.message);
+    this->bytes += text.size();
+    this->socket.Send(this->PeerAddress(outgoing.address), text);
   });
 }
 
--- a/src/peer/gossip.h
+++ b/src/peer/gossip.h
@@ -42,17 +42,22 @@
   /// @returns false when the port cannot be had.
   [[nodiscard]] bool Start(const std::vector<std::string>& seeds);
   void SetSeeds(const std::vector<std::string>& seeds);
+  /// Members that a list names; those off it are kept while they answer.
+  void SetListed(const std::vector<ListedVm>& vms);
   /// Sets the version that messages carry, and tells some members at once.
   void SetConfig(std::uint64_t version, std::string_view digest);
   void SetServing(bool serving);
+  void Stop();
   /// Announces that this process is leaving, to all at once.
   void Leave();
   [[nodiscard]] const Membership& Members() const noexcept;
   /// Address of a member's peer port.
   [[nodiscard]] std::string PeerAddress(std::string_view ip) const;
+  /// Bytes sent and received since the start.
+  [[nodiscard]] std::uint64_t Bytes() const noexcept;
 
  private:
-  void OnDatagram(std::string_view bytes);
+  void OnDatagram(std::string_view text);
   Task<> Tick();
   void Send(const std::vector<OutgoingGossip>& messages);
 
@@ -61,6 +66,7 @@
   GossipListener& listener;
   Membership membership;
   DatagramSocket socket;
+  std::uint64_t bytes = 0;
 };
 
 }  // namespace limpethaven
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -67,12 +67,12 @@
   this->server.SetLimits(limits);
 }
 
-void PeerLink::Handle(std::string path, PeerHandler2 handler) {
+void PeerLink::Handle(std::string path, PeerHandler handler) {
   this->handlers.insert_or_assign(std::move(path),
                                   Handler{std::move(handler), false});
 }
 
-void PeerLink::HandleLong(std::string path, PeerHandler2 handler) {
+void PeerLink::HandleLong(std::string path, PeerHandler handler) {
   this->handlers.insert_or_assign(std::move(path),
                                   Handler{std::move(handler), true});
 }
@@ -208,7 +208,7 @@
   co_await exchange.Answer(head, std::move(body));
 }
 
-Task<> PeerLink::AnswerLong(PeerCall& call, const PeerHandler2& handler,
+Task<> PeerLink::AnswerLong(PeerCall& call, const PeerHandler& handler,
                             std::string tag) {
   ResponseHead head{kOk, {}};
   head.headers.Add("Content-Type", "application/json");
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -31,7 +31,7 @@
 inline constexpr DurationMs kStillHereMs = 150;
 
 /// Answers one call. @returns the body of the answer, or why there is none.
-using PeerHandler2 = std::function<Task<Result<std::string>>(PeerCall& call)>;
+using PeerHandler = std::function<Task<Result<std::string>>(PeerCall& call)>;
 
 /// Both ends of the calls between peers. With a fleet secret every call and
 /// answer proves that its sender knows it.
@@ -40,11 +40,11 @@
   PeerLink(Loop& event_loop, PeerIdentity peer_identity);
 
   /// Registers the handler of a path.
-  void Handle(std::string path, PeerHandler2 handler);
+  void Handle(std::string path, PeerHandler handler);
   /// The same for a handler that may take long: the caller hears at once that
   /// its call arrived; the handler says again and again that it is still
   /// here.
-  void HandleLong(std::string path, PeerHandler2 handler);
+  void HandleLong(std::string path, PeerHandler handler);
   /// @returns false when the port cannot be had.
   [[nodiscard]] bool Start();
   void Stop();
@@ -62,7 +62,7 @@
 
  private:
   struct Handler {
-    PeerHandler2 answer;
+    PeerHandler answer;
     bool is_long = false;
   };
   struct SignedCall {
@@ -72,7 +72,7 @@
   };
 
   Task<> Answer(Exchange& exchange);
-  Task<> AnswerLong(PeerCall& call, const PeerHandler2& handler,
+  Task<> AnswerLong(PeerCall& call, const PeerHandler& handler,
                     std::string tag);
   [[nodiscard]] SignedCall Sign(const std::string& ip, const std::string& path,
                                 const std::string& body) const;
@@ -88,7 +88,7 @@
   Loop& loop;
   PeerIdentity identity;
   ConnectionPool pool;
-  HttpServer2 server;
+  HttpServer server;
   std::map<std::string, Handler, std::less<>> handlers;
 };
 
--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -6,6 +6,7 @@
 
 #include "limpethaven/crypto.h"
 #include "log/event_log.h"
+#include "net/notifier.h"
 
 namespace limpethaven {
 namespace {
@@ -24,6 +25,8 @@
 constexpr DurationMs kChargeLeadMs = 3000;
 /// Part of the slack that processes start with.
 constexpr double kStartPart = 0.25;
+/// Between two looks for tokens while a request waits for them.
+constexpr DurationMs kRetryPauseMs = 20;
 constexpr std::string_view kLendPath = "/peer/v1/lend";
 constexpr std::string_view kConfirmPath = "/peer/v1/confirm";
 constexpr double kMsPerS = 1000.0;
@@ -52,10 +55,11 @@
 }
 
 ShareExchange::ShareExchange(PeerLink& peer_link, const Gossip& peer_gossip,
-                             LimitTolerance limit_tolerance)
+                             LimitTolerance limit_tolerance, DurationMs wait_ms)
     : link(peer_link),
       gossip(peer_gossip),
       tolerance(limit_tolerance),
+      max_wait_ms(wait_ms),
       ledger(ShareSettings{
           kTransferTtlMs,
           static_cast<Tokens>(static_cast<double>(limit_tolerance.slack) *
@@ -72,17 +76,22 @@
   std::ranges::for_each(this->teams, [this](auto& row) {
     row.second.burst_tokens = LedgerBurst(row.second, this->tolerance);
   });
-  this->slots = std::max<std::int64_t>(this->slots, 1);
+  this->published_slots = config.fleet.share_slots;
+  this->slots = std::max(this->slots, this->Slots());
   this->ledger.Configure(this->teams, this->slots, LoopNow());
 }
 
-void ShareExchange::Tick() {
+std::int64_t ShareExchange::Slots() const {
+  if (this->published_slots > 0) return this->published_slots;
   // A process that is only silent still spends: a slot is never given up while
   // its process may be alive.
-  const auto members =
-      static_cast<std::int64_t>(this->gossip.Members().Members().size());
-  if (members + 1 <= this->slots) return;
-  this->slots = members + 1;
+  return static_cast<std::int64_t>(this->gossip.Members().Members().size()) + 1;
+}
+
+void ShareExchange::Tick() {
+  const std::int64_t wanted = this->Slots();
+  if (wanted <= this->slots || this->teams.empty()) return;
+  this->slots = wanted;
   this->ledger.Configure(this->teams, this->slots, LoopNow());
 }
 
@@ -90,37 +99,55 @@
                                          std::string request_id,
                                          Tokens tokens) {
   const auto spec = this->teams.find(team);
-  const bool unlimited =
-      spec == this->teams.end() || spec->second.rate_tokens_per_s == 0;
-  if (unlimited) co_return Success();
+  if (spec == this->teams.end() || spec->second.rate_tokens_per_s == 0) {
+    co_return Success();
+  }
+  const auto rate = static_cast<double>(spec->second.rate_tokens_per_s);
+  const Tokens burst = spec->second.burst_tokens;
+  if (tokens > burst) {
+    co_return Error::Of(ErrorKind::kRequestOverBurst,
+                        "the request needs " + std::to_string(tokens) +
+                            " tokens, the burst of " + team + " is " +
+                            std::to_string(burst));
+  }
+  const TimeMs give_up_at = LoopNow() + this->max_wait_ms;
   ChargeOutcome outcome =
       this->ledger.TryCharge(team, request_id, tokens, {}, LoopNow());
-  if (outcome.charged) co_return Success();
-  if (LoopNow() >= this->poor_until[team]) {
-    const std::vector<Loan> loans =
-        co_await this->Borrow(team, outcome.missing);
-    std::vector<Transfer> transfers;
-    std::ranges::transform(loans, std::back_inserter(transfers),
-                           &Loan::transfer);
-    outcome =
-        this->ledger.TryCharge(team, request_id, tokens, transfers, LoopNow());
-    this->Confirm(loans);
-    if (outcome.charged) co_return Success();
-    this->poor_until[team] = LoopNow() + kPoorMs;
+  while (!outcome.charged) {
+    outcome = co_await this->ChargeWithLoans(team, request_id, tokens,
+                                             outcome.missing);
+    if (outcome.charged || LoopNow() >= give_up_at) break;
+    co_await SleepFor(this->link.OfLoop(), kRetryPauseMs);
   }
+  if (outcome.charged) co_return Success();
   Error error =
       Error::Of(ErrorKind::kTeamLimit,
                 "team " + team + " is " + std::to_string(outcome.missing) +
                     " of " + std::to_string(tokens) + " tokens short");
-  const auto rate = static_cast<double>(spec->second.rate_tokens_per_s) /
-                    static_cast<double>(this->slots);
+  const double own_rate = rate / static_cast<double>(this->slots);
   error.retry_after_ms =
       std::max(error.retry_after_ms,
                static_cast<DurationMs>(static_cast<double>(outcome.missing) *
-                                       kMsPerS / std::max(1.0, rate)));
+                                       kMsPerS / std::max(1.0, own_rate)));
   co_return error;
 }
 
+Task<ChargeOutcome> ShareExchange::ChargeWithLoans(std::string team,
+                                                   std::string request_id,
+                                                   Tokens tokens,
+                                                   Tokens missing) {
+  std::vector<Loan> loans;
+  const bool ask = LoopNow() >= this->poor_until[team];
+  if (ask) loans = co_await this->Borrow(team, missing);
+  std::vector<Transfer> transfers;
+  std::ranges::transform(loans, std::back_inserter(transfers), &Loan::transfer);
+  const ChargeOutcome outcome =
+      this->ledger.TryCharge(team, request_id, tokens, transfers, LoopNow());
+  this->Confirm(loans);
+  if (ask && !outcome.charged) this->poor_until[team] = LoopNow() + kPoorMs;
+  co_return outcome;
+}
+
 void ShareExchange::Settle(std::string_view request_id, Tokens used) {
   static_cast<void>(this->ledger.Settle(request_id, used, LoopNow()));
 }
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -32,7 +32,7 @@
 class ShareExchange {
  public:
   ShareExchange(PeerLink& peer_link, const Gossip& peer_gossip,
-                LimitTolerance limit_tolerance);
+                LimitTolerance limit_tolerance, DurationMs wait_ms);
 
   void Configure(const Configuration& config);
   /// Counts the processes that may be alive, and cuts shares anew when there
@@ -55,6 +55,10 @@
 
   Task<Result<std::string>> AnswerLend(PeerCall& call);
   Task<Result<std::string>> AnswerConfirm(PeerCall& call);
+  Task<ChargeOutcome> ChargeWithLoans(std::string team, std::string request_id,
+                                      Tokens tokens, Tokens missing);
+  /// Processes that the rate is cut for.
+  [[nodiscard]] std::int64_t Slots() const;
   Task<std::vector<Loan>> Borrow(std::string team, Tokens missing);
   void Confirm(const std::vector<Loan>& loans);
   [[nodiscard]] std::vector<std::string> Lenders() const;
@@ -62,9 +66,11 @@
   PeerLink& link;
   const Gossip& gossip;
   LimitTolerance tolerance;
+  DurationMs max_wait_ms;  ///< For tokens, before a refusal.
   ShareLedger ledger;
-  NamedTable<TeamSpec> teams;  ///< With the bursts of the ledger.
-  std::int64_t slots = 0;
+  NamedTable<TeamSpec> teams;        ///< With the bursts of the ledger.
+  std::int64_t published_slots = 0;  ///< 0: as many as there are members.
+  std::int64_t slots = 1;
   std::unordered_map<std::string, TimeMs> poor_until;  ///< By team.
   std::uint64_t next_transfer = 1;
   Tokens borrowed = 0;
--- a/src/placement/main.cc
+++ b/src/placement/main.cc
@@ -1,23 +1,25 @@
 /// @file
 /// `limpethaven-placement`: keeps engines at the published model versions.
 
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <iostream>
 
-#include "edge/engine_client.h"
-#include "edge/flags.h"
-#include "edge/log.h"
-#include "edge/peer_transport.h"
-#include "edge/platform_client.h"
-#include "edge/signals.h"
-#include "entry/config_service.h"
-#include "entry/gossip_service.h"
+#include "cli/flags.h"
+#include "entry/native_source.h"
 #include "limpethaven/crypto.h"
+#include "log/event_log.h"
+#include "net/notifier.h"
+#include "node/published_state.h"
 #include "placement/placement_service.h"
 
 namespace limpethaven {
 namespace {
 
 constexpr int kMaxPort = 65'535;
+constexpr int kUsageExitCode = 2;
 
 struct PlacementSettings {
   std::string address;
@@ -49,62 +51,100 @@
   app.add_flag("--check", settings.check, "Check the settings and exit");
 }
 
-int Serve(const PlacementSettings& settings) {
-  const SystemClock clock;
-  const VmId self{settings.address,
-                  MakeIncarnation(clock.WallNow(), RandomBits())};
-  HttpPlatform platform(settings.platform);
-  HttpEngineClient engines;
-  HttpPeerTransport transport(
-      PeerTransportSettings{self, settings.peer_port, settings.fleet_secret});
-  ConfigService* config_view = nullptr;
-  GossipService gossip(
-      self, settings.data_centre, settings.fleet_secret, transport, clock,
-      [&config_view](const std::string& peer, std::uint64_t version,
-                     const std::string& digest) {
-        if (config_view != nullptr) {
-          config_view->OnPeerVersion(peer, version, digest);
-        }
-      });
-  ConfigService config(platform, transport,
-                       [&gossip](const Configuration& adopted) {
-                         gossip.SetConfig(adopted.version, adopted.digest);
-                       });
-  transport.Handle("/peer/v1/config",
-                   [&config](const VmId&, const std::string& body) {
-                     return config.AnswerPull(body);
-                   });
-  const auto started = transport.Start(
-      [&gossip](std::string_view bytes) { gossip.OnDatagram(bytes); });
-  if (!started) {
-    std::cerr << "limpethaven-placement: " << started.error() << '\n';
-    return 1;
+/// One placement process.
+class PlacementNode final : public GossipListener, public StateListener {
+ public:
+  PlacementNode(Loop& event_loop, const PlacementSettings& settings)
+      : loop(event_loop),
+        period_ms(settings.period_ms),
+        // Fencing numbers of a later start must be higher.
+        identity{VmId{settings.address,
+                      MakeIncarnation(SystemClock().WallNow(), RandomBits())},
+                 settings.data_centre, 0, settings.peer_port,
+                 settings.fleet_secret},
+        gossip(event_loop, this->identity, MembershipSettings{}, *this),
+        link(event_loop, this->identity),
+        state(this->link, this->gossip, this->table, *this),
+        engines(event_loop),
+        planner(this->identity.self.incarnation) {}
+
+  [[nodiscard]] bool Start(Source& source) {
+    if (!this->link.Start() || !this->gossip.Start({})) return false;
+    source.Start(this->state);
+    Spawn(this->loop, [this]() -> Task<> { co_await this->Work(); });
+    LogEvent(EventId::kProcessReady, {LogField::Of("vm", this->identity.self)});
+    return true;
+  }
+
+  void Stop() {
+    this->gossip.Leave();
+    LogEvent(EventId::kProcessStopped,
+             {LogField::Of("vm", this->identity.self)});
+    this->loop.stop();
+  }
+
+  void OnPeerVersion(const std::string& address,
+                     std::uint64_t version) override {
+    this->state.OnPeerVersion(address, version);
+  }
+  void OnMemberChange(const MemberChange&) override {}
+  /// After a pause others may own what this process thinks is its own.
+  void OnPause() override {
+    this->planner.DropAll();
+    LogEvent(EventId::kPauseDetected, {});
+  }
+  void OnConfig(const std::shared_ptr<const Configuration>& config) override {
+    this->gossip.SetConfig(config->version, config->digest);
   }
-  config_view = &config;
-  gossip.Start();
-  config.Start();
-  LogEvent(EventId::kProcessReady, {LogField::Of("vm", self)});
-
-  OrderPlanner planner(self.incarnation);
-  TimeMs last_step = clock.Now();
-  while (!WaitForStopSignal(settings.period_ms)) {
-    const TimeMs now = clock.Now();
-    // After a pause others may own what this process thinks is its own.
-    if (now - last_step > OrderSettings{}.lease_ms) {
-      planner.DropAll();
-      LogWarning(EventId::kPauseDetected, {LogField::Of("vm", self)});
+  void OnEndpoints() override {}
+  void OnListedVms(const std::vector<ListedVm>& vms) override {
+    this->gossip.SetListed(vms);
+  }
+
+ private:
+  Task<> Work() {
+    for (;;) {
+      co_await SleepFor(this->loop, this->period_ms);
+      this->state.Tick();
+      const std::shared_ptr<const Configuration> config = this->state.Config();
+      co_await RunPlacementStep(*config, this->identity.self.address,
+                                this->gossip.Members().UsableAddresses(),
+                                this->engines, this->planner, LoopNow());
     }
-    last_step = now;
-    if (const auto vms = platform.Read()) gossip.SetListed(vms.value());
-    RunPlacementStep(*config.Snapshot(), self.address, gossip.Usable(), engines,
-                     planner, now);
   }
-  gossip.Leave();
-  config.Stop();
-  gossip.Stop();
-  transport.Stop();
-  LogEvent(EventId::kProcessStopped, {LogField::Of("vm", self)});
-  return 0;
+
+  Loop& loop;
+  DurationMs period_ms;
+  PeerIdentity identity;
+  EndpointTable table;
+  Gossip gossip;
+  PeerLink link;
+  PublishedState state;
+  HttpEngineOrders engines;
+  OrderPlanner planner;
+};
+
+int Serve(const PlacementSettings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLog log(STDERR_FILENO, LogBounds{.flush_each = true});
+  log.SetVm(settings.address);
+  SetEventLog(&log);
+  Loop loop(1);
+  NativeSource source(loop, settings.platform);
+  PlacementNode node(loop, settings);
+  asio::signal_set signals(loop, SIGTERM, SIGINT);
+  signals.async_wait([&node](const error_code& fault, int) {
+    if (!fault) node.Stop();
+  });
+  if (!node.Start(source)) {
+    std::cerr << "limpethaven-placement: cannot listen on port "
+              << settings.peer_port << '\n';
+    return 1;
+  }
+  loop.run();
+  // Coroutines that still wait refer to parts of this process; its end frees
+  // them all at once.
+  ::_exit(0);
 }
 
 int Main(int argc, char** argv) {
@@ -117,21 +157,17 @@
   const auto secret = ReadFleetSecret(settings.fleet_secret_file);
   if (!secret) {
     std::cerr << "limpethaven-placement: " << secret.error().message << '\n';
-    return 2;
+    return kUsageExitCode;
   }
   settings.fleet_secret = secret.value();
   if (settings.check) {
     std::cout << "settings are valid\n";
     return 0;
   }
-  StartLogging("limpethaven-placement");
   return Serve(settings);
 }
 
 }  // namespace
 }  // namespace limpethaven
 
-int main(int argc, char** argv) {
-  limpethaven::BlockStopSignals();
-  return limpethaven::Main(argc, argv);
-}
+int main(int argc, char** argv) { return limpethaven::Main(argc, argv); }
--- a/src/placement/placement_service.cc
+++ b/src/placement/placement_service.cc
@@ -2,10 +2,40 @@
 
 #include <algorithm>
 
-#include "edge/log.h"
 #include "limpethaven/rendezvous.h"
+#include "log/event_log.h"
 
 namespace limpethaven {
+namespace {
+
+/// Sends one order and reads what came of it.
+Task<> SendOrder(PlannedOrder planned, EngineOrders& engines,
+                 OrderPlanner& planner, TimeMs now) {
+  LogEvent(EventId::kOrderSent, {{"engine", planned.engine},
+                                 {"model", planned.order.model},
+                                 {"version", planned.order.model_version},
+                                 LogField::Of("fence", planned.order.fence),
+                                 {"why", planned.reason}});
+  const Result<void> outcome =
+      co_await engines.Order(planned.engine, planned.order);
+  if (!outcome) {
+    LogEvent(EventId::kOrderRefused,
+             {{"engine", planned.engine},
+              LogField::Of("fence", planned.order.fence),
+              LogField::Of("why", outcome.error())});
+    co_return;
+  }
+  const Result<EngineState> state = co_await engines.ReadState(planned.engine);
+  if (!state) co_return;
+  planner.Observe(planned.engine, state.value(), now);
+  if (state.value().model_version != planned.order.model_version) co_return;
+  LogEvent(EventId::kOrderConverged,
+           {{"engine", planned.engine},
+            {"model", planned.order.model},
+            {"version", planned.order.model_version}});
+}
+
+}  // namespace
 
 std::vector<std::string> OwnedEngines(const Configuration& config,
                                       const std::string& self,
@@ -26,41 +56,19 @@
   return owned;
 }
 
-void RunPlacementStep(const Configuration& config, const std::string& self,
-                      const std::vector<std::string>& members,
-                      EngineClient& engines, OrderPlanner& planner,
-                      TimeMs now) {
+Task<> RunPlacementStep(const Configuration& config, std::string self,
+                        std::vector<std::string> members, EngineOrders& engines,
+                        OrderPlanner& planner, TimeMs now) {
   const std::vector<std::string> owned = OwnedEngines(config, self, members);
   planner.SetOwned(owned, now);
-  std::ranges::for_each(owned, [&](const std::string& engine) {
-    const auto state = engines.ReadState(engine);
+  for (const std::string& engine : owned) {
+    const Result<EngineState> state = co_await engines.ReadState(engine);
     if (state) planner.Observe(engine, state.value(), now);
-  });
-  std::ranges::for_each(
-      planner.Plan(config, now), [&](const PlannedOrder& planned) {
-        LogEvent(EventId::kOrderSent,
-                 {{"engine", planned.engine},
-                  {"model", planned.order.model},
-                  {"version", planned.order.model_version},
-                  LogField::Of("fence", planned.order.fence),
-                  {"why", planned.reason}});
-        const auto outcome = engines.Order(planned.engine, planned.order);
-        if (!outcome) {
-          LogWarning(EventId::kOrderRefused,
-                     {{"engine", planned.engine},
-                      LogField::Of("fence", planned.order.fence),
-                      LogField::Of("why", outcome.error())});
-          return;
-        }
-        const auto state = engines.ReadState(planned.engine);
-        if (!state) return;
-        planner.Observe(planned.engine, state.value(), now);
-        if (state.value().model_version != planned.order.model_version) return;
-        LogEvent(EventId::kOrderConverged,
-                 {{"engine", planned.engine},
-                  {"model", planned.order.model},
-                  {"version", planned.order.model_version}});
-      });
+  }
+  const std::vector<PlannedOrder> plan = planner.Plan(config, now);
+  for (const PlannedOrder& planned : plan) {
+    co_await SendOrder(planned, engines, planner, now);
+  }
 }
 
 }  // namespace limpethaven
--- a/src/placement/placement_service.h
+++ b/src/placement/placement_service.h
@@ -3,9 +3,12 @@
 /// orders that are due.
 #pragma once
 
+#include <string>
+#include <vector>
+
 #include "limpethaven/config_model.h"
-#include "limpethaven/interfaces.h"
 #include "limpethaven/order_planner.h"
+#include "placement/engine_orders.h"
 
 namespace limpethaven {
 
@@ -17,8 +20,8 @@
 
 /// Reads every owned engine, plans, and sends. Errors of single engines are
 /// logged and met again at the next step.
-void RunPlacementStep(const Configuration& config, const std::string& self,
-                      const std::vector<std::string>& members,
-                      EngineClient& engines, OrderPlanner& planner, TimeMs now);
+Task<> RunPlacementStep(const Configuration& config, std::string self,
+                        std::vector<std::string> members, EngineOrders& engines,
+                        OrderPlanner& planner, TimeMs now);
 
 }  // namespace limpethaven
--- a/src/edge/sse.cc
+++ b/src/protocol/sse.cc
@@ -1,4 +1,4 @@
-#include "edge/sse.h"
+#include "protocol/sse.h"
 
 namespace limpethaven {
 namespace {
--- /dev/null
+++ b/src/router/active_requests.cc
@@ -0,0 +1,67 @@
+#include "router/active_requests.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "log/event_log.h"
+
+namespace limpethaven {
+
+ActiveRequests::ActiveRequests(std::size_t cap) : max_requests(cap) {}
+
+Result<std::uint64_t> ActiveRequests::Add(std::string id, std::string team,
+                                          std::string key_digest, bool goes_on,
+                                          CutRequest cut) {
+  const auto known = this->rows.find(id);
+  if (known != this->rows.end()) {
+    if (!goes_on || known->second.team != team) {
+      return Error::Of(ErrorKind::kBadRequest,
+                       "a request of this id is being served");
+    }
+    const CutRequest older = std::move(known->second.cut);
+    this->rows.erase(known);
+    older(ErrorKind::kSuperseded);
+  }
+  if (this->rows.size() >= this->max_requests) {
+    return Error::Of(ErrorKind::kTooManyStreams,
+                     "this process serves as many requests as it may");
+  }
+  const std::uint64_t number = this->next_number++;
+  this->rows.emplace(std::move(id), Row{number, std::move(team),
+                                        std::move(key_digest), std::move(cut)});
+  return number;
+}
+
+void ActiveRequests::Remove(std::string_view id, std::uint64_t number) {
+  const auto row = this->rows.find(id);
+  if (row != this->rows.end() && row->second.number == number) {
+    this->rows.erase(row);
+  }
+}
+
+std::size_t ActiveRequests::Size() const noexcept { return this->rows.size(); }
+
+bool ActiveRequests::Cancel(std::string_view id, std::string_view team) {
+  const auto row = this->rows.find(id);
+  if (row == this->rows.end() || row->second.team != team) return false;
+  const CutRequest cut = row->second.cut;
+  cut(ErrorKind::kCancelled);
+  return true;
+}
+
+void ActiveRequests::CutWithdrawn(const Configuration& config) {
+  std::vector<CutRequest> cuts;
+  std::ranges::for_each(this->rows, [&](const auto& entry) {
+    const Row& row = entry.second;
+    if (row.key_digest.empty()) return;
+    const TeamSpec* team = config.FindTeamByKeyDigest(row.key_digest);
+    if (team != nullptr && team->name == row.team) return;
+    LogEvent(EventId::kKeyWithdrawnMidStream,
+             {{"request", entry.first}, {"team", row.team}});
+    cuts.push_back(row.cut);
+  });
+  std::ranges::for_each(
+      cuts, [](const CutRequest& cut) { cut(ErrorKind::kKeyWithdrawn); });
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/router/metrics.cc
@@ -0,0 +1,101 @@
+#include "router/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace limpethaven {
+namespace {
+
+constexpr double kMsPerS = 1000.0;
+
+/// Upper bounds in milliseconds.
+prometheus::Histogram::BucketBoundaries Bounds() {
+  return {5,   10,  20,   50,   100,  200,    300,
+          500, 900, 1500, 3000, 6000, 12'000, 30'000};
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : ends(prometheus::BuildCounter()
+               .Name("limpethaven_requests_total")
+               .Help("Requests that have ended, by kind and outcome")
+               .Register(this->registry)),
+      durations(prometheus::BuildHistogram()
+                    .Name("limpethaven_request_milliseconds")
+                    .Help("Time from a request to its end, by kind and outcome")
+                    .Register(this->registry)),
+      first_event(prometheus::BuildHistogram()
+                      .Name("limpethaven_first_event_milliseconds")
+                      .Help("Time from a request to its stream's first event")
+                      .Register(this->registry)
+                      .Add({}, Bounds())),
+      retries(prometheus::BuildCounter()
+                  .Name("limpethaven_retries_total")
+                  .Help("Sends after the first of a request")
+                  .Register(this->registry)
+                  .Add({})),
+      tokens(prometheus::BuildCounter()
+                 .Name("limpethaven_tokens_produced_total")
+                 .Help("Generated tokens that were passed on")
+                 .Register(this->registry)
+                 .Add({})),
+      charged(prometheus::BuildCounter()
+                  .Name("limpethaven_tokens_charged_total")
+                  .Help("Tokens that teams were charged")
+                  .Register(this->registry)),
+      gauges(prometheus::BuildGauge()
+                 .Name("limpethaven_state")
+                 .Help("What the process holds now, by item")
+                 .Register(this->registry)) {}
+
+void Metrics::OnEnd(const std::string& kind, const std::string& outcome,
+                    DurationMs elapsed_ms) {
+  const std::map<std::string, std::string> labels = {{"kind", kind},
+                                                     {"outcome", outcome}};
+  this->ends.Add(labels).Increment();
+  this->durations.Add(labels, Bounds())
+      .Observe(static_cast<double>(elapsed_ms));
+}
+
+void Metrics::OnFirstEvent(DurationMs elapsed_ms) {
+  this->first_event.Observe(static_cast<double>(elapsed_ms));
+}
+
+void Metrics::OnRetry() { this->retries.Increment(); }
+
+void Metrics::OnTokens(Tokens produced) {
+  this->tokens.Increment(static_cast<double>(produced));
+}
+
+void Metrics::OnCharge(const std::string& team, Tokens charged_tokens) {
+  this->charged.Add({{"team", team}})
+      .Increment(static_cast<double>(charged_tokens));
+}
+
+void Metrics::Take(const MetricsReading& reading) {
+  const auto set = [this](const char* item, double value) {
+    this->gauges.Add({{"item", item}}).Set(value);
+  };
+  set("requests", static_cast<double>(reading.requests));
+  set("connections", static_cast<double>(reading.connections));
+  set("waiting", static_cast<double>(reading.waiting));
+  set("reservations", static_cast<double>(reading.reservations));
+  set("borrowed_tokens", static_cast<double>(reading.borrowed));
+  set("retries_left", reading.retries_left);
+  set("config_version", static_cast<double>(reading.config_version));
+  set("config_age_seconds",
+      static_cast<double>(reading.config_age_ms) / kMsPerS);
+  set("endpoints_age_seconds",
+      static_cast<double>(reading.endpoints_age_ms) / kMsPerS);
+  set("endpoints", static_cast<double>(reading.endpoints));
+  set("endpoints_ejected", static_cast<double>(reading.ejected));
+  set("members", static_cast<double>(reading.members));
+  set("endpoint_connections_made", static_cast<double>(reading.dialled));
+  set("dropped_log_lines", static_cast<double>(reading.dropped_log_lines));
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+}  // namespace limpethaven
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -1,4 +1,3 @@
-#include "log/event_log.h"
 #include "router/session.h"
 
 namespace limpethaven {
@@ -6,14 +5,18 @@
 Task<std::optional<Error>> PlainSession::Run() {
   SendOutcome last = SendOutcome::kNotSent;
   while (this->record.MaySend() && !this->Gone()) {
-    const EndpointRecord* chosen = this->core.Choose(
-        *this->admitted.pool, PoolRole::kService, this->tried);
+    const EndpointRecord* chosen =
+        this->core.Choose(*this->admitted.pool, this->tried);
     if (chosen == nullptr) break;
     const EndpointRecord endpoint = *chosen;
     this->tried.push_back(endpoint.id);
     this->core.AddWork(endpoint.id, 1);
-    last = co_await this->Send(endpoint, std::nullopt);
+    this->record.OnSend();
+    last = co_await this->Send(this->DispatchTo(endpoint));
     this->core.AddWork(endpoint.id, -1);
+    if (this->Gone()) break;
+    this->core.NoteOutcome(endpoint.id, last == SendOutcome::kAnswered ||
+                                            last == SendOutcome::kFailed);
     const NextStep step = this->Judge(last);
     if (step == NextStep::kForward) co_return std::nullopt;
     if (step != NextStep::kSendAgain) break;
@@ -25,4 +28,9 @@
   co_return this->Failure(last);
 }
 
+void PlainSession::SettleCharge() {
+  const bool ran = this->record.MayHaveRun() != Ran::kNo;
+  this->charge.Settle(ran ? this->charge.Charged() : 0);
+}
+
 }  // namespace limpethaven
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -1,6 +1,7 @@
 #include "router/router.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "limpethaven/crypto.h"
 #include "log/event_log.h"
@@ -9,44 +10,52 @@
 namespace limpethaven {
 namespace {
 
-/// Cost of an endpoint in another data centre, in units of work: it only
+/// Cost of an endpoint in another data centre, in calls under way: it only
 /// decides between endpoints with the same work.
 constexpr double kFarCost = 0.01;
 /// Spreads requests over endpoints that are equal otherwise.
 constexpr double kJitter = 0.001;
+constexpr std::size_t kChargeIdBytes = 8;
 
 }  // namespace
 
-RouterCore::RouterCore(RouterParts router_parts)
+RouterCore::RouterCore(RouterParts router_parts,
+                       const RouterSettings& router_settings)
     : parts(std::move(router_parts)),
+      settings(router_settings),
       config(std::make_shared<const Configuration>()),
+      active(router_settings.max_requests),
       random(RandomBits()) {}
 
 const EndpointRecord* RouterCore::Choose(
-    const PoolSpec& pool, PoolRole role,
-    const std::vector<std::string>& tried) {
+    const PoolSpec& pool, const std::vector<std::string>& tried) {
   const EndpointRecord* best = nullptr;
   double best_cost = 0;
+  bool best_healthy = false;
+  const TimeMs now = LoopNow();
   std::uniform_real_distribution<double> jitter(0, kJitter);
   for (const EndpointRecord* endpoint : this->parts.table.Usable(pool.name)) {
-    const bool passed_over =
-        endpoint->role != role ||
-        std::ranges::find(tried, endpoint->id) != tried.end();
-    if (passed_over) continue;
+    if (std::ranges::find(tried, endpoint->id) != tried.end()) continue;
     const auto known = this->work.find(endpoint->id);
     const double load =
         known == this->work.end() ? 0 : static_cast<double>(known->second);
     const bool near = endpoint->data_centre == this->parts.data_centre;
+    const bool healthy = this->health.Usable(endpoint->id, now);
     const double cost = load + (near ? 0 : kFarCost) + jitter(this->random);
-    if (best != nullptr && cost >= best_cost) continue;
+    // An ejected endpoint is better than none.
+    const bool better = best == nullptr || (healthy && !best_healthy) ||
+                        (healthy == best_healthy && cost < best_cost);
+    if (!better) continue;
     best = endpoint;
     best_cost = cost;
+    best_healthy = healthy;
   }
+  if (best != nullptr) this->health.OnChosen(best->id, now);
   return best;
 }
 
 const PoolSpec* RouterCore::DrawPool(const RouteSpec& route) {
-  std::string name = route.pool;
+  std::string name = route.pool.empty() ? route.decode_pool : route.pool;
   if (!route.targets.empty()) {
     std::vector<double> weights;
     std::ranges::transform(route.targets, std::back_inserter(weights),
@@ -63,19 +72,50 @@
 
 RetryBudget& RouterCore::BudgetOf(const std::string& pool) {
   const auto row =
-      this->budgets.try_emplace(pool, RetryBudget(this->parts.retries)).first;
+      this->budgets.try_emplace(pool, RetryBudget(this->settings.retries))
+          .first;
   const auto members = this->parts.gossip.Members().Members().size();
   row->second.SetProcesses(static_cast<std::int64_t>(members) + 1);
   return row->second;
 }
 
-void RouterCore::AddWork(const std::string& endpoint, Tokens amount) {
+void RouterCore::AddWork(const std::string& endpoint, std::int64_t amount) {
   const auto row = this->work.try_emplace(endpoint, 0).first;
   row->second += amount;
   if (row->second <= 0) this->work.erase(row);
 }
 
-Router::Router(RouterParts router_parts) : core(std::move(router_parts)) {}
+void RouterCore::NoteOutcome(const std::string& endpoint, bool served) {
+  const TimeMs now = LoopNow();
+  if (served) {
+    if (this->health.OnSuccess(endpoint, now)) {
+      LogEvent(EventId::kEndpointReturned, {{"endpoint", endpoint}});
+    }
+  } else if (this->health.OnFailure(endpoint, now)) {
+    LogEvent(EventId::kEndpointEjected,
+             {{"endpoint", endpoint}, {"why", "failed repeatedly"}});
+  }
+}
+
+double RouterCore::RetriesLeft() {
+  const TimeMs now = LoopNow();
+  double least = std::numeric_limits<double>::max();
+  std::ranges::for_each(this->budgets, [&](auto& row) {
+    least = std::min(least, row.second.Left(now));
+  });
+  return this->budgets.empty() ? 0 : least;
+}
+
+std::size_t RouterCore::Ejected() const {
+  const TimeMs now = LoopNow();
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->parts.table.All(), [&](const EndpointRecord& endpoint) {
+        return !this->health.Usable(endpoint.id, now);
+      }));
+}
+
+Router::Router(RouterParts router_parts, const RouterSettings& router_settings)
+    : core(std::move(router_parts), router_settings) {}
 
 Router::~Router() = default;
 
@@ -89,35 +129,37 @@
     co_await this->Refuse(exchange, "", admitted.error());
     co_return;
   }
-  const std::string charge_id = RandomHex(8);
-  const std::string id = admitted.value().request.attempt_id;
+  Charge charge;
+  const std::string team = admitted.value().team;
   const Tokens tokens = ChargeOf(admitted.value());
-  const bool limited = !admitted.value().team.empty();
-  if (limited) {
-    const Result<void> charged = co_await this->core.parts.shares.Charge(
-        admitted.value().team, charge_id, tokens);
+  if (!team.empty() && tokens > 0) {
+    const std::string charge_id = RandomHex(kChargeIdBytes);
+    const Result<void> charged =
+        co_await this->core.parts.shares.Charge(team, charge_id, tokens);
     if (!charged) {
-      co_await this->Refuse(exchange, id, charged.error());
+      co_await this->Refuse(exchange, admitted.value().request.attempt_id,
+                            charged.error());
       co_return;
     }
+    charge = Charge(this->core.parts.shares, charge_id, tokens);
+    this->core.parts.metrics.OnCharge(team, tokens);
   }
   std::unique_ptr<Session> session;
-  if (admitted.value().pool->engine) {
-    session = std::make_unique<GenerationSession>(this->core, exchange,
-                                                  std::move(admitted.value()));
+  if (IsGeneration(admitted.value())) {
+    session = std::make_unique<GenerationSession>(
+        this->core, exchange, std::move(admitted.value()), std::move(charge));
   } else {
-    session = std::make_unique<PlainSession>(this->core, exchange,
-                                             std::move(admitted.value()));
-  }
-  const Ran ran = co_await session->Serve();
-  if (limited) {
-    this->core.parts.shares.Settle(charge_id, ran == Ran::kNo ? 0 : tokens);
+    session = std::make_unique<PlainSession>(
+        this->core, exchange, std::move(admitted.value()), std::move(charge));
   }
+  co_await session->Serve();
 }
 
 Task<> Router::Refuse(Exchange& exchange, const std::string& id,
                       const Error& error) {
-  LogEvent(EventId::kRequestRefused,
+  this->core.parts.metrics.OnEnd("refused", std::string(RowOf(error.kind).name),
+                                 LoopNow() - exchange.ReceivedAt());
+  LogEvent(RowOf(error.kind).event,
            {{"request", id},
             {"kind", std::string(RowOf(error.kind).name)},
             {"why", error.message},
@@ -126,4 +168,6 @@
                            this->core.parts.callers.RefusalBody(error));
 }
 
+RouterCore& Router::Core() noexcept { return this->core; }
+
 }  // namespace limpethaven
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "limpethaven/config_model.h"
+#include "limpethaven/endpoint_health.h"
 #include "limpethaven/endpoint_table.h"
 #include "limpethaven/retry_budget.h"
 #include "net/http_client.h"
@@ -15,10 +16,23 @@
 #include "peer/cell_exchange.h"
 #include "peer/gossip.h"
 #include "peer/share_exchange.h"
+#include "router/active_requests.h"
 #include "router/dialect.h"
+#include "router/metrics.h"
 
 namespace limpethaven {
 
+/// How a router treats requests.
+struct RouterSettings {
+  RetrySettings retries;
+  /// Whether tokens that were charged and not produced are given back.
+  bool give_back_unused = false;
+  /// Whether a generation without memory read elsewhere may be sent to a decode
+  /// engine, which then reads the prompt.
+  bool direct = false;
+  std::size_t max_requests = 3000;  ///< Served at once; more are refused.
+};
+
 /// What a router works with. All of it outlives the router.
 struct RouterParts {
   Loop& loop;
@@ -29,39 +43,47 @@
   ShareExchange& shares;
   CellExchange& cells;
   const Gossip& gossip;
-  RetrySettings retries;
+  Metrics& metrics;
   std::string data_centre;
 };
 
 /// What sessions share. Single threaded.
 class RouterCore {
  public:
-  explicit RouterCore(RouterParts router_parts);
+  RouterCore(RouterParts router_parts, const RouterSettings& router_settings);
 
-  /// Endpoint of a pool with this role and the least work from here, nearest
-  /// first; null when there is none. Those in `tried` are left out.
+  /// Endpoint of a pool with the least work from here, nearest first; null when
+  /// there is none. Those in `tried` are left out.
   [[nodiscard]] const EndpointRecord* Choose(
-      const PoolSpec& pool, PoolRole role,
-      const std::vector<std::string>& tried);
+      const PoolSpec& pool, const std::vector<std::string>& tried);
   /// Pool that a request of this route goes to; null when it is not there.
   [[nodiscard]] const PoolSpec* DrawPool(const RouteSpec& route);
   /// Repeats that the endpoints of a pool may get.
   [[nodiscard]] RetryBudget& BudgetOf(const std::string& pool);
-  void AddWork(const std::string& endpoint, Tokens work);
+  void AddWork(const std::string& endpoint, std::int64_t work);
+  /// What came of a call to a plain endpoint.
+  void NoteOutcome(const std::string& endpoint, bool served);
+  /// Least repeats left of all pools.
+  [[nodiscard]] double RetriesLeft();
+  /// Endpoints that get no work for a while.
+  [[nodiscard]] std::size_t Ejected() const;
 
   RouterParts parts;
+  RouterSettings settings;
   std::shared_ptr<const Configuration> config;
+  ActiveRequests active;
 
  private:
-  std::unordered_map<std::string, Tokens> work;  ///< By endpoint id.
+  std::unordered_map<std::string, std::int64_t> work;  ///< By endpoint id.
   std::unordered_map<std::string, RetryBudget> budgets;
+  EndpointHealth health;
   std::mt19937_64 random;
 };
 
 /// Routes requests to endpoints.
 class Router {
  public:
-  explicit Router(RouterParts router_parts);
+  Router(RouterParts router_parts, const RouterSettings& router_settings);
   ~Router();
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
@@ -69,10 +91,11 @@
   void SetConfig(std::shared_ptr<const Configuration> next);
   /// Answers one request.
   Task<> Serve(Exchange& exchange);
-
- private:
+  /// Answers with an error.
   Task<> Refuse(Exchange& exchange, const std::string& id, const Error& error);
+  [[nodiscard]] RouterCore& Core() noexcept;
 
+ private:
   RouterCore core;
 };
 
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "limpethaven/event_splitter.h"
 #include "limpethaven/request_record.h"
 #include "net/cancellation.h"
 #include "router/router.h"
@@ -22,36 +21,64 @@
   const RouteSpec* route = nullptr;
   const PoolSpec* pool = nullptr;
   std::string team;           ///< Empty on routes open to all.
+  std::string key_digest;     ///< Of the caller's key; empty without one.
   std::int64_t priority = 0;  ///< Rank, 0 first.
   TimeMs deadline = 0;        ///< After it nobody waits for an answer.
 };
 
 /// Reads and checks a request against the configuration in force.
-[[nodiscard]] Result<Admitted> Admit(RouterCore& core,
-                                     const Exchange& exchange);
+/// @param peer_team Team for which a peer has checked the key already; null to
+/// check it here.
+[[nodiscard]] Result<Admitted> Admit(RouterCore& core, const Exchange& exchange,
+                                     const std::string* peer_team = nullptr);
 /// Tokens that a request is charged.
 [[nodiscard]] Tokens ChargeOf(const Admitted& admitted);
+/// Whether a request is a generation.
+[[nodiscard]] bool IsGeneration(const Admitted& admitted);
+
+/// What a team is charged for one request; settled once.
+class Charge {
+ public:
+  Charge() = default;
+  Charge(ShareExchange& share_exchange, std::string charge_id,
+         Tokens charged_tokens);
+  Charge(Charge&& other) noexcept;
+  Charge& operator=(Charge&& other) noexcept;
+  /// One that was not settled is given back whole.
+  ~Charge();
+
+  void Settle(Tokens used);
+  [[nodiscard]] Tokens Charged() const noexcept;
+
+ private:
+  ShareExchange* shares = nullptr;
+  std::string id;
+  Tokens tokens = 0;
+};
 
 /// Serves one request. Kinds of requests differ in `Run`.
 class Session {
  public:
   Session(RouterCore& router_core, Exchange& caller_exchange,
-          Admitted admitted_request);
+          Admitted admitted_request, Charge team_charge);
   virtual ~Session() = default;
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
-  /// Answers the request. @returns whether an endpoint may have run it.
-  Task<Ran> Serve();
+  /// Answers the request.
+  Task<> Serve();
+  /// Whether an endpoint may have run it.
+  [[nodiscard]] Ran MayHaveRun() const noexcept;
 
  protected:
   /// Sends it to endpoints until it is answered. @returns the error to answer,
   /// if it was not.
   virtual Task<std::optional<Error>> Run() = 0;
+  /// Settles the charge of a request that has ended.
+  virtual void SettleCharge() = 0;
 
   /// Sends the request to one endpoint and passes its answer on.
-  Task<SendOutcome> Send(const EndpointRecord& endpoint,
-                         std::optional<KvHandle> memory);
+  Task<SendOutcome> Send(Dispatch dispatch);
   /// What follows from the outcome of a send; takes from the retry budget.
   [[nodiscard]] NextStep Judge(SendOutcome outcome);
   [[nodiscard]] Dispatch DispatchTo(const EndpointRecord& endpoint) const;
@@ -59,27 +86,39 @@
   [[nodiscard]] Error Failure(SendOutcome last) const;
   /// Connects and sends; the rest of a long body goes out while the answer is
   /// read.
-  Task<CallFault> Start(HttpCall& call, std::string bytes,
+  Task<CallFault> Start(HttpCall& call, const OutgoingCall& outgoing,
                         DurationMs max_idle_ms);
+  /// Whether nobody waits for the answer any more.
   [[nodiscard]] bool Gone() const noexcept;
+  /// Whether the last send brought more of a stream.
+  [[nodiscard]] bool Progressed() const noexcept;
 
   RouterCore& core;
   Exchange& exchange;
   Admitted admitted;
+  Charge charge;
   RequestRecord record;
-  EventSplitter splitter;
-  std::vector<std::string> tried;     ///< Endpoints that had it.
-  Cancellation cancel;                ///< Requested when the caller leaves.
+  std::unique_ptr<StreamTranslator> stream;  ///< Null for plain calls.
+  std::vector<std::string> tried;            ///< Endpoints that had it.
+  Cancellation cancel;                       ///< Requested when nobody waits.
+  std::optional<ErrorKind> cut;              ///< Why it is ended from here.
   std::function<void()> on_progress;  ///< Called as events are passed on.
 
  private:
-  Task<SendOutcome> PassStream(HttpCall& stream);
-  Task<SendOutcome> PassWhole(HttpCall& answer, const AnswerClass& kind);
+  Task<SendOutcome> PassStream(HttpCall& call);
+  Task<SendOutcome> PassWhole(HttpCall& call);
+  Task<> AnswerError(const Error& error);
+  void Count(const std::optional<Error>& error) const;
+  void LogAccepted() const;
+  void LogEnd(const std::optional<Error>& error) const;
   /// Outcome of a call that brought no whole answer.
   [[nodiscard]] static SendOutcome OutcomeOf(const HttpCall& failed,
                                              CallFault fault);
-  /// Until when the endpoint may be silent.
-  [[nodiscard]] TimeMs SilenceDeadline() const;
+  /// Until when the endpoint may bring nothing new.
+  [[nodiscard]] TimeMs SilenceDeadline(TimeMs progress_at) const;
+
+  bool progressed = false;
+  bool first_event_seen = false;
 };
 
 /// A call to a plain service.
@@ -89,40 +128,56 @@
 
  protected:
   Task<std::optional<Error>> Run() override;
+  void SettleCharge() override;
 };
 
 /// A generation: prefill at one engine, decode at another.
 class GenerationSession final : public Session {
  public:
-  using Session::Session;
+  GenerationSession(RouterCore& router_core, Exchange& caller_exchange,
+                    Admitted admitted_request, Charge team_charge);
 
  protected:
   Task<std::optional<Error>> Run() override;
+  void SettleCharge() override;
 
  private:
   /// What reading a prompt at a prefill engine has brought.
   struct Prefilled {
     std::optional<KvHandle> memory;
-    bool rejected = false;  ///< The engine has not taken the call.
+    bool reached = false;  ///< The engine may have the prompt.
     DurationMs elapsed_ms = 0;
   };
 
   /// Asks for a place, and uses it.
   Task<Result<SendOutcome>> RunOnce();
-  Task<Prefilled> ReadPrompt(const EndpointRecord& engine);
+  /// Goes on with the run that the caller names.
+  Task<SendOutcome> GoOn();
+  Task<Prefilled> ReadPrompt(const EndpointRecord& engine,
+                             const CellPlacement& placed);
   /// Sends to the engine that was chosen; once more without memory that could
-  /// not be fetched.
+  /// not be fetched, and again where its run can be taken up.
   Task<SendOutcome> Generate(const CellPlacement& placed,
                              const EndpointRecord& engine,
                              std::optional<KvHandle> memory);
+  Task<SendOutcome> Reattach(const CellPlacement& placed,
+                             const EndpointRecord& engine, SendOutcome outcome);
+  /// Ends the run of a caller that is gone, once it has not come back.
+  /// @returns false where the closed connection ends it.
+  [[nodiscard]] bool Depart(const CellPlacement& placed,
+                            const EndpointRecord& engine);
   [[nodiscard]] PlacementRequest AskFor() const;
-  /// Tokens that were passed on so far.
-  [[nodiscard]] Tokens Produced() const;
+  [[nodiscard]] Dispatch DispatchFor(const CellPlacement& placed,
+                                     const EndpointRecord& engine) const;
+  [[nodiscard]] CellNotice NoticeOf(const CellPlacement& placed, CellNews news,
+                                    const std::string& engine, Tokens tokens,
+                                    DurationMs measured_ms) const;
   void Tell(const CellPlacement& placed, CellNews news,
             const std::string& engine, Tokens tokens, DurationMs measured_ms);
 
   std::string placement_id;  ///< Of this request at the cell's owner.
   bool prefilled = false;    ///< An engine has accepted a prefill call.
+  bool departed = false;     ///< The charge was left to `Depart`.
 };
 
 }  // namespace limpethaven
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <chrono>
 
-#include "edge/engine_messages.h"
-#include "edge/sse.h"
 #include "limpethaven/crypto.h"
 #include "limpethaven/prompt.h"
 #include "limpethaven/rendezvous.h"
+#include "protocol/engine_messages.h"
+#include "protocol/sse.h"
 
 namespace limpethaven {
 namespace {
@@ -70,8 +70,8 @@
 
 EngineStandin::EngineStandin(EngineStandinSettings initial)
     : settings(std::move(initial)),
-      server(HttpServerSettings{.address = this->settings.address,
-                                .port = this->settings.port}) {
+      server(ThreadedHttpServerSettings{.address = this->settings.address,
+                                        .port = this->settings.port}) {
   this->state.role = this->settings.role;
   this->AddRoutes();
 }
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -131,7 +131,7 @@
 
   EngineStandinSettings settings;
   SystemClock clock;
-  HttpServer server;
+  ThreadedHttpServer server;
   HttpPool pool;
   Periodic stepper;
   SeenLog seen;
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -4,7 +4,7 @@
 
 #include <iostream>
 
-#include "edge/flags.h"
+#include "cli/flags.h"
 #include "edge/log.h"
 #include "edge/signals.h"
 #include "standin/engine_standin.h"
--- a/src/standin/platform_standin.cc
+++ b/src/standin/platform_standin.cc
@@ -29,8 +29,8 @@
 
 PlatformStandin::PlatformStandin(PlatformStandinSettings initial)
     : settings(std::move(initial)),
-      server(HttpServerSettings{.address = this->settings.address,
-                                .port = this->settings.port}) {
+      server(ThreadedHttpServerSettings{.address = this->settings.address,
+                                        .port = this->settings.port}) {
   httplib::Server& routes = this->server.Routes();
   routes.Get("/v1/watch/head", [this](const httplib::Request& request,
                                       httplib::Response& response) {
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -53,7 +53,7 @@
 
   PlatformStandinSettings settings;
   SystemClock clock;
-  HttpServer server;
+  ThreadedHttpServer server;
   Periodic poller;
   mutable std::mutex mutex;
   std::condition_variable changed;
--- a/src/standin/service_standin.cc
+++ b/src/standin/service_standin.cc
@@ -14,7 +14,8 @@
 
 ServiceStandin::ServiceStandin(std::string listen_address, int port)
     : address(std::move(listen_address)),
-      server(HttpServerSettings{.address = this->address, .port = port}) {
+      server(
+          ThreadedHttpServerSettings{.address = this->address, .port = port}) {
   httplib::Server& routes = this->server.Routes();
   routes.Get("/runs", [this](const httplib::Request&,
                              httplib::Response& response) {
--- a/src/standin/service_standin.h
+++ b/src/standin/service_standin.h
@@ -36,7 +36,7 @@
   void Serve(const httplib::Request& request, httplib::Response& response);
 
   std::string address;
-  HttpServer server;
+  ThreadedHttpServer server;
   SeenLog seen;
   mutable std::mutex mutex;
   ServiceFault fault = ServiceFault::kNone;
--- a/src/tools/ctl_main.cc
+++ b/src/tools/ctl_main.cc
@@ -7,7 +7,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
-#include "edge/flags.h"
+#include "cli/flags.h"
 #include "edge/http_client.h"
 #include "limpethaven/config_file.h"
 #include "limpethaven/crypto.h"
--- a/src/tools/publish_main.cc
+++ b/src/tools/publish_main.cc
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <iterator>
 
-#include "edge/flags.h"
+#include "cli/flags.h"
 #include "limpethaven/config_codec.h"
 #include "limpethaven/config_file.h"
 #include "limpethaven/config_follower.h"
--- a/tests/fleet_fixture.cc
+++ b/tests/fleet_fixture.cc
@@ -8,8 +8,10 @@
 #include <thread>
 
 #include "edge/http_client.h"
-#include "edge/sse.h"
+#include "entry/native_callers.h"
+#include "entry/native_endpoints.h"
 #include "limpethaven/crypto.h"
+#include "protocol/sse.h"
 
 namespace limpethaven::testing {
 namespace {
@@ -34,6 +36,13 @@
   std::filesystem::rename(part, path);
 }
 
+/// Entries live until the test program ends: see `KillEntry`.
+EntryUnderTest* NewEntry() {
+  static std::vector<std::unique_ptr<EntryUnderTest>> all;
+  all.push_back(std::make_unique<EntryUnderTest>());
+  return all.back().get();
+}
+
 void ReadRefusal(const std::string& body, CallerAnswer& answer) {
   answer.body = body;
   if (const auto error = ErrorFromJsonBody(body)) {
@@ -68,11 +77,12 @@
   }
   this->service = std::make_unique<ServiceStandin>();
   static_cast<void>(this->service->Start());
-  this->entries.resize(this->settings.entries);
   nlohmann::json vms = nlohmann::json::array();
-  for (EntryUnderTest& entry : this->entries) {
-    EntrySettings own;
+  for (std::size_t index = 0; index < this->settings.entries; ++index) {
+    this->entries.push_back(NewEntry());
+    EntrySettings& own = this->entries.back()->settings;
     own.address = NextAddress();
+    own.admin_address = own.address;
     own.port = kPort;
     own.peer_port = kPeerPort;
     own.data_centre = "zone";
@@ -82,8 +92,6 @@
     vms.push_back({{"address", own.address},
                    {"data_centre", "zone"},
                    {"leaving", false}});
-    own.platform = "filled in below";
-    entry.node = std::make_unique<EntryNode>(own);
   }
   WriteFile(this->directory / "vms.json", vms.dump());
   this->config = this->BaseConfiguration();
@@ -101,12 +109,14 @@
   // other.
   static_cast<void>(WaitFor(
       [this] {
-        return std::ranges::all_of(
-            this->entries, [this](const EntryUnderTest& entry) {
-              return entry.node->gossip->Usable().size() ==
-                         this->entries.size() &&
-                     entry.node->shares->View("north").available > 100;
-            });
+        for (std::size_t index = 0; index < this->entries.size(); ++index) {
+          const bool settled = this->Ask<bool>(index, [this](EntryNode& node) {
+            return node.SeesMembers(this->entries.size()) &&
+                   node.TokensOf("north") > 100;
+          });
+          if (!settled) return false;
+        }
+        return true;
       },
       kReadyMs));
 }
@@ -141,18 +151,14 @@
   WriteFile(this->directory / "head.json", EncodeHead(this->head));
 }
 
-const std::vector<ConfigChange>& FleetFixture::LatestChanges() const {
-  return this->head.changes;
-}
-
 bool FleetFixture::WaitForVersion(DurationMs limit_ms) {
   return WaitFor(
       [this] {
-        return std::ranges::all_of(
-            this->entries, [this](const EntryUnderTest& entry) {
-              return !entry.node || entry.node->config->Snapshot()->version ==
-                                        this->head.version;
-            });
+        for (std::size_t index = 0; index < this->entries.size(); ++index) {
+          if (this->entries[index] == nullptr) continue;
+          if (this->VersionOf(index) != this->head.version) return false;
+        }
+        return true;
       },
       limit_ms);
 }
@@ -169,8 +175,7 @@
 }
 
 std::string FleetFixture::AddressOf(std::size_t entry) const {
-  return this->entries[entry].node->settings.address + ":" +
-         std::to_string(kPort);
+  return this->entries[entry]->settings.address + ":" + std::to_string(kPort);
 }
 
 CallerAnswer FleetFixture::Complete(std::size_t entry, const std::string& key,
@@ -249,13 +254,47 @@
 }
 
 void FleetFixture::KillEntry(std::size_t entry) {
-  EntryUnderTest& killed = this->entries[entry];
-  if (!killed.node) return;
-  killed.callers->Stop();
-  killed.node->Stop();
-  killed.callers.reset();
-  killed.api.reset();
-  killed.node.reset();
+  EntryUnderTest* const killed = this->entries[entry];
+  if (killed == nullptr) return;
+  this->entries[entry] = nullptr;
+  // The loop stops with everything still in it, as a process ends; what waits
+  // in it refers to the node, so that both are kept until the test ends.
+  asio::post(killed->loop, [killed] {
+    killed->node->Sever();
+    killed->loop.stop();
+  });
+  killed->thread.join();
+}
+
+std::uint64_t FleetFixture::VersionOf(std::size_t entry) const {
+  return this->Ask<std::uint64_t>(
+      entry, [](EntryNode& node) { return node.ConfigVersion(); });
+}
+
+Tokens FleetFixture::TokensOf(std::size_t entry, std::string_view team) const {
+  return this->Ask<Tokens>(
+      entry, [team](EntryNode& node) { return node.TokensOf(team); });
+}
+
+void FleetFixture::OfferTo(std::size_t entry) {
+  Configuration next = this->config;
+  next.version = this->head.version;
+  next.digest = this->head.digest;
+  static_cast<void>(this->Ask<bool>(entry, [&next](EntryNode& node) {
+    node.Offer(next);
+    return true;
+  }));
+}
+
+void FleetFixture::DrainEntry(std::size_t entry) {
+  static_cast<void>(this->Ask<bool>(entry, [](EntryNode& node) {
+    node.Drain();
+    return true;
+  }));
+}
+
+bool FleetFixture::EntryEnded(std::size_t entry) const {
+  return this->entries[entry]->loop.stopped();
 }
 
 std::int64_t FleetFixture::PiecesHeld() const {
@@ -274,16 +313,19 @@
 }
 
 void FleetFixture::StartEntry(std::size_t index) {
-  EntryUnderTest& entry = this->entries[index];
-  EntrySettings own = entry.node->settings;
-  own.platform = this->platform->Address();
-  entry.node = std::make_unique<EntryNode>(own);
-  static_cast<void>(entry.node->Start(0));
-  entry.api = std::make_unique<CallerApi>(*entry.node);
-  entry.callers = std::make_unique<HttpServer>(
-      HttpServerSettings{.address = own.address, .port = kPort});
-  entry.api->AddRoutes(entry.callers->Routes());
-  static_cast<void>(entry.callers->Start());
+  EntryUnderTest& entry = *this->entries[index];
+  entry.settings.platform = this->platform->Address();
+  entry.source =
+      std::make_unique<NativeSource>(entry.loop, entry.settings.platform);
+  NodeDialects dialects;
+  const std::string& secret = entry.settings.fleet_secret;
+  dialects.callers = std::make_unique<NativeCallers>(secret);
+  dialects.endpoints = std::make_unique<NativeEndpoints>(secret);
+  entry.node = std::make_unique<EntryNode>(
+      entry.loop, NodeSettingsOf(entry.settings), std::move(dialects));
+  entry.api = std::make_unique<CallerApi>(*entry.node, secret);
+  static_cast<void>(entry.node->Start(*entry.source));
+  entry.thread = std::thread([&entry] { entry.loop.run(); });
 }
 
 Configuration FleetFixture::BaseConfiguration() const {
@@ -318,6 +360,7 @@
   RouteSpec completions;
   completions.path = "/v1/completions";
   completions.model = kModel;
+  completions.repeat = RepeatRule::kResumable;
   completions.prefill_pool = "prefill";
   completions.decode_pool = "decode";
   completions.first_token_ms = 2000;
@@ -333,7 +376,7 @@
   base.routes.emplace(open.path, open);
   RouteSpec transfer = read;
   transfer.path = "/s/ledger/transfer";
-  transfer.repeatable = false;
+  transfer.repeat = RepeatRule::kOnce;
   base.routes.emplace(transfer.path, transfer);
   return base;
 }
--- a/tests/fleet_fixture.h
+++ b/tests/fleet_fixture.h
@@ -3,13 +3,18 @@
 /// entry nodes.
 #pragma once
 
+#include <boost/asio/post.hpp>
 #include <filesystem>
+#include <functional>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
-#include "entry/admin_api.h"
 #include "entry/caller_api.h"
+#include "entry/entry_settings.h"
+#include "entry/native_source.h"
 #include "limpethaven/config_model.h"
 #include "standin/engine_standin.h"
 #include "standin/platform_standin.h"
@@ -21,11 +26,14 @@
 inline constexpr const char* kSouthKey = "test-key-south-0001";
 inline constexpr const char* kModel = "model-1";
 
-/// One entry process's parts, without a process of their own.
+/// One entry process's parts, on a thread instead of a process of their own.
 struct EntryUnderTest {
+  EntrySettings settings;
+  Loop loop{1};
+  std::unique_ptr<NativeSource> source;
   std::unique_ptr<EntryNode> node;
   std::unique_ptr<CallerApi> api;
-  std::unique_ptr<HttpServer> callers;
+  std::thread thread;
 };
 
 /// Parameters of a fleet.
@@ -61,8 +69,6 @@
   /// Publishes a configuration of the fixture's own with these changes applied
   /// to it.
   void Publish(const std::function<void(Configuration&)>& change);
-  /// Changes of the last publication.
-  [[nodiscard]] const std::vector<ConfigChange>& LatestChanges() const;
   /// Waits until every entry has the published version.
   [[nodiscard]] bool WaitForVersion(DurationMs limit_ms);
   /// Waits until a condition holds.
@@ -87,6 +93,24 @@
                                          const std::string& ticket = {}) const;
   /// Ends an entry at once, as a crash would.
   void KillEntry(std::size_t entry);
+  /// Asks an entry on its own thread.
+  template <typename T>
+  [[nodiscard]] T Ask(std::size_t entry,
+                      const std::function<T(EntryNode&)>& question) const {
+    std::promise<T> answer;
+    EntryUnderTest& asked = *this->entries[entry];
+    asio::post(asked.loop, [&] { answer.set_value(question(*asked.node)); });
+    return answer.get_future().get();
+  }
+  [[nodiscard]] std::uint64_t VersionOf(std::size_t entry) const;
+  /// Tokens that a team has at an entry.
+  [[nodiscard]] Tokens TokensOf(std::size_t entry, std::string_view team) const;
+  /// Hands the last publication to one entry, as its source would.
+  void OfferTo(std::size_t entry);
+  /// Asks an entry for a graceful stop.
+  void DrainEntry(std::size_t entry);
+  /// Whether an entry's loop has ended.
+  [[nodiscard]] bool EntryEnded(std::size_t entry) const;
   [[nodiscard]] std::int64_t PiecesHeld() const;
   [[nodiscard]] bool AnyEndpointSaw(std::string_view text) const;
 
@@ -96,7 +120,7 @@
   std::vector<std::unique_ptr<EngineStandin>> prefills;
   std::vector<std::unique_ptr<EngineStandin>> decodes;
   std::unique_ptr<ServiceStandin> service;
-  std::vector<EntryUnderTest> entries;
+  std::vector<EntryUnderTest*> entries;  ///< Null once killed.
 
  private:
   void StartEntry(std::size_t index);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <thread>
 
+#include "edge/engine_client.h"
 #include "fleet_fixture.h"
 #include "limpethaven/crypto.h"
 
@@ -182,6 +183,7 @@
     }
   }
   caller.join();
+  INFO(answer.body);
   REQUIRE(answer.done);
   REQUIRE(answer.text == AnswerText("stall-1", 300));
 }
@@ -244,6 +246,7 @@
   const std::string ticket = fleet.MintTicket(0, kNorthKey);
   const CallerAnswer answer =
       fleet.CallService(0, kNorthKey, "/s/ledger/transfer", "t2", ticket);
+  INFO(answer.body);
   REQUIRE(answer.error_kind == "outcome_unknown");
   REQUIRE(answer.ran == "unknown");
   REQUIRE(fleet.CallService(1, kNorthKey, "/s/ledger/transfer", "t2", ticket)
@@ -299,14 +302,13 @@
   FleetFixture fleet(FleetSettings{.entries = 3});
   REQUIRE(fleet.WaitForVersion(kLimitMs));
   fleet.platform->SetDown(true);
-  const std::uint64_t before =
-      fleet.entries[1].node->config->Snapshot()->version;
+  const std::uint64_t before = fleet.VersionOf(1);
   // One entry learns of a version that nobody else can read.
   fleet.Publish(
       [](Configuration& config) { config.teams.at("north").weight = 7; });
-  REQUIRE(fleet.entries[0].node->config->Offer(fleet.LatestChanges()));
+  fleet.OfferTo(0);
   REQUIRE(fleet.WaitForVersion(kLimitMs));
-  REQUIRE(fleet.entries[2].node->config->Snapshot()->version == before + 1);
+  REQUIRE(fleet.VersionOf(2) == before + 1);
   // Requests are served all the while.
   REQUIRE(fleet.Complete(2, kNorthKey, "down-1", 10).done);
 }
@@ -317,14 +319,16 @@
   FleetFixture fleet(FleetSettings{.entries = 3, .burst = 3000, .rate = 3000});
   REQUIRE(FleetFixture::WaitFor(
       [&] {
-        return std::ranges::all_of(fleet.entries, [](const auto& entry) {
-          return entry.node->shares->View("north").available >= 1000;
-        });
+        return fleet.TokensOf(0, "north") >= 1000 &&
+               fleet.TokensOf(1, "north") >= 1000 &&
+               fleet.TokensOf(2, "north") >= 1000;
       },
       kLimitMs));
   // More than one entry's share of 1000, so it must borrow.
   REQUIRE(fleet.Complete(0, kNorthKey, "borrow-1", 2500, 1).error_kind.empty());
-  REQUIRE(fleet.entries[0].node->shares->Borrowed() > 0);
+  REQUIRE(fleet.Ask<Tokens>(0, [](const EntryNode& node) {
+    return node.BorrowedTokens();
+  }) > 0);
   REQUIRE(fleet.Complete(1, kNorthKey, "limit-1", 2900).error_kind ==
           "team_limit");
   REQUIRE(fleet.Complete(1, kNorthKey, "limit-2", 5000).error_kind ==
@@ -338,16 +342,16 @@
       [&] { answer = fleet.Complete(0, kNorthKey, "drain-1", 300); });
   REQUIRE(
       FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
-  fleet.entries[0].node->Drain([] { return false; });
-  REQUIRE(fleet.entries[0].node->active.Size() == 0);
+  fleet.DrainEntry(0);
+  // The process ends only after the stream did.
+  REQUIRE(FleetFixture::WaitFor([&] { return fleet.EntryEnded(0); }, kLimitMs));
   caller.join();
   REQUIRE(answer.done);
   REQUIRE(answer.text == AnswerText("drain-1", 300));
-  const std::string leaving = fleet.entries[0].node->self.address;
   REQUIRE(FleetFixture::WaitFor(
       [&] {
-        const auto usable = fleet.entries[1].node->gossip->Usable();
-        return std::ranges::find(usable, leaving) == usable.end();
+        return fleet.Ask<bool>(
+            1, [](const EntryNode& node) { return node.SeesMembers(2); });
       },
       kLimitMs));
 }
--- a/tests/order_planner_test.cc
+++ b/tests/order_planner_test.cc
@@ -26,6 +26,18 @@
   return config;
 }
 
+/// Runs one step of the only member on a loop of its own.
+void Step(const Configuration& config, OrderPlanner& planner, TimeMs now) {
+  Loop loop(1);
+  HttpEngineOrders engines(loop);
+  Spawn(loop, [&]() -> Task<> {
+    std::vector<std::string> members = {"10.0.0.1"};
+    co_await RunPlacementStep(config, "10.0.0.1", std::move(members), engines,
+                              planner, now);
+  });
+  loop.run_for(std::chrono::seconds(5));
+}
+
 TEST_CASE("fencing numbers grow with the version before all else") {
   const std::uint64_t early = MakeIncarnation(1'780'000'000'000, 1);
   const std::uint64_t late = MakeIncarnation(1'790'000'000'000, 1);
@@ -83,7 +95,6 @@
   OrderPlanner sleeper(MakeIncarnation(1000, 1), OrderSettings{.lease_ms = 0});
   OrderPlanner successor(MakeIncarnation(2'000'000, 1),
                          OrderSettings{.lease_ms = 0});
-  const std::vector<std::string> members = {"10.0.0.1"};
   const std::string address = engine.Address();
   // The sleeper planned for version 1 and wakes after the successor has acted
   // on version 2.
@@ -91,8 +102,7 @@
   sleeper.Observe(address, EngineState{}, 0);
   const auto old_orders = sleeper.Plan(GoalFor({address}, "v1", 1), 0);
   REQUIRE(old_orders.size() == 1);
-  RunPlacementStep(GoalFor({address}, "v2", 2), "10.0.0.1", members, client,
-                   successor, 0);
+  Step(GoalFor({address}, "v2", 2), successor, 0);
   REQUIRE(client.ReadState(address).value().model_version == "v2");
   REQUIRE_FALSE(client.Order(address, old_orders[0].order));
   REQUIRE(client.ReadState(address).value().model_version == "v2");
@@ -107,10 +117,9 @@
   OrderPlanner owner(MakeIncarnation(1000, 1),
                      OrderSettings{.lease_ms = 0, .repeat_ms = 0});
   const Configuration config = GoalFor({engine.Address()}, "v2", 2);
-  const std::vector<std::string> members = {"10.0.0.1"};
-  RunPlacementStep(config, "10.0.0.1", members, client, owner, 0);
+  Step(config, owner, 0);
   REQUIRE(client.Order(engine.Address(), EngineOrder{"m", "v1", "decode", 1}));
-  RunPlacementStep(config, "10.0.0.1", members, client, owner, 10);
+  Step(config, owner, 10);
   REQUIRE(client.ReadState(engine.Address()).value().model_version == "v2");
 }
 
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -7,10 +7,10 @@
 #include <set>
 #include <sstream>
 
-#include "edge/sse.h"
 #include "entry/completion_request.h"
 #include "limpethaven/limpethaven.h"
 #include "load/history_check.h"
+#include "protocol/sse.h"
 #include "standin/engine_standin.h"
 
 namespace limpethaven {
