Refuse transfer encodings that two readers could take differently

Cause: Beast takes a last encoding other than chunked for no body at all, so that the bytes of that body would have been read as the next request of the connection: a way to smuggle one. Found by the framing rules written as tests (tests/http_parser_test.cc, failed before: 'chunked, identity'). Ruled out: a check in the server alone; answers have the same forms. Change: a head has one length, or chunked alone, or neither.

--- a/src/net/http_parser.cc
+++ b/src/net/http_parser.cc
@@ -1,5 +1,6 @@
 #include "net/http_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -51,6 +52,24 @@
 
 namespace detail {
 
+/// Whether all readers agree where a message ends: `chunked` alone, or one
+/// length, or neither. Beast takes some encodings that it does not know for
+/// none.
+bool FramingIsPlain(const Headers& headers) {
+  std::size_t lengths = 0;
+  std::size_t encodings = 0;
+  bool plain = true;
+  std::ranges::for_each(headers.All(), [&](const HttpHeader& header) {
+    if (EqualsNoCase(header.name, "Content-Length")) {
+      ++lengths;
+    } else if (EqualsNoCase(header.name, "Transfer-Encoding")) {
+      ++encodings;
+      plain = plain && EqualsNoCase(header.value, "chunked");
+    }
+  });
+  return plain && lengths + encodings <= 1;
+}
+
 /// Feeds Beast's parser and gathers what it reports.
 template <bool kIsRequest, typename Base>
 class BeastReader final : public Base, private http::basic_parser<kIsRequest> {
@@ -93,7 +112,10 @@
         kIsRequest ? this->request.headers : this->response.headers;
     headers.Add(ViewOf(name), ViewOf(value));
   }
-  void on_header_impl(error_code&) override {
+  void on_header_impl(error_code& code) override {
+    const Headers& headers =
+        kIsRequest ? this->request.headers : this->response.headers;
+    if (!FramingIsPlain(headers)) code = http::error::bad_transfer_encoding;
     this->request.keep_alive = this->Parser::keep_alive();
     this->response.keep_alive = this->Parser::keep_alive();
     this->head_seen = true;
