Gather a team's tokens from the eight fullest peers

Besides, the burst kept 3 s of the rate back for requests that wait between charge and endpoint, which the bound does not count: it counts those sent and run in the same window. Change: eight lenders, fullest by their last answer first, near ones before far ones; no lead in the burst; Retry-After from what the shares drawn on earn. tests/share_exchange_test.cc fails with three lenders.

--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -15,14 +15,18 @@
 
 /// A peer that has not answered by then is passed over.
 constexpr DurationMs kAskTimeoutMs = 25;
-/// Peers asked for one request.
-constexpr std::size_t kMaxLenders = 3;
+/// Peers asked for one request, one after the other: a share of many processes
+/// is smaller than one request.
+constexpr std::size_t kMaxLenders = 8;
+/// A peer in the same data centre counts for this many times what it has: its
+/// answer comes sooner and costs less.
+constexpr double kNearFactor = 2.0;
+/// What a peer said of its share is forgotten after this long.
+constexpr DurationMs kHeardMs = 10'000;
 /// After peers had nothing, they are not asked again for this long.
 constexpr DurationMs kPoorMs = 150;
 /// How long a transfer may be spent; several times the longest answer.
 constexpr DurationMs kTransferTtlMs = 250;
-/// Requests wait at most this long between their charge and an endpoint.
-constexpr DurationMs kChargeLeadMs = 3000;
 /// Part of the slack that processes start with.
 constexpr double kStartPart = 0.25;
 /// Between two looks for tokens while a request waits for them.
@@ -31,11 +35,11 @@
 constexpr std::string_view kConfirmPath = "/peer/v1/confirm";
 constexpr double kMsPerS = 1000.0;
 
-Tokens TokensFrom(const std::string& body) {
+Tokens TokensIn(const std::string& body, const char* field) {
   const json answer = json::parse(body, nullptr, false);
-  const bool fits = answer.is_object() && answer.contains("tokens") &&
-                    answer["tokens"].is_number_integer();
-  return fits ? answer["tokens"].get<Tokens>() : 0;
+  const bool fits = answer.is_object() && answer.contains(field) &&
+                    answer[field].is_number_integer();
+  return fits ? answer[field].get<Tokens>() : 0;
 }
 
 }  // namespace
@@ -45,19 +49,22 @@
   const auto rate = static_cast<double>(team.rate_tokens_per_s);
   const auto burst = static_cast<double>(team.burst_tokens);
   const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
-  const double lead_s = static_cast<double>(kChargeLeadMs) / kMsPerS;
   const double slack =
       static_cast<double>(tolerance.slack) * (1.0 - kStartPart);
   const double bound =
       (rate * window_s + burst) * (1.0 + tolerance.excess) + slack;
-  const auto room = static_cast<Tokens>(bound - rate * (window_s + lead_s));
+  // The bound counts requests that are sent and run in the same window, and
+  // each is charged in between: what waits from before does not add to it.
+  const auto room = static_cast<Tokens>(bound - rate * window_s);
   return std::max(team.burst_tokens, room);
 }
 
 ShareExchange::ShareExchange(PeerLink& peer_link, const Gossip& peer_gossip,
+                             std::string own_data_centre,
                              LimitTolerance limit_tolerance, DurationMs wait_ms)
     : link(peer_link),
       gossip(peer_gossip),
+      data_centre(std::move(own_data_centre)),
       tolerance(limit_tolerance),
       max_wait_ms(wait_ms),
       ledger(ShareSettings{
@@ -124,11 +131,15 @@
       Error::Of(ErrorKind::kTeamLimit,
                 "team " + team + " is " + std::to_string(outcome.missing) +
                     " of " + std::to_string(tokens) + " tokens short");
-  const double own_rate = rate / static_cast<double>(this->slots);
+  // Until the shares that this request draws on have earned it.
+  const double drawn =
+      static_cast<double>(std::min<std::int64_t>(this->slots, kMaxLenders + 1));
+  const double earned_per_s =
+      std::max(1.0, rate * drawn / static_cast<double>(this->slots));
   error.retry_after_ms =
       std::max(error.retry_after_ms,
                static_cast<DurationMs>(static_cast<double>(outcome.missing) *
-                                       kMsPerS / std::max(1.0, own_rate)));
+                                       kMsPerS / earned_per_s));
   co_return error;
 }
 
@@ -176,7 +187,8 @@
                                     LogField::Of("to", call.from),
                                     LogField::Of("tokens", tokens)});
   }
-  const json answer = {{"tokens", tokens}};
+  const json answer = {{"tokens", tokens},
+                       {"left", this->ledger.View(team, LoopNow()).available}};
   co_return answer.dump();
 }
 
@@ -195,7 +207,7 @@
 Task<std::vector<ShareExchange::Loan>> ShareExchange::Borrow(std::string team,
                                                              Tokens missing) {
   std::vector<Loan> loans;
-  for (const std::string& lender : this->Lenders()) {
+  for (const std::string& lender : this->Lenders(team)) {
     if (missing <= 0) break;
     const TimeMs asked_at = LoopNow();
     const VmId& self = this->gossip.Members().Self();
@@ -207,7 +219,9 @@
     const Result<std::string> answer = co_await this->link.Call(
         lender, std::string(kLendPath), ask.dump(), asked_at + kAskTimeoutMs);
     if (!answer) continue;
-    transfer.tokens = TokensFrom(answer.value());
+    transfer.tokens = TokensIn(answer.value(), "tokens");
+    this->lenders[team].insert_or_assign(
+        lender, LenderRow{TokensIn(answer.value(), "left"), LoopNow()});
     if (transfer.tokens <= 0) continue;
     missing -= transfer.tokens;
     this->borrowed += transfer.tokens;
@@ -235,13 +249,48 @@
   });
 }
 
-std::vector<std::string> ShareExchange::Lenders() const {
-  std::vector<std::string> peers = this->gossip.Members().ServingAddresses();
-  const std::string& own = this->gossip.Members().Self().address;
-  std::erase(peers, own);
+std::vector<std::string> ShareExchange::Lenders(const std::string& team) {
+  struct Candidate {
+    std::string address;
+    double worth = 0;
+  };
+  const TimeMs now = LoopNow();
+  auto& heard = this->lenders[team];
+  std::erase_if(heard, [now](const auto& row) {
+    return now - row.second.heard_at > kHeardMs;
+  });
+  const ShareView own = this->ledger.View(team, now);
+  const auto spec = this->teams.find(team);
+  const double earned_per_ms =
+      spec == this->teams.end()
+          ? 0
+          : static_cast<double>(spec->second.rate_tokens_per_s) / kMsPerS /
+                static_cast<double>(this->slots);
+  const auto cap = static_cast<double>(own.cap);
+  std::vector<Candidate> candidates;
+  std::ranges::for_each(
+      this->gossip.Members().Serving(), [&](const MemberUpdate& member) {
+        if (member.address == this->gossip.Members().Self().address) return;
+        const auto row = heard.find(member.address);
+        // Of one that was not asked lately nothing is known.
+        double level = cap / 2;
+        if (row != heard.end()) {
+          level = std::min(
+              cap, static_cast<double>(row->second.left) +
+                       earned_per_ms *
+                           static_cast<double>(now - row->second.heard_at));
+        }
+        const bool near = member.data_centre == this->data_centre;
+        candidates.push_back(
+            Candidate{member.address, level * (near ? kNearFactor : 1.0)});
+      });
   std::mt19937_64 random(RandomBits());
-  std::ranges::shuffle(peers, random);
-  if (peers.size() > kMaxLenders) peers.resize(kMaxLenders);
+  std::ranges::shuffle(candidates, random);
+  std::ranges::stable_sort(candidates, std::greater<>(), &Candidate::worth);
+  if (candidates.size() > kMaxLenders) candidates.resize(kMaxLenders);
+  std::vector<std::string> peers;
+  std::ranges::transform(candidates, std::back_inserter(peers),
+                         &Candidate::address);
   return peers;
 }
 
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -32,7 +32,8 @@
 class ShareExchange {
  public:
   ShareExchange(PeerLink& peer_link, const Gossip& peer_gossip,
-                LimitTolerance limit_tolerance, DurationMs wait_ms);
+                std::string own_data_centre, LimitTolerance limit_tolerance,
+                DurationMs wait_ms);
 
   void Configure(const Configuration& config);
   /// Counts the processes that may be alive, and cuts shares anew when there
@@ -53,6 +54,12 @@
     std::string lender;
   };
 
+  /// What a peer had left of a team's tokens.
+  struct LenderRow {
+    Tokens left = 0;
+    TimeMs heard_at = 0;
+  };
+
   Task<Result<std::string>> AnswerLend(PeerCall& call);
   Task<Result<std::string>> AnswerConfirm(PeerCall& call);
   Task<ChargeOutcome> ChargeWithLoans(std::string team, std::string request_id,
@@ -61,10 +68,12 @@
   [[nodiscard]] std::int64_t Slots() const;
   Task<std::vector<Loan>> Borrow(std::string team, Tokens missing);
   void Confirm(const std::vector<Loan>& loans);
-  [[nodiscard]] std::vector<std::string> Lenders() const;
+  /// Peers to ask for a team's tokens, those that seem to have most first.
+  [[nodiscard]] std::vector<std::string> Lenders(const std::string& team);
 
   PeerLink& link;
   const Gossip& gossip;
+  std::string data_centre;
   LimitTolerance tolerance;
   DurationMs max_wait_ms;  ///< For tokens, before a refusal.
   ShareLedger ledger;
@@ -72,6 +81,9 @@
   std::int64_t published_slots = 0;  ///< 0: as many as there are members.
   std::int64_t slots = 1;
   std::unordered_map<std::string, TimeMs> poor_until;  ///< By team.
+  /// By team and address.
+  std::unordered_map<std::string, std::unordered_map<std::string, LenderRow>>
+      lenders;
   std::uint64_t next_transfer = 1;
   Tokens borrowed = 0;
 };
--- /dev/null
+++ b/tests/share_exchange_test.cc
@@ -0,0 +1,134 @@
+/// @file
+/// Charging teams over many processes on one loop.
+#include "peer/share_exchange.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peer/gossip.h"
+#include "peer/peer_link.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr int kPort = 18'190;
+
+class NoListener final : public GossipListener {
+ public:
+  void OnPeerVersion(const std::string&, std::uint64_t) override {}
+  void OnMemberChange(const MemberChange&) override {}
+  void OnPause() override {}
+};
+
+/// What one process has of the peers' protocols.
+struct Process {
+  Process(Loop& loop, const PeerIdentity& identity,
+          const LimitTolerance& tolerance)
+      : gossip(loop, identity, MembershipSettings{}, listener),
+        link(loop, identity),
+        shares(link, gossip, identity.data_centre, tolerance, 0) {}
+
+  NoListener listener;
+  Gossip gossip;
+  PeerLink link;
+  ShareExchange shares;
+};
+
+struct Fleet {
+  Fleet(std::size_t count, const Configuration& config,
+        const LimitTolerance& tolerance) {
+    for (std::size_t index = 0; index < count; ++index) {
+      PeerIdentity identity;
+      identity.self =
+          VmId{"127.90.0." + std::to_string(index + 1), index + 100};
+      identity.data_centre = index % 2 == 0 ? "a" : "b";
+      identity.strength = 1000;
+      identity.port = kPort;
+      this->processes.push_back(
+          std::make_unique<Process>(this->loop, identity, tolerance));
+      Process& process = *this->processes.back();
+      REQUIRE(process.link.Start());
+      REQUIRE(process.gossip.Start({"127.90.0.1", "127.90.0.2"}));
+      process.gossip.SetServing(true);
+    }
+    this->RunUntil([this, count] {
+      return std::ranges::all_of(this->processes, [count](const auto& each) {
+        return each->gossip.Members().Serving().size() == count;
+      });
+    });
+    std::ranges::for_each(this->processes, [&](const auto& each) {
+      each->shares.Configure(config);
+    });
+  }
+  ~Fleet() {
+    std::ranges::for_each(this->processes, [](const auto& each) {
+      each->link.Stop();
+      each->gossip.Stop();
+    });
+    CloseAllConnections(this->loop);
+    this->loop.poll();
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    constexpr DurationMs kLimitMs = 20'000;
+    const TimeMs give_up_at = LoopNow() + kLimitMs;
+    while (!condition() && LoopNow() < give_up_at) {
+      this->loop.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(condition());
+  }
+
+  /// Charges one request at a process.
+  bool Charge(std::size_t process, const std::string& id, Tokens tokens) {
+    bool done = false;
+    bool charged = false;
+    Spawn(this->loop, [&]() -> Task<> {
+      const Result<void> outcome =
+          co_await this->processes[process]->shares.Charge("north", id, tokens);
+      charged = outcome.has_value();
+      done = true;
+    });
+    this->RunUntil([&done] { return done; });
+    return charged;
+  }
+
+  Loop loop{1};
+  std::vector<std::unique_ptr<Process>> processes;
+};
+
+Configuration OneTeam(std::int64_t rate, Tokens burst) {
+  Configuration config;
+  config.fleet.share_slots = 0;
+  config.teams.emplace("north", TeamSpec{"north", rate, burst, 1});
+  return config;
+}
+
+TEST_CASE("share exchange gathers a request from many small shares") {
+  // Each of 12 shares holds a twelfth of the burst, so that one request needs
+  // the tokens of half of them: three lenders, as before, were too few.
+  const Configuration config = OneTeam(60'000, 12'000);
+  Fleet fleet(12, config, LimitTolerance{});
+  fleet.RunUntil([&] {
+    return std::ranges::all_of(fleet.processes, [](const auto& each) {
+      return each->shares.View("north").available >= 1000;
+    });
+  });
+  REQUIRE(fleet.Charge(0, "r1", 6000));
+  REQUIRE_FALSE(fleet.Charge(0, "r2", 12'000));
+}
+
+TEST_CASE("ledger burst uses what the bound tolerates, and no more") {
+  const TeamSpec team{"north", 1000, 4000, 1};
+  REQUIRE(LedgerBurst(team, LimitTolerance{}) == 4000);
+  const LimitTolerance tolerance{8000, 0.25, 1000};
+  // Start tokens, the burst that has gathered, and what a window earns.
+  const Tokens window = 8 * 1000;
+  const Tokens bound = (window + 4000) * 5 / 4 + 1000;
+  REQUIRE(LedgerBurst(team, tolerance) + window + 1000 / 4 <= bound);
+  REQUIRE(LedgerBurst(team, tolerance) + window + 1000 / 4 >= bound - 1);
+}
+
+}  // namespace
+}  // namespace limpethaven
