Hear of endpoints from peers when the own watch hangs; explain over many logs

Cause: read for what a lost answer does: a watch whose answer is lost brings nothing until its wait of 10 s ends, on a connection that looks alive, and peers were asked for endpoints only when the source did not answer at all. A leaving endpoint could get work past its bound. Ruled out: a shorter wait (each call to the store has a price). Change: gossip carries the revision of the endpoints; who is behind a peer for 700 ms asks it for the difference (tests/published_state_test.cc fails without).

--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -92,6 +92,8 @@
       target;  ///< For ping requests: whom to probe. For relays: for whom.
   std::uint64_t config_version = 0;
   std::string config_digest;  ///< First digits of the configuration's digest.
+  /// Newest revision of the source's endpoints that the sender has heard of.
+  std::uint64_t endpoints_revision = 0;
   std::vector<MemberUpdate> updates;
   friend auto operator<=>(const GossipMessage&, const GossipMessage&) = default;
 };
@@ -128,6 +130,8 @@
   void SetListed(const std::vector<ListedVm>& vms, TimeMs now);
   /// Version and digest that messages carry.
   void SetConfig(std::uint64_t version, std::string_view digest);
+  /// Sets the endpoints' revision that messages carry.
+  void SetEndpointsRevision(std::uint64_t revision);
   /// Processor share that this process tells, in thousandths of a core.
   void SetStrength(std::int64_t strength);
   /// Says whether this process has what it needs to serve callers.
@@ -228,6 +232,7 @@
   bool ticked = false;
   std::uint64_t config_version = 0;
   std::string config_digest;
+  std::uint64_t endpoints_revision = 0;
 };
 
 }  // namespace limpethaven
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -54,6 +54,7 @@
   message.target = in.at(8).get<std::string>();
   message.config_version = in.at(9).at(0).get<std::uint64_t>();
   message.config_digest = in.at(9).at(1).get<std::string>();
+  message.endpoints_revision = in.at(9).at(2).get<std::uint64_t>();
   message.from_serving = in.at(11).get<bool>();
   message.from_strength = in.at(12).get<std::int64_t>();
   std::ranges::transform(in.at(10), std::back_inserter(message.updates),
@@ -72,7 +73,8 @@
                    message.from.incarnation, message.from_data_centre,
                    message.from_refutation, message.from_leaving,
                    message.to_incarnation, message.sequence, message.target,
-                   json::array({message.config_version, message.config_digest}),
+                   json::array({message.config_version, message.config_digest,
+                                message.endpoints_revision}),
                    updates, message.from_serving, message.from_strength});
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -97,6 +97,10 @@
   this->config_digest = std::string(digest.substr(0, 16));
 }
 
+void Membership::SetEndpointsRevision(std::uint64_t revision) {
+  this->endpoints_revision = revision;
+}
+
 void Membership::SetStrength(std::int64_t own_strength) {
   this->strength = own_strength;
 }
@@ -272,9 +276,9 @@
                                 MemberState::kAlive, true, this->strength});
   }
   std::ranges::for_each(this->members, [&rows](const auto& row) {
-    const MemberUpdate& news = row.second.news;
-    if (news.state == MemberState::kAlive && news.serving) {
-      rows.push_back(news);
+    const MemberUpdate& member = row.second.news;
+    if (member.state == MemberState::kAlive && member.serving) {
+      rows.push_back(member);
     }
   });
   return rows;
@@ -301,6 +305,7 @@
   message.sequence = this->next_sequence++;
   message.config_version = this->config_version;
   message.config_digest = this->config_digest;
+  message.endpoints_revision = this->endpoints_revision;
   const auto row = this->members.find(to);
   if (row != this->members.end()) {
     message.to_incarnation = row->second.news.incarnation;
--- /dev/null
+++ b/src/log/request_story.h
@@ -0,0 +1,24 @@
+/// @file
+/// One request's events, out of the logs of several VMs.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpethaven {
+
+/// What logs say of one request.
+struct RequestStory {
+  std::vector<std::string> events;  ///< Lines, by the time they bear.
+  /// The line that ended it; `no end in these logs` without one.
+  std::string sealed_by;
+  friend bool operator==(const RequestStory&, const RequestStory&) = default;
+};
+
+/// Picks a request's lines, its placements at cell owners included, and orders
+/// them. Times of different VMs may differ by as much as their clocks do.
+[[nodiscard]] RequestStory ExplainRequest(
+    std::string_view request, const std::vector<std::string>& lines);
+
+}  // namespace limpethaven
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -167,9 +167,9 @@
   this->gossip.SetSeeds(next.seeds);
 }
 
-void EntryNode::OnPeerVersion(const std::string& address,
-                              std::uint64_t version) {
-  this->state.OnPeerVersion(address, version);
+void EntryNode::OnPeerNews(const std::string& address, std::uint64_t version,
+                           std::uint64_t endpoints_revision) {
+  this->state.OnPeerNews(address, version, endpoints_revision);
 }
 
 void EntryNode::OnMemberChange(const MemberChange& change) {
@@ -203,6 +203,7 @@
 
 void EntryNode::OnEndpoints() {
   this->endpoints_at = LoopNow();
+  this->gossip.SetEndpointsRevision(this->table.Revision());
   this->ConfigureCells();
 }
 
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -30,6 +30,7 @@
   std::string ready_address;      ///< Readiness; empty: not served apart.
   std::string addresses_address;  ///< Questions for addresses; empty: none.
   std::string admin_address;      ///< Metrics and health; empty: none.
+  bool admin_reads_only = false;  ///< No orders there, such as a drain.
   std::int64_t strength = 1000;   ///< Processor share, thousandths of a core.
   int peer_port = 0;
   std::vector<std::string> seeds;  ///< IP numbers of VMs to ask first.
@@ -115,8 +116,8 @@
   /// older one than that in force is ignored.
   void Offer(const Configuration& next);
 
-  void OnPeerVersion(const std::string& address,
-                     std::uint64_t version) override;
+  void OnPeerNews(const std::string& address, std::uint64_t version,
+                  std::uint64_t endpoints_revision) override;
   void OnMemberChange(const MemberChange& change) override;
   void OnPause() override;
   void OnConfig(const std::shared_ptr<const Configuration>& config) override;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -29,6 +29,9 @@
 /// A source that is away for longer may have let endpoints lapse that are
 /// alive; what is missing on its return is kept for this long.
 constexpr DurationMs kKeepMissingMs = 2000;
+/// A watch tells within a few hundred ms; a process that a peer is ahead of for
+/// longer has one that hangs.
+constexpr DurationMs kBehindMs = 700;
 
 }  // namespace
 
@@ -105,8 +108,13 @@
            {{"what", what}, {"why", why.message}});
 }
 
-void PublishedState::OnPeerVersion(const std::string& peer,
-                                   std::uint64_t version) {
+void PublishedState::OnPeerNews(const std::string& peer, std::uint64_t version,
+                                std::uint64_t endpoints_revision) {
+  if (endpoints_revision > this->table.Revision()) {
+    if (this->ahead_peer.empty()) this->ahead_since = LoopNow();
+    if (endpoints_revision >= this->ahead_to) this->ahead_peer = peer;
+    this->ahead_to = std::max(this->ahead_to, endpoints_revision);
+  }
   if (version <= this->config->version || this->pulling) return;
   this->pulling = true;
   asio::co_spawn(this->link.OfLoop(), this->Pull(peer), asio::detached);
@@ -115,6 +123,17 @@
 void PublishedState::Tick() {
   const TimeMs now = LoopNow();
   this->NoteGone(this->table.Expire(now));
+  if (this->ahead_to <= this->table.Revision()) this->ahead_peer.clear();
+  const bool behind =
+      !this->ahead_peer.empty() && now - this->ahead_since >= kBehindMs;
+  if (behind && !this->pulling && now >= this->next_pull) {
+    this->next_pull = now + kPullPeriodMs;
+    this->pulling = true;
+    asio::co_spawn(this->link.OfLoop(), this->Pull(this->ahead_peer),
+                   asio::detached);
+    this->ahead_peer.clear();
+    return;
+  }
   const bool needs_peer = !this->reachable || !this->Complete();
   if (!needs_peer || this->pulling || now < this->next_pull) return;
   std::vector<std::string> peers = this->gossip.Members().UsableAddresses();
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -39,8 +39,9 @@
   void OnSourceReachable(bool reachable) override;
   void OnUnreadable(const std::string& what, const Error& why) override;
 
-  /// A peer has this version.
-  void OnPeerVersion(const std::string& peer, std::uint64_t version);
+  /// A peer has this version and this revision of the endpoints.
+  void OnPeerNews(const std::string& peer, std::uint64_t version,
+                  std::uint64_t endpoints_revision);
   void Tick();
 
   /// The configuration in force; version 0 before the first.
@@ -68,6 +69,9 @@
   TimeMs unreachable_since = 0;
   bool pulling = false;
   TimeMs next_pull = 0;
+  std::string ahead_peer;      ///< Has newer endpoints; empty: nobody has.
+  std::uint64_t ahead_to = 0;  ///< The revision that it has.
+  TimeMs ahead_since = 0;
 };
 
 }  // namespace limpethaven
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -24,7 +24,7 @@
       membership(this->identity.self, this->identity.data_centre, settings,
                  RandomBits()),
       socket(event_loop,
-             [this](std::string_view bytes) { this->OnDatagram(bytes); }) {
+             [this](std::string_view text) { this->OnDatagram(text); }) {
   this->membership.SetStrength(this->identity.strength);
 }
 
@@ -59,6 +59,10 @@
   this->Send(this->membership.Announce(kNewsFanout));
 }
 
+void Gossip::SetEndpointsRevision(std::uint64_t revision) {
+  this->membership.SetEndpointsRevision(revision);
+}
+
 void Gossip::SetServing(bool serving) {
   this->membership.SetServing(serving);
   this->Send(this->membership.Announce(kNewsFanout));
@@ -86,8 +90,9 @@
                         [this](const MemberChange& change) {
                           this->listener.OnMemberChange(change);
                         });
-  this->listener.OnPeerVersion(message.value().from.address,
-                               message.value().config_version);
+  this->listener.OnPeerNews(message.value().from.address,
+                            message.value().config_version,
+                            message.value().endpoints_revision);
 }
 
 Task<> Gossip::Tick() {
--- a/src/peer/gossip.h
+++ b/src/peer/gossip.h
@@ -25,9 +25,9 @@
 class GossipListener {
  public:
   virtual ~GossipListener() = default;
-  /// A peer says which configuration it has.
-  virtual void OnPeerVersion(const std::string& address,
-                             std::uint64_t version) = 0;
+  /// A peer says which configuration and which endpoints it has.
+  virtual void OnPeerNews(const std::string& address, std::uint64_t version,
+                          std::uint64_t endpoints_revision) = 0;
   virtual void OnMemberChange(const MemberChange& change) = 0;
   /// This process stood still for longer than leases last.
   virtual void OnPause() = 0;
@@ -46,6 +46,8 @@
   void SetListed(const std::vector<ListedVm>& vms);
   /// Sets the version that messages carry, and tells some members at once.
   void SetConfig(std::uint64_t version, std::string_view digest);
+  /// Sets the endpoints' revision that messages carry from now on.
+  void SetEndpointsRevision(std::uint64_t revision);
   void SetServing(bool serving);
   void Stop();
   /// Announces that this process is leaving, to all at once.
--- a/src/placement/main.cc
+++ b/src/placement/main.cc
@@ -83,9 +83,9 @@
     this->loop.stop();
   }
 
-  void OnPeerVersion(const std::string& address,
-                     std::uint64_t version) override {
-    this->state.OnPeerVersion(address, version);
+  void OnPeerNews(const std::string& address, std::uint64_t version,
+                  std::uint64_t endpoints_revision) override {
+    this->state.OnPeerNews(address, version, endpoints_revision);
   }
   void OnMemberChange(const MemberChange&) override {}
   /// After a pause others may own what this process thinks is its own.
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -18,7 +18,7 @@
 /// time.
 constexpr DurationMs kDepartMs = 300;
 constexpr DurationMs kDepartCallMs = 500;
-constexpr std::size_t kIdBytes = 8;
+constexpr std::size_t kIdBytes = 4;
 
 }  // namespace
 
@@ -111,7 +111,9 @@
 }
 
 Task<Result<SendOutcome>> GenerationSession::RunOnce() {
-  this->placement_id = RandomHex(kIdBytes);
+  // Logged at the owner too: the request's id, and which placement of it.
+  this->placement_id =
+      this->admitted.request.attempt_id + "#" + RandomHex(kIdBytes);
   this->record.OnQueued();
   const RouteSpec& route = *this->admitted.route;
   const std::string group =
--- a/src/tools/ctl_main.cc
+++ b/src/tools/ctl_main.cc
@@ -11,6 +11,7 @@
 #include "edge/http_client.h"
 #include "limpethaven/config_file.h"
 #include "limpethaven/crypto.h"
+#include "log/request_story.h"
 
 namespace limpethaven {
 namespace {
@@ -23,7 +24,7 @@
   std::string target = "127.0.0.1:8080";
   std::string team;
   std::string request;
-  std::string log;
+  std::vector<std::string> logs;
   std::vector<std::string> files;
 };
 
@@ -88,27 +89,32 @@
   return parsed.faults.empty() ? 0 : 1;
 }
 
-/// Prints every event of one request from a log, in order.
+/// Prints the events of one request from the logs of several VMs, in order.
 int Explain(const CtlSettings& settings) {
-  std::ifstream file;
-  if (!settings.log.empty()) file.open(settings.log);
-  std::istream& in = settings.log.empty() ? std::cin : file;
-  const std::string plain = "request=" + settings.request;
-  std::string line;
-  std::int64_t found = 0;
-  while (std::getline(in, line)) {
-    const auto at = line.find(plain);
-    if (at == std::string::npos) continue;
-    // A placement is logged under the request's id, a hash sign and its number.
-    const std::size_t end = at + plain.size();
-    if (end < line.size() && line[end] != ' ' && line[end] != '#') continue;
-    std::cout << line << '\n';
-    ++found;
+  std::vector<std::string> lines;
+  const auto read = [&lines](std::istream& in) {
+    std::string line;
+    while (std::getline(in, line)) lines.push_back(line);
+  };
+  for (const std::string& path : settings.logs) {
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << "limpethavenctl: cannot read '" << path << "'\n";
+      return 2;
+    }
+    read(file);
   }
-  if (found > 0) return 0;
-  std::cerr << "limpethavenctl: no event of request '" << settings.request
-            << "'\n";
-  return 1;
+  if (settings.logs.empty()) read(std::cin);
+  const RequestStory story = ExplainRequest(settings.request, lines);
+  if (story.events.empty()) {
+    std::cerr << "limpethavenctl: no event of request '" << settings.request
+              << "'\n";
+    return 1;
+  }
+  std::ranges::for_each(
+      story.events, [](const std::string& line) { std::cout << line << '\n'; });
+  std::cout << "sealed by: " << story.sealed_by << '\n';
+  return 0;
 }
 
 int Main(int argc, char** argv) {
@@ -141,8 +147,8 @@
   CLI::App* explain =
       add("explain", "Print the events of one request from a log");
   explain->add_option("request", settings.request, "Request id")->required();
-  AddFlag(*explain, "--log", settings.log,
-          "Log file; standard input when empty");
+  explain->add_option("--log", settings.logs,
+                      "Log files of one VM or several; standard input without");
   CLI::App* key = add("key", "Keys");
   key->require_subcommand(1);
   key->add_subcommand("hash", "Print the digest of the key on standard input");
--- /dev/null
+++ b/tests/published_state_test.cc
@@ -0,0 +1,105 @@
+/// @file
+/// What processes know of the source, when it fails some of them.
+#include "node/published_state.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "limpethaven/endpoint_table.h"
+#include "peer/gossip.h"
+
+namespace limpethaven {
+namespace {
+
+constexpr int kPort = 18'191;
+/// More than any of the waits below, which end sooner when all is well.
+constexpr DurationMs kLimitMs = 20'000;
+
+/// A process with its published state; its source is the test.
+class Process final : public GossipListener, public StateListener {
+ public:
+  Process(Loop& loop, const PeerIdentity& identity)
+      : gossip(loop, identity, MembershipSettings{}, *this),
+        link(loop, identity),
+        state(link, gossip, table, *this) {
+    REQUIRE(this->link.Start());
+    REQUIRE(this->gossip.Start({"127.91.0.1", "127.91.0.2"}));
+    this->gossip.SetServing(true);
+  }
+
+  void OnPeerNews(const std::string& address, std::uint64_t version,
+                  std::uint64_t endpoints_revision) override {
+    this->state.OnPeerNews(address, version, endpoints_revision);
+  }
+  void OnMemberChange(const MemberChange&) override {}
+  void OnPause() override {}
+  void OnConfig(const std::shared_ptr<const Configuration>& config) override {
+    this->gossip.SetConfig(config->version, config->digest);
+  }
+  void OnEndpoints() override {
+    this->gossip.SetEndpointsRevision(this->table.Revision());
+  }
+  void OnListedVms(const std::vector<ListedVm>&) override {}
+
+  EndpointTable table;
+  Gossip gossip;
+  PeerLink link;
+  PublishedState state;
+};
+
+EndpointRecord EndpointOf(const std::string& id, bool leaving) {
+  EndpointRecord endpoint;
+  endpoint.id = id;
+  endpoint.address = "127.0.0.1:1";
+  endpoint.pool = "p";
+  endpoint.slots = 1;
+  endpoint.leaving = leaving;
+  return endpoint;
+}
+
+TEST_CASE(
+    "published state hears from a peer what its own watch does not tell") {
+  Loop loop(1);
+  std::vector<std::unique_ptr<Process>> processes;
+  for (int index = 1; index <= 3; ++index) {
+    PeerIdentity identity;
+    identity.self = VmId{"127.91.0." + std::to_string(index),
+                         static_cast<std::uint64_t>(index) + 100};
+    identity.data_centre = "a";
+    identity.port = kPort;
+    processes.push_back(std::make_unique<Process>(loop, identity));
+  }
+  Configuration config;
+  config.version = 1;
+  for (const auto& process : processes) {
+    process->state.OnSourceReachable(true);
+    process->state.OnConfiguration(config);
+    process->state.OnAllEndpoints({EndpointOf("e1", false)}, 5, true);
+  }
+  // Only the first process's watch tells that the endpoint leaves; the others'
+  // hang, on connections that look alive.
+  processes[0]->state.OnEndpoint(EndpointOf("e1", true), 6);
+  const auto all_know = [&] {
+    return std::ranges::all_of(processes, [](const auto& process) {
+      const EndpointRecord* known = process->table.Find("e1");
+      return known != nullptr && known->leaving;
+    });
+  };
+  const TimeMs give_up_at = LoopNow() + kLimitMs;
+  while (!all_know() && LoopNow() < give_up_at) {
+    loop.run_for(std::chrono::milliseconds(20));
+    for (const auto& process : processes) process->state.Tick();
+  }
+  REQUIRE(all_know());
+  for (const auto& process : processes) {
+    process->link.Stop();
+    process->gossip.Stop();
+  }
+  CloseAllConnections(loop);
+  loop.poll();
+}
+
+}  // namespace
+}  // namespace limpethaven
--- /dev/null
+++ b/tests/request_story_test.cc
@@ -0,0 +1,27 @@
+/// @file
+/// One request's story out of many lines.
+#include "log/request_story.h"
+
+#include <catch2/catch.hpp>
+
+namespace limpethaven {
+namespace {
+
+TEST_CASE("request story gathers a request's lines from several VMs in order") {
+  const std::vector<std::string> lines = {
+      "t=30 ev=402 name=request_finished vm=a request=r1 sends=1",
+      "t=10 ev=400 name=request_accepted vm=a request=r1 team=north",
+      "t=15 ev=400 name=request_accepted vm=a request=r12 team=north",
+      "t=20 ev=411 name=placement_decision vm=b request=r1#7f cell=c",
+      "t=21 ev=300 name=member_alive vm=a member=10.0.0.1",
+  };
+  const RequestStory story = ExplainRequest("r1", lines);
+  REQUIRE(story.events ==
+          std::vector<std::string>{lines[1], lines[3], lines[0]});
+  REQUIRE(story.sealed_by == lines[0]);
+  REQUIRE(ExplainRequest("r3", lines).events.empty());
+  REQUIRE(ExplainRequest("r12", lines).sealed_by == "no end in these logs");
+}
+
+}  // namespace
+}  // namespace limpethaven
