Let a fleet that starts at once find itself at once

Ruled out: slow answers of the owner (no cell_owner_lost in the log); the tick that told of readiness each 100 ms (told at once since: no change).

--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -135,6 +135,8 @@
   /// Processor share that this process tells, in thousandths of a core.
   void SetStrength(std::int64_t strength);
   /// Says whether this process has what it needs to serve callers.
+  /// A ping to one member, for one that was heard of through others.
+  [[nodiscard]] OutgoingGossip Greet(const std::string& address);
   void SetServing(bool serving);
   /// Announces that this process is leaving.
   void Leave();
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -155,6 +155,10 @@
   return out;
 }
 
+OutgoingGossip Membership::Greet(const std::string& address) {
+  return OutgoingGossip{address, this->NewMessage(GossipKind::kPing, address)};
+}
+
 Result<std::vector<OutgoingGossip>> Membership::Receive(
     const GossipMessage& message, TimeMs now) {
   if (message.from.address == this->self.address) {
@@ -424,7 +428,10 @@
   const MemberState before = member.news.state;
   const bool changed =
       before != update.state || member.news.incarnation != update.incarnation;
+  const bool serving_changed = member.news.serving != update.serving;
   member.news = update;
+  // Owners of cells are chosen among those that serve: that too is passed on.
+  if (!changed && serving_changed) this->Spread(member.news.address, false);
   if (!changed) return;
   member.since = now;
   this->changes.push_back(MemberChange{member, before});
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -199,12 +199,14 @@
   }
   this->ConfigureCells();
   this->gossip.SetConfig(config->version, config->digest);
+  this->NoteReadiness();
 }
 
 void EntryNode::OnEndpoints() {
   this->endpoints_at = LoopNow();
   this->gossip.SetEndpointsRevision(this->table.Revision());
   this->ConfigureCells();
+  this->NoteReadiness();
 }
 
 void EntryNode::ConfigureCells() {
@@ -244,7 +246,6 @@
 }
 
 Task<> EntryNode::Tick() {
-  bool was_ready = false;
   for (;;) {
     co_await SleepFor(this->loop, kTickMs);
     const TimeMs now = LoopNow();
@@ -253,21 +254,25 @@
     this->state.Tick();
     this->shares.Tick();
     this->cells.Tick(now);
-    const bool is_ready = this->Ready();
-    if (is_ready != was_ready) {
-      was_ready = is_ready;
-      this->gossip.SetServing(is_ready);
-      if (is_ready) {
-        LogEvent(EventId::kProcessReady,
-                 {LogField::Of("version", this->state.Config()->version),
-                  LogField::Of("endpoints", this->table.All().size())});
-      }
-    }
+    this->NoteReadiness();
     if (this->on_tick) this->on_tick(now);
     if (this->leaving) this->TickDrain(now);
   }
 }
 
+void EntryNode::NoteReadiness() {
+  const bool is_ready = this->Ready();
+  if (is_ready == this->was_ready) return;
+  this->was_ready = is_ready;
+  // Owners of cells are chosen among those that serve: until peers know of each
+  // other, each schedules every cell by itself.
+  this->gossip.SetServing(is_ready);
+  if (!is_ready) return;
+  LogEvent(EventId::kProcessReady,
+           {LogField::Of("version", this->state.Config()->version),
+            LogField::Of("endpoints", this->table.All().size())});
+}
+
 void EntryNode::TickDrain(TimeMs now) {
   const DurationMs answers_lapse_ms =
       this->settings.address_ttl_ms * this->settings.stale_answers;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -133,6 +133,8 @@
   Task<> AnswerAddresses(Exchange& exchange);
   Task<> Tick();
   void TickDrain(TimeMs now);
+  /// Tells the peers, at once, when this process begins or ceases to serve.
+  void NoteReadiness();
   void ConfigureCells();
   /// Addresses that callers in a data centre should use.
   [[nodiscard]] std::vector<std::string> AddressesFor(
@@ -162,6 +164,7 @@
   TimeMs started_at = 0;
   TimeMs config_at = 0;     ///< When the configuration was adopted.
   TimeMs endpoints_at = 0;  ///< When news of endpoints last came.
+  bool was_ready = false;
   bool leaving = false;
   bool hurry = false;
   bool idle_closed = false;
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -12,7 +12,7 @@
 /// Members that are told of a new configuration or state at once.
 constexpr std::size_t kNewsFanout = 3;
 /// Members that are told of a leave at once.
-constexpr std::size_t kLeaveFanout = 96;
+constexpr std::size_t kWideFanout = 96;
 
 }  // namespace
 
@@ -65,12 +65,12 @@
 
 void Gossip::SetServing(bool serving) {
   this->membership.SetServing(serving);
-  this->Send(this->membership.Announce(kNewsFanout));
+  this->Send(this->membership.Announce(kWideFanout));
 }
 
 void Gossip::Leave() {
   this->membership.Leave();
-  this->Send(this->membership.Announce(kLeaveFanout));
+  this->Send(this->membership.Announce(kWideFanout));
 }
 
 const Membership& Gossip::Members() const noexcept { return this->membership; }
@@ -86,10 +86,21 @@
   const auto answers = this->membership.Receive(message.value(), LoopNow());
   if (!answers) return;
   this->Send(answers.value());
-  std::ranges::for_each(this->membership.TakeChanges(),
-                        [this](const MemberChange& change) {
-                          this->listener.OnMemberChange(change);
-                        });
+  const std::string& sender = message.value().from.address;
+  std::ranges::for_each(
+      this->membership.TakeChanges(), [&](const MemberChange& change) {
+        this->listener.OnMemberChange(change);
+        // After a start of the whole fleet most hear of each other through a
+        // seed: waiting for the next probe would leave cells with several
+        // owners.
+        const MemberUpdate& news = change.member.news;
+        const bool new_here = change.before == MemberState::kUnknown ||
+                              change.before == MemberState::kDead;
+        if (new_here && news.state == MemberState::kAlive &&
+            news.address != sender) {
+          this->Send({this->membership.Greet(news.address)});
+        }
+      });
   this->listener.OnPeerNews(message.value().from.address,
                             message.value().config_version,
                             message.value().endpoints_revision);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -187,6 +187,28 @@
   REQUIRE(one.ServingAddresses().empty());
 }
 
+TEST_CASE("membership passes on that a member has begun to serve") {
+  Membership one(VmId{"10.0.0.1", 7}, "zone", MembershipSettings{}, 1);
+  Membership two(VmId{"10.0.0.2", 8}, "zone", MembershipSettings{}, 2);
+  Membership three(VmId{"10.0.0.3", 9}, "zone", MembershipSettings{}, 3);
+  two.SetListed({ListedVm{"10.0.0.1", "", false}}, 0);
+  one.SetListed({ListedVm{"10.0.0.3", "", false}}, 0);
+  const auto tell = [](Membership& from, Membership& to, TimeMs now) {
+    for (const OutgoingGossip& ping : from.Tick(now)) {
+      static_cast<void>(to.Receive(ping.message, now));
+    }
+  };
+  // All know that the second is alive; only the first hears that it serves.
+  tell(two, one, 0);
+  static_cast<void>(three.Receive(one.Greet("10.0.0.3").message, 0));
+  static_cast<void>(three.Receive(two.Greet("10.0.0.3").message, 0));
+  two.SetServing(true);
+  tell(two, one, 1000);
+  REQUIRE(three.ServingAddresses().empty());
+  static_cast<void>(three.Receive(one.Greet("10.0.0.3").message, 1000));
+  REQUIRE(three.ServingAddresses() == std::vector<std::string>{"10.0.0.2"});
+}
+
 TEST_CASE(
     "gossip codec refuses what another secret signed and what was changed") {
   GossipMessage message;
