--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -51,7 +51,7 @@
   Tokens kv_tokens = 0;    ///< Tokens that one engine's memory holds.
   std::int64_t kv_bytes_per_token = 0;
   double link_mbps = 0;  ///< Rate of the links between engines, megabits/s.
-  DurationMs handle_ttl_ms = 0;  ///< How long prefilled memory is kept.
+  DurationMs prefill_kept_ms = 0;  ///< How long prefilled memory is kept.
   Tokens tokens_per_event = 1;
   friend auto operator<=>(const EngineSpec&, const EngineSpec&) = default;
 };
--- a/scripts/measure-entry.sh
+++ b/scripts/measure-entry.sh
@@ -77,12 +77,12 @@
 load=$!
 sleep 20
 before=$(ticks)
-tokens() { curl -s 127.0.0.9:8282/metrics | awk '/^limpethaven_tokens_delivered_total/ {print $2}'; }
+tokens() { curl -s 127.0.0.9:8282/metrics | awk '/^limpethaven_tokens_produced_total/ {print $2}'; }
 tokens_before=$(tokens)
 sleep 4
 after=$(ticks)
 tokens_after=$(tokens)
-streams=$(curl -s 127.0.0.9:8282/metrics | awk '/^limpethaven_requests_active/ {print $2}')
+streams=$(curl -s 127.0.0.9:8282/metrics | awk '/^limpethaven_state{item="requests"}/ {print $2}')
 echo "under load: $streams streams, $(echo "($tokens_after - $tokens_before) / 4" | bc) tokens/s, \
 $(echo "scale=2; ($after - $before) / $hertz / 4" | bc) cores, \
 $(awk '/VmRSS/ {print $2 / 1000}' /proc/$entry/status) MB resident, \
--- a/src/core/config_codec.cc
+++ b/src/core/config_codec.cc
@@ -56,7 +56,8 @@
                                         {PoolRole::kMixed, "mixed"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EngineSpec, slots, kv_tokens,
                                                 kv_bytes_per_token, link_mbps,
-                                                handle_ttl_ms, tokens_per_event)
+                                                prefill_kept_ms,
+                                                tokens_per_event)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PoolSpec, name, role, model,
                                                 memory_pieces, checks_fencing,
                                                 endpoints, max_connections,
