--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -26,9 +26,6 @@
 constexpr DurationMs kPullTimeoutMs = 400;
 /// Between pulls while the source does not answer here.
 constexpr DurationMs kPullPeriodMs = 300;
-/// A source that is away for longer may have let endpoints lapse that are
-/// alive; what is missing on its return is kept for this long.
-constexpr DurationMs kKeepMissingMs = 2000;
 /// A watch tells within a few hundred ms; a process that a peer is ahead of for
 /// longer has one that hangs.
 constexpr DurationMs kBehindMs = 700;
@@ -37,12 +34,14 @@
 
 PublishedState::PublishedState(PeerLink& peer_link, const Gossip& peer_gossip,
                                EndpointTable& endpoint_table,
-                               StateListener& state_listener)
+                               StateListener& state_listener,
+                               DurationMs keep_missing)
     : link(peer_link),
       gossip(peer_gossip),
       table(endpoint_table),
       listener(state_listener),
-      config(std::make_shared<const Configuration>()) {
+      config(std::make_shared<const Configuration>()),
+      keep_missing_ms(keep_missing) {
   this->link.Handle(std::string(kStatePath),
                     [this](PeerCall& call) { return this->AnswerState(call); });
 }
@@ -81,8 +80,14 @@
     const std::vector<EndpointRecord>& endpoints, std::uint64_t revision,
     bool complete) {
   const TimeMs now = LoopNow();
+  if (!complete && this->endpoints_known) {
+    // The source may have been away for this process only: peers that followed
+    // it all the while know what is really gone.
+    this->doubtful_until = now + this->keep_missing_ms;
+    this->doubtful_since = this->table.Revision();
+  }
   const std::vector<std::string> gone = this->table.Replace(
-      endpoints, revision, complete ? now : now + kKeepMissingMs, now);
+      endpoints, revision, complete ? now : now + this->keep_missing_ms, now);
   this->endpoints_known = true;
   this->NoteGone(gone);
   this->listener.OnEndpoints();
@@ -134,7 +139,8 @@
     this->ahead_peer.clear();
     return;
   }
-  const bool needs_peer = !this->reachable || !this->Complete();
+  const bool doubtful = now < this->doubtful_until;
+  const bool needs_peer = !this->reachable || !this->Complete() || doubtful;
   if (!needs_peer || this->pulling || now < this->next_pull) return;
   std::vector<std::string> peers = this->gossip.Members().UsableAddresses();
   std::erase(peers, this->gossip.Members().Self().address);
@@ -209,8 +215,11 @@
 }
 
 Task<> PublishedState::Pull(std::string peer) {
+  const bool doubtful = LoopNow() < this->doubtful_until;
   const json ask = {{"version", this->config->version},
-                    {"revision", this->table.Revision()}};
+                    {"revision", doubtful ? std::min(this->doubtful_since,
+                                                     this->table.Revision())
+                                          : this->table.Revision()}};
   const Result<std::string> answer = co_await this->link.Call(
       peer, std::string(kStatePath), ask.dump(), LoopNow() + kPullTimeoutMs);
   this->pulling = false;
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -26,8 +26,14 @@
 /// Configuration and endpoints of one process. Versions never go back.
 class PublishedState final : public SourceListener {
  public:
+  /// A source that was away may have let endpoints lapse that are alive.
+  static constexpr DurationMs kKeepMissingMs = 2000;
+
+  /// @param keep_missing How long what is missing on the source's return is
+  /// kept, unless a peer knows that it is gone.
   PublishedState(PeerLink& peer_link, const Gossip& peer_gossip,
-                 EndpointTable& endpoint_table, StateListener& state_listener);
+                 EndpointTable& endpoint_table, StateListener& state_listener,
+                 DurationMs keep_missing = kKeepMissingMs);
 
   void OnConfiguration(const Configuration& next) override;
   void OnEndpoint(const EndpointRecord& endpoint,
@@ -72,6 +78,9 @@
   std::string ahead_peer;      ///< Has newer endpoints; empty: nobody has.
   std::uint64_t ahead_to = 0;  ///< The revision that it has.
   TimeMs ahead_since = 0;
+  DurationMs keep_missing_ms;
+  TimeMs doubtful_until = 0;         ///< Missing endpoints are kept until then.
+  std::uint64_t doubtful_since = 0;  ///< Revision before the source was away.
 };
 
 }  // namespace limpethaven
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -163,7 +163,10 @@
     if (!memory) this->tried.push_back(reader.id);
   }
   SendOutcome outcome = SendOutcome::kNotSent;
-  if (!memory && !this->core.settings.direct) {
+  // It may have begun to leave while the prompt was read.
+  const EndpointRecord* still = table.Find(engine.id);
+  const bool leaves = still == nullptr || still->leaving;
+  if (leaves || (!memory && !this->core.settings.direct)) {
     this->record.OnSend();
     outcome = reached ? SendOutcome::kBroken : SendOutcome::kNotSent;
   } else if (!this->Gone()) {
@@ -377,10 +380,10 @@
   const bool answering = produced > 0 || this->exchange.Begun();
   const DurationMs elapsed = answering ? 0 : now - begun;
   ask.budget_ms = route.first_token_ms - kFirstTokenMarginMs - elapsed;
-  const TimeMs leaves_at =
-      route.patience_ms > 0
-          ? std::min(this->admitted.deadline, begun + route.patience_ms)
-          : this->admitted.deadline;
+  const bool leaves_early = route.patience_ms > 0 && !answering;
+  const TimeMs leaves_at = leaves_early ? std::min(this->admitted.deadline,
+                                                   begun + route.patience_ms)
+                                        : this->admitted.deadline;
   const bool waits = route.patience_ms > 0 || route.serve_late || answering;
   ask.patience_ms = waits ? std::max<DurationMs>(0, leaves_at - now) : 0;
   // Memory read elsewhere holds the prompt only, not what was produced.
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -263,8 +263,12 @@
 
 TimeMs Session::SilenceDeadline(TimeMs progress_at) const {
   const RouteSpec& route = *this->admitted.route;
+  // Silence alone is no reason to end an answer: only what may be sent again is
+  // left for another endpoint.
+  RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
   const bool elsewhere = route.repeat != RepeatRule::kOnce &&
-                         this->record.Sends() < route.max_sends;
+                         this->record.Sends() < route.max_sends &&
+                         budget.Left(LoopNow()) >= 1.0;
   if (!elsewhere) return this->admitted.deadline;
   const DurationMs call_ms = route.first_token_ms > 0
                                  ? kSilentObjectives * route.first_token_ms
--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kPort = 18'191;
+/// So that only a peer's word can end what is kept.
+constexpr DurationMs kKeepForEver = 3'600'000;
 /// More than any of the waits below, which end sooner when all is well.
 constexpr DurationMs kLimitMs = 20'000;
 
@@ -23,7 +25,7 @@
   Process(Loop& loop, const PeerIdentity& identity)
       : gossip(loop, identity, MembershipSettings{}, *this),
         link(loop, identity),
-        state(link, gossip, table, *this) {
+        state(link, gossip, table, *this, kKeepForEver) {
     REQUIRE(this->link.Start());
     REQUIRE(this->gossip.Start({"127.91.0.1", "127.91.0.2"}));
     this->gossip.SetServing(true);
@@ -101,5 +103,46 @@
   loop.poll();
 }
 
+TEST_CASE(
+    "published state drops what a peer knows to be gone after its own source "
+    "was away") {
+  Loop loop(1);
+  std::vector<std::unique_ptr<Process>> processes;
+  for (int index = 1; index <= 2; ++index) {
+    PeerIdentity identity;
+    identity.self = VmId{"127.91.0." + std::to_string(index),
+                         static_cast<std::uint64_t>(index) + 200};
+    identity.data_centre = "a";
+    identity.port = kPort;
+    processes.push_back(std::make_unique<Process>(loop, identity));
+  }
+  Configuration config;
+  config.version = 1;
+  for (const auto& process : processes) {
+    process->state.OnSourceReachable(true);
+    process->state.OnConfiguration(config);
+    process->state.OnAllEndpoints(
+        {EndpointOf("e1", false), EndpointOf("e2", false)}, 5, true);
+  }
+  // The first follows the source; the second was cut off while e1 went, and
+  // reads everything anew.
+  processes[0]->state.OnEndpointGone("e1", 6);
+  processes[1]->state.OnAllEndpoints({EndpointOf("e2", false)}, 7, false);
+  REQUIRE(processes[1]->table.Find("e1") != nullptr);
+  const TimeMs give_up_at = LoopNow() + kLimitMs;
+  while (processes[1]->table.Find("e1") != nullptr && LoopNow() < give_up_at) {
+    loop.run_for(std::chrono::milliseconds(20));
+    for (const auto& process : processes) process->state.Tick();
+  }
+  REQUIRE(processes[1]->table.Find("e1") == nullptr);
+  REQUIRE(processes[1]->table.Find("e2") != nullptr);
+  for (const auto& process : processes) {
+    process->link.Stop();
+    process->gossip.Stop();
+  }
+  CloseAllConnections(loop);
+  loop.poll();
+}
+
 }  // namespace
 }  // namespace limpethaven
