A request whose decode engine began to leave is placed again, not reported

Reading a prompt apart is no run where decode engines may read prompts too: counting it as one would have answered 502 on routes that run once.

--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -168,7 +168,9 @@
   const bool leaves = still == nullptr || still->leaving;
   if (leaves || (!memory && !this->core.settings.direct)) {
     this->record.OnSend();
-    outcome = reached ? SendOutcome::kBroken : SendOutcome::kNotSent;
+    // Where prompts are read apart from any run, a reading promises nothing.
+    const bool counts = reached && !this->core.settings.direct;
+    outcome = counts ? SendOutcome::kBroken : SendOutcome::kNotSent;
   } else if (!this->Gone()) {
     outcome = co_await this->Generate(placed, engine, std::move(memory));
   }
