Free a loop's waiting coroutines before the parts that they refer to

Test entries freed their node first and their event loop last; the loop's end destroys the coroutines that still wait, and a session's destructor settles its charge in the ledger of the node that was gone. Ruled out: the daemons (RunNode ends by _exit and frees nothing). Change: Loop::EndTasks frees the coroutines while their parts stand; the fixture calls it first.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -6,4 +6,4 @@
   -DLIMPETHAVEN_BENCH=OFF >/dev/null
 cmake --build build-sanitize --target limpethaven_tests
 export UBSAN_OPTIONS=print_stacktrace=1
-RC_PARAMS=seed=20261204 timeout 300 build-sanitize/limpethaven_tests
+RC_PARAMS=seed=20261204 timeout 900 build-sanitize/limpethaven_tests
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -28,7 +28,14 @@
 using boost::system::error_code;
 
 /// The loop that every connection, timer and coroutine of a process runs on.
-using Loop = asio::io_context;
+class Loop : public asio::io_context {
+ public:
+  using asio::io_context::io_context;
+
+  /// Frees every coroutine that still waits. The loop does not run again. To be
+  /// called before the parts that these coroutines refer to are freed.
+  void EndTasks() { this->shutdown(); }
+};
 /// A coroutine on the loop.
 template <typename T = void>
 using Task = asio::awaitable<T>;
--- a/tests/fleet_fixture.h
+++ b/tests/fleet_fixture.h
@@ -28,6 +28,11 @@
 
 /// One entry process's parts, on a thread instead of a process of their own.
 struct EntryUnderTest {
+  EntryUnderTest() = default;
+  ~EntryUnderTest() { this->loop.EndTasks(); }
+  EntryUnderTest(const EntryUnderTest&) = delete;
+  EntryUnderTest& operator=(const EntryUnderTest&) = delete;
+
   EntrySettings settings;
   Loop loop{1};
   std::unique_ptr<NativeSource> source;
