--- a/tests/fleet_fixture.cc
+++ b/tests/fleet_fixture.cc
@@ -321,8 +321,10 @@
   const std::string& secret = entry.settings.fleet_secret;
   dialects.callers = std::make_unique<NativeCallers>(secret);
   dialects.endpoints = std::make_unique<NativeEndpoints>(secret);
-  entry.node = std::make_unique<EntryNode>(
-      entry.loop, NodeSettingsOf(entry.settings), std::move(dialects));
+  NodeSettings node_settings = NodeSettingsOf(entry.settings);
+  node_settings.router.retries = this->settings.retries;
+  entry.node = std::make_unique<EntryNode>(entry.loop, std::move(node_settings),
+                                           std::move(dialects));
   entry.api = std::make_unique<CallerApi>(*entry.node, secret);
   static_cast<void>(entry.node->Start(*entry.source));
   entry.thread = std::thread([&entry] { entry.loop.run(); });
--- a/tests/fleet_fixture.h
+++ b/tests/fleet_fixture.h
@@ -50,6 +50,7 @@
   Tokens burst = 1'000'000;
   std::int64_t rate = 1'000'000;
   bool wait_for_shares = true;
+  RetrySettings retries{};
 };
 
 /// An answer read by a test caller.
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -205,6 +205,28 @@
   REQUIRE(answer.text == AnswerText("stall-1", 300));
 }
 
+TEST_CASE("fleet waits for a silent engine when nothing may be repeated") {
+  FleetSettings settings;
+  settings.retries.ratio = 0.0;
+  settings.retries.fixed = 0.0;
+  FleetFixture fleet(settings);
+  CallerAnswer answer;
+  std::thread caller(
+      [&] { answer = fleet.Complete(0, kNorthKey, "wait-1", 300); });
+  REQUIRE(
+      FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; }, kLimitMs));
+  for (const auto& engine : fleet.decodes) {
+    engine->SetFault(EngineFault::kStall);
+  }
+  // Longer than an engine may be silent while others could go on.
+  std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+  for (const auto& engine : fleet.decodes) engine->SetFault(EngineFault::kNone);
+  caller.join();
+  INFO(answer.body);
+  REQUIRE(answer.done);
+  REQUIRE(answer.text == AnswerText("wait-1", 300));
+}
+
 TEST_CASE("fleet serves round a prefill engine that refuses work") {
   FleetFixture fleet(FleetSettings{});
   fleet.prefills[0]->SetFault(EngineFault::kRefuse);
