A fault soak of the real programs, by seed

scripts/soak.sh starts the stand-ins, three entry VMs and a proxy before every endpoint and the platform; the seed draws what the proxies do (delay, silence, one way, reset, refused connections) and which VM is killed, stopped, paused or told to read again, singly or together, while callers send and configurations are published.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -32,8 +32,32 @@
   done
 }
 
-# example_fleet: the stand-ins and three entry VMs of examples/services; `entry_pid` holds ids.
+# start_entry N: one entry VM; `entry_pid` holds its id.
 declare -A entry_pid
+start_entry() {
+  start "entry-$1" "$bin/limpethaven-entry" --address "127.0.0.$1" --port 8180 --peer-port 8181 \
+    --admin-address "127.0.0.$1" --admin-port 8182 --data-centre "east-$1" \
+    --platform "127.0.0.1:$platform_port" --address-ttl-ms 1000
+  entry_pid[$1]=$started
+}
+
+# start_behind PORT NAME COMMAND...: a stand-in at PORT, or, with `proxy_seed` set, behind a proxy
+# there that disturbs its connections until `faults_until_ms`.
+proxy_seed=
+faults_until_ms=0
+start_behind() {
+  local port=$1 name=$2 own=$1
+  shift 2
+  if [ -n "$proxy_seed" ]; then
+    own=$((port + 100))
+    start "proxy-$port" "$bin/limpethaven-standin" proxy --port "$port" --to "127.0.0.1:$own" \
+      --seed $((proxy_seed * 100000 + port)) --until-ms "$faults_until_ms" > "$work/proxy-$port.out"
+  fi
+  start "$name-$port" "$bin/limpethaven-standin" "$@" --port "$own"
+}
+
+# example_fleet: the stand-ins and three entry VMs of examples/services; `entry_pid` holds ids.
+platform_port=9100
 example_fleet() {
   export LIMPETHAVEN_FLEET_SECRET=demo-fleet-secret-0001
   export LIMPETHAVEN_KEYS="north=demo-key-north-0001,south=demo-key-south-0001"
@@ -45,21 +69,16 @@
  {"address":"127.0.0.2","data_centre":"east-b","leaving":false},
  {"address":"127.0.0.3","data_centre":"east-c","leaving":false}]
 JSON
-  start platform "$bin/limpethaven-standin" platform --port 9100 --directory "$work/values"
+  start_behind 9100 platform platform --directory "$work/values"
   local port n
   for port in 9101 9102; do
-    start "prefill-$port" "$bin/limpethaven-standin" engine --port $port --role prefill --pieces 32
+    start_behind $port prefill engine --role prefill --pieces 32
   done
   for port in 9111 9112; do
-    start "decode-$port" "$bin/limpethaven-standin" engine --port $port --role decode --pieces 32
-  done
-  start service "$bin/limpethaven-standin" service --port 9121
-  for n in 1 2 3; do
-    start "entry-$n" "$bin/limpethaven-entry" --address 127.0.0.$n --port 8180 --peer-port 8181 \
-      --admin-address 127.0.0.$n --admin-port 8182 --data-centre "east-$n" \
-      --platform 127.0.0.1:9100 --address-ttl-ms 1000
-    entry_pid[$n]=$started
+    start_behind $port decode engine --role decode --pieces 32
   done
+  start_behind 9121 service service
+  for n in 1 2 3; do start_entry $n; done
   healthy 127.0.0.1:8182 127.0.0.2:8182 127.0.0.3:8182
   sleep 3  # Shares start empty and fill at the teams' rates.
 }
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -3,11 +3,13 @@
 /// demo.
 
 #include <iostream>
+#include <thread>
 
 #include "cli/flags.h"
 #include "edge/log.h"
 #include "edge/signals.h"
 #include "standin/engine_standin.h"
+#include "standin/fault_proxy.h"
 #include "standin/platform_standin.h"
 #include "standin/service_standin.h"
 
@@ -30,6 +32,22 @@
   return 0;
 }
 
+int ServeProxy(const FaultProxySettings& settings) {
+  Loop loop{1};
+  FaultProxy proxy(loop, settings);
+  if (!proxy.Start()) {
+    std::cerr << "limpethaven-standin: cannot listen on " << settings.address
+              << ':' << settings.port << '\n';
+    return 1;
+  }
+  std::thread thread([&loop] { loop.run(); });
+  WaitForStopSignal(0);
+  loop.stop();
+  thread.join();
+  loop.EndTasks();
+  return 0;
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Stand-ins of engines, services and the platform",
                "limpethaven-standin");
@@ -79,6 +97,21 @@
   AddRangedFlag(*service_command, "--port", service_port, 1, kMaxPort, "port",
                 "Port");
 
+  FaultProxySettings proxy;
+  CLI::App* proxy_command =
+      app.add_subcommand("proxy", "Disturbs the connections through it");
+  AddFlag(*proxy_command, "--address", proxy.address, "IP number to listen on");
+  AddRangedFlag(*proxy_command, "--port", proxy.port, 1, kMaxPort, "port",
+                "Port");
+  AddFlag(*proxy_command, "--to", proxy.to, "IP:port that is proxied")
+      ->required();
+  AddRangedFlag<std::uint64_t>(*proxy_command, "--seed", proxy.seed, 0,
+                               1'000'000'000, "",
+                               "Seed of the faults; 0 plays none");
+  AddRangedFlag<DurationMs>(*proxy_command, "--until-ms", proxy.until_ms, 0,
+                            86'400'000, "ms",
+                            "No fault begins later; 0 has no end");
+
   const FlagOutcome outcome = ParseFlags(app, argc, argv);
   if (!outcome.run) return outcome.exit_code;
   StartLogging("limpethaven-standin");
@@ -90,6 +123,7 @@
     PlatformStandin standin(platform);
     return Serve(standin, "platform");
   }
+  if (proxy_command->parsed()) return ServeProxy(proxy);
   ServiceStandin standin(service_address, service_port);
   return Serve(standin, "service");
 }
