Say how many log lines were lost to a reader that does not read

Cause: lines that a full buffer did not take were counted in the metric only; the log itself never said so (a member for it was there and unused). Change: the next line that fits is preceded by log_lines_dropped event=any with the count.

--- a/src/log/event_log.cc
+++ b/src/log/event_log.cc
@@ -66,8 +66,20 @@
                       TimeMs wall_ms) {
   if (this->buffer.size() > this->bounds.max_buffer_bytes) {
     ++this->dropped;
+    ++this->unread;
     return;
   }
+  if (this->unread > 0) {
+    this->AppendLine(EventId::kLogLinesDropped,
+                     {{"event", "any"}, LogField::Of("lines", this->unread)},
+                     wall_ms);
+    this->unread = 0;
+  }
+  this->AppendLine(event, fields, wall_ms);
+}
+
+void EventLog::AppendLine(EventId event, std::initializer_list<LogField> fields,
+                          TimeMs wall_ms) {
   std::string& line = this->buffer;
   line.append("t=").append(std::to_string(wall_ms));
   line.append(" ev=").append(std::to_string(static_cast<int>(event)));
--- a/src/log/event_log.h
+++ b/src/log/event_log.h
@@ -73,8 +73,11 @@
     std::int64_t dropped = 0;
   };
 
+  /// Adds a line if the buffer has room.
   void Append(EventId event, std::initializer_list<LogField> fields,
               TimeMs wall_ms);
+  void AppendLine(EventId event, std::initializer_list<LogField> fields,
+                  TimeMs wall_ms);
 
   int out;
   LogBounds bounds;
@@ -82,7 +85,7 @@
   std::string buffer;
   std::unordered_map<int, Budget> budgets;  ///< By event number.
   std::uint64_t dropped = 0;
-  std::uint64_t dropped_told = 0;
+  std::int64_t unread = 0;  ///< Lines lost to a reader that does not read.
 };
 
 /// The process's log. Without one, events are dropped.
