Double the pause between tries at a store that does not answer

A third of the VMs is cut off or turned away for 8 to 12 s there, and each went on asking five times a second with both of its watches, though peers tell it what is new every 300 ms.

--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -22,6 +22,7 @@
 #include "limpethaven/rendezvous.h"
 #include "limpethaven/resume_token.h"
 #include "limpethaven/retry_budget.h"
+#include "limpethaven/retry_pause.h"
 #include "limpethaven/share_ledger.h"
 #include "limpethaven/stream_guard.h"
 #include "limpethaven/ticket_book.h"
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -348,5 +348,15 @@
   REQUIRE_FALSE(DecodeHistoryEvent(R"({"kind":"unheard of"})"));
 }
 
+TEST_CASE("a retry's pause doubles up to its limit and begins anew") {
+  RetryPause pause({200, 700});
+  REQUIRE(pause.OnFailure() == 200);
+  REQUIRE(pause.OnFailure() == 400);
+  REQUIRE(pause.OnFailure() == 700);
+  REQUIRE(pause.OnFailure() == 700);
+  pause.OnSuccess();
+  REQUIRE(pause.OnFailure() == 200);
+}
+
 }  // namespace
 }  // namespace limpethaven
