--- a/src/standin/fault_proxy.cc
+++ b/src/standin/fault_proxy.cc
@@ -151,7 +151,8 @@
     this->fault = span.fault;
     std::cout << "proxy at_ms=" << LoopNow() - began
               << " to=" << this->settings.to << " fault=" << NameOf(span.fault)
-              << " for_ms=" << span.for_ms << std::endl;
+              << " for_ms=" << span.for_ms << '\n'
+              << std::flush;
     if (span.fault == ProxyFault::kReset) {
       const auto broken = this->open;
       std::ranges::for_each(broken, [](const auto& row) {
--- a/tests/http_wire_test.cc
+++ b/tests/http_wire_test.cc
@@ -290,7 +290,9 @@
                      co_await AnswerOnce(connection, Answer(200, "second"));
                    }});
   // More than the kernel's buffers hold: the rest can't have left.
-  const HttpAnswer early = calling.Call(std::string(32'000'000, 'x') + "end");
+  std::string body = "end";
+  body.resize(32'000'000, 'x');
+  const HttpAnswer early = calling.Call(std::move(body));
   REQUIRE(early.fault == CallFault::kNone);
   REQUIRE(early.head.status == 413);
   REQUIRE(early.body == "too much");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -253,7 +253,8 @@
   const PlatformEndpoints endpoints;
   CallerRequest request;
   request.attempt_id = "9c41";
-  const auto classify = [&](int status, std::vector<HttpHeader> headers) {
+  const auto classify = [&](int status,
+                            const std::vector<HttpHeader>& headers) {
     ResponseHead head{status, {}};
     for (const HttpHeader& header : headers) {
       head.headers.Add(header.name, header.value);
