--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -11,7 +11,7 @@
 . "$(dirname "$0")/lib.sh"
 
 proxy_seed=$seed
-# The fleet starts undisturbed for as long as an entry needs; faults end before the load does.
+# Proxies begin with a calm, and play no new fault when the load is nearly over.
 faults_until_ms=$(((seconds + 3) * 1000))
 example_fleet
 values=$work/values
