--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,3 +12,5 @@
 scripts/sanitize.sh
 scripts/soak.sh "$build" 1 12
 ctest --test-dir "$build" --output-on-failure --timeout 300
+echo "Known faults, passed over:"
+cat KNOWN-RED.txt
