Readmit an ejected endpoint as soon as its probe succeeds

Cause: a request to an ejected endpoint moved the end of the ejection past its own answer, so that an endpoint that answers within a second was probed for ever and never readmitted. Prefill engines had no success at all: the owner of a cell counts only generations. The failures of one crash also ejected an endpoint several times over. Change: a probe is pending apart from the ejection; its success readmits. Failures during an ejection do not count. A finished prefill counts for its engine. An endpoint that is ejected again within 10 s of its return, as one that fails part of its requests, is ejected for twice as long.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -227,7 +227,8 @@
   /// that a new owner of the cell accounts for what the previous owner placed.
   /// A reservation that ended within the last 10 s is not adopted again.
   void Renew(const std::vector<Renewal>& renewals, TimeMs now);
-  /// Records that the prefill of a reservation has ended.
+  /// Records that the prefill of a reservation has succeeded, which also counts
+  /// for the health of its engine.
   /// @param measured_ms Time from sending the prompt to the engine's answer,
   /// queueing at the engine included.
   void PrefillDone(std::string_view reservation, DurationMs measured_ms,
--- a/include/limpethaven/endpoint_health.h
+++ b/include/limpethaven/endpoint_health.h
@@ -18,10 +18,15 @@
   /// quick succession.
   double eject_threshold = 2.5;
   DurationMs half_life_ms = 5000;  ///< Half-life of the failure count.
-  /// Length of the first ejection; each further one without a success between
-  /// is twice as long.
+  /// Length of the first ejection of a series; each further one is twice as
+  /// long.
   DurationMs initial_ejection_ms = 1000;
   DurationMs max_ejection_ms = 30'000;  ///< Upper limit of an ejection.
+  /// A series ends when the endpoint has not been ejected for this time after
+  /// its return. An endpoint that fails only some of its requests passes
+  /// probes; without the memory of earlier ejections it would return for good
+  /// after each.
+  DurationMs probation_ms = 10'000;
 };
 
 /// Health of endpoints, keyed by address. An address without a recorded failure
@@ -30,32 +35,33 @@
  public:
   explicit EndpointHealth(HealthSettings settings = {});
 
-  /// Counts a failure. An endpoint that has been ejected and is usable again is
-  /// ejected at once by a failure. While it is unusable, after an ejection or
-  /// `OnChosen`, failures only add to the failure count.
+  /// Counts a failure. A failure ejects an endpoint whose failure count reaches
+  /// the threshold, and at once one that has been ejected and may be probed.
+  /// Failures during an ejection have no effect: they are those of requests
+  /// that were sent before it.
   /// @returns whether this failure ejects the endpoint.
   bool OnFailure(std::string_view address, TimeMs now);
-  /// Records a success. It readmits an endpoint that has been ejected and is
-  /// usable again. While the endpoint is unusable, after an ejection or
-  /// `OnChosen`, it has no effect.
-  /// @returns whether it ends a series of ejections.
+  /// Records a success. It readmits an endpoint that has been ejected, unless
+  /// it comes during the ejection and may be that of an earlier request.
+  /// @returns whether it readmits the endpoint.
   bool OnSuccess(std::string_view address, TimeMs now);
   /// Whether the endpoint may get new requests. After an ejection it may get
-  /// one request as a probe; `OnChosen` then makes it unusable again.
+  /// one request as a probe; `OnChosen` then makes it unusable until the probe
+  /// has an outcome, or for `initial_ejection_ms` if that is lost.
   [[nodiscard]] bool Usable(std::string_view address, TimeMs now) const;
   /// Records that a request is sent to the endpoint. After an ejection this
-  /// request is a probe: the endpoint is then unusable for at least
-  /// `initial_ejection_ms`, so that it gets no other requests meanwhile. The
-  /// outcome of the probe readmits the endpoint or ejects it at once only if it
-  /// arrives after that time.
+  /// request is a probe. During one it has no effect.
   void OnChosen(std::string_view address, TimeMs now);
 
  private:
   struct EndpointRow {
     double failure_count = 0;  ///< Decayed to `updated_at`.
     TimeMs updated_at = 0;
+    bool ejected = false;  ///< From an ejection until the next success.
     TimeMs ejected_until = 0;
-    std::int64_t ejection_count = 0;  ///< Ejections since it was last healthy.
+    TimeMs probed_until = 0;          ///< A probe may be pending until then.
+    std::int64_t ejection_count = 0;  ///< Ejections of the present series.
+    TimeMs readmitted_at = 0;
   };
   /// Decays the failure count to `now`.
   void Decay(EndpointRow& row, TimeMs now) const;
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -539,6 +539,7 @@
   ReservationRow& row = found->second;
   EngineRow* engine = state.engines.Find(row.prefill);
   if (engine != nullptr && row.prefilling) {
+    state.engines.engine_health.OnSuccess(row.prefill, now);
     state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
                                row.expected_first_token_ms, measured_ms);
   }
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -9,46 +9,54 @@
 
 bool EndpointHealth::OnFailure(std::string_view address, TimeMs now) {
   EndpointRow& row = this->rows[std::string(address)];
+  if (row.ejected && now < row.ejected_until) return false;
   this->Decay(row, now);
   row.failure_count += 1.0;
-  const bool probe_failed = row.ejection_count > 0 && now >= row.ejected_until;
-  if (row.failure_count < this->settings.eject_threshold && !probe_failed) {
+  if (row.failure_count < this->settings.eject_threshold && !row.ejected) {
     return false;
   }
+  const bool series_ended =
+      !row.ejected && now - row.readmitted_at >= this->settings.probation_ms;
+  if (series_ended) row.ejection_count = 0;
   // The limit keeps the shift below from overflowing.
   const std::int64_t doublings = std::min<std::int64_t>(row.ejection_count, 16);
   const DurationMs ejection_ms =
       std::min(this->settings.max_ejection_ms,
                this->settings.initial_ejection_ms << doublings);
+  row.ejected = true;
   row.ejected_until = now + ejection_ms;
+  row.probed_until = 0;
   ++row.ejection_count;
   row.failure_count = 0;
   return true;
 }
 
 bool EndpointHealth::OnSuccess(std::string_view address, TimeMs now) {
-  const auto row = this->rows.find(std::string(address));
-  if (row == this->rows.end()) return false;
-  this->Decay(row->second, now);
-  // A success while the endpoint is unusable may be that of a request sent
-  // before the ejection, so it does not show that the endpoint has recovered.
-  if (row->second.ejection_count == 0 || now < row->second.ejected_until) {
-    return false;
-  }
-  this->rows.erase(row);
+  const auto found = this->rows.find(std::string(address));
+  if (found == this->rows.end()) return false;
+  EndpointRow& row = found->second;
+  // A success during the ejection may be that of a request sent before it, so
+  // it does not show that the endpoint has recovered.
+  if (!row.ejected || now < row.ejected_until) return false;
+  row.ejected = false;
+  row.probed_until = 0;
+  row.readmitted_at = now;
   return true;
 }
 
 bool EndpointHealth::Usable(std::string_view address, TimeMs now) const {
-  const auto row = this->rows.find(std::string(address));
-  return row == this->rows.end() || now >= row->second.ejected_until;
+  const auto found = this->rows.find(std::string(address));
+  if (found == this->rows.end() || !found->second.ejected) return true;
+  const EndpointRow& row = found->second;
+  return now >= std::max(row.ejected_until, row.probed_until);
 }
 
 void EndpointHealth::OnChosen(std::string_view address, TimeMs now) {
-  const auto row = this->rows.find(std::string(address));
-  if (row == this->rows.end() || row->second.ejection_count == 0) return;
-  row->second.ejected_until = std::max(
-      row->second.ejected_until, now + this->settings.initial_ejection_ms);
+  const auto found = this->rows.find(std::string(address));
+  if (found == this->rows.end()) return;
+  EndpointRow& row = found->second;
+  if (!row.ejected || now < row.ejected_until) return;
+  row.probed_until = now + this->settings.initial_ejection_ms;
 }
 
 void EndpointHealth::Decay(EndpointRow& row, TimeMs now) const {
--- a/tests/cell_scheduler_test.cc
+++ b/tests/cell_scheduler_test.cc
@@ -100,6 +100,24 @@
   REQUIRE(late[0].error.kind == ErrorKind::kDeadline);
 }
 
+// Guards against prefill engines that stay ejected because nothing counts their
+// successes.
+TEST_CASE("cell readmits a prefill engine when its probe succeeds") {
+  CellScheduler cell("m/0", "o");
+  cell.Configure(PrefillAndDecodeEngine(8), 0);
+  for (int failure = 0; failure < 3; ++failure) cell.EngineFailed("p:1", 0);
+  const auto place = [&cell](const std::string& id, TimeMs now) {
+    cell.Submit(Request(id, 1500, 400), now);
+    return CommandsOf<PlaceCommand>(cell.Tick(now));
+  };
+  REQUIRE(place("r1", 500).empty());
+  cell.Withdraw("r1", 500);
+  const auto probe = place("r2", 1100);
+  REQUIRE(probe.size() == 1);
+  cell.PrefillDone(probe[0].placement.reservation, 50, 1150);
+  REQUIRE(place("r3", 1160).size() == 1);
+}
+
 TEST_CASE(
     "cell repeats the cancel of an expired lease until the engine confirms "
     "it") {
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -107,6 +107,75 @@
   REQUIRE(health.Usable("a", 4200));
 }
 
+// A probe of a fast endpoint is answered long before the next one is due. A
+// success that does not count then would leave the endpoint ejected for good.
+TEST_CASE("endpoint health readmits an endpoint as soon as its probe succeeds") {
+  constexpr DurationMs kAnswerMs = 15;
+  constexpr DurationMs kCallPeriodMs = 20;
+  EndpointHealth health;
+  for (TimeMs now = 0; now < 3; ++now) health.OnFailure("a", now);
+  std::int64_t allowed = 0;
+  std::int64_t calls = 0;
+  for (TimeMs now = kCallPeriodMs; now < 300'000; now += kCallPeriodMs) {
+    ++calls;
+    if (!health.Usable("a", now)) continue;
+    ++allowed;
+    health.OnChosen("a", now);
+    health.OnSuccess("a", now + kAnswerMs);
+  }
+  // The ejection of one second refuses 50 calls.
+  REQUIRE(calls - allowed <= 51);
+}
+
+TEST_CASE("endpoint health sends one probe at a time") {
+  EndpointHealth health;
+  for (TimeMs now = 0; now < 3; ++now) health.OnFailure("a", now);
+  REQUIRE(health.Usable("a", 1002));
+  health.OnChosen("a", 1002);
+  REQUIRE_FALSE(health.Usable("a", 1003));
+  // The outcome of the probe was lost.
+  REQUIRE(health.Usable("a", 2002));
+  health.OnChosen("a", 2002);
+  REQUIRE(health.OnFailure("a", 2010));
+  REQUIRE_FALSE(health.Usable("a", 4009));
+}
+
+// All requests that an endpoint holds fail together when it crashes.
+TEST_CASE("endpoint health counts the failures of one crash once") {
+  EndpointHealth health;
+  for (int request = 0; request < 40; ++request) health.OnFailure("a", 10);
+  REQUIRE_FALSE(health.Usable("a", 1009));
+  REQUIRE(health.Usable("a", 1010));
+}
+
+TEST_CASE(
+    "endpoint health ejects an endpoint that fails part of its requests for "
+    "longer each time") {
+  EndpointHealth health;
+  std::int64_t failures = 0;
+  std::int64_t calls = 0;
+  for (TimeMs now = 0; now < 120'000; now += 20) {
+    if (!health.Usable("a", now)) continue;
+    health.OnChosen("a", now);
+    // Two of five calls fail.
+    if (++calls % 5 < 2) {
+      ++failures;
+      health.OnFailure("a", now + 5);
+    } else {
+      health.OnSuccess("a", now + 15);
+    }
+  }
+  REQUIRE(failures <= 60);
+  // Sound again, it returns and is forgiven.
+  for (TimeMs now = 160'000; now < 180'000; now += 20) {
+    health.OnChosen("a", now);
+    health.OnSuccess("a", now + 15);
+  }
+  for (TimeMs now = 180'000; now < 180'003; ++now) health.OnFailure("a", now);
+  REQUIRE_FALSE(health.Usable("a", 181'001));
+  REQUIRE(health.Usable("a", 181'002));
+}
+
 TEST_CASE("endpoint health does not eject for failures that lie far apart") {
   EndpointHealth health;
   // 20 s between failures is four half-lives, so the count never reaches the
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -214,7 +214,10 @@
   for (std::size_t index = 0; index < this->settings.prefill_engines; ++index) {
     add("scribe", PoolRole::kPrefill);
   }
-  add("shop", PoolRole::kService);
+  for (std::size_t index = 0; index < this->settings.service_endpoints;
+       ++index) {
+    add("shop", PoolRole::kService);
+  }
   this->source = std::move(fixed);
   for (std::size_t index = 0; index < this->settings.entries; ++index) {
     this->addresses.push_back(NextLoopbackIp());
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -72,6 +72,7 @@
   std::size_t entries = 3;
   std::size_t engines = 8;          ///< Decode engines.
   std::size_t prefill_engines = 0;  ///< Listed after the decode engines.
+  std::size_t service_endpoints = 1;  ///< Listed last.
   RepeatRule repeat = RepeatRule::kOnce;
   RetrySettings retries{0.2, 50, 10'000};
   /// Time limit of each request of a caller.
