Let fencing tokens of one start grow without wrapping

Cause: only 12 bits of the counter of orders entered a token, so that order 4,096 got a lower token than the one before it, and engines that check fencing refused all later orders of that start. Change: the counter carries into the minutes, and it advances with the minutes since the first plan, so that an engine that passes back to a process that started earlier gets higher tokens too.

--- a/include/limpethaven/order_planner.h
+++ b/include/limpethaven/order_planner.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <iosfwd>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,8 +53,8 @@
 /// the start time of the owner in minutes, then by its order counter.
 /// @param config_version Only the low 26 bits are used.
 /// @param incarnation Incarnation of the owner, from `MakeIncarnation`.
-/// @param counter Number of the order. Only the low 12 bits are used, so the
-/// order of tokens by counter holds for the first 4,095 orders of one start.
+/// @param counter Number of the order. Orders beyond 4,095 count into the next
+/// minutes, so that a later order of one start always has a higher token.
 [[nodiscard]] std::uint64_t MakeFencingToken(std::uint64_t config_version,
                                              std::uint64_t incarnation,
                                              std::uint64_t counter) noexcept;
@@ -76,7 +77,9 @@
   /// that do not check fencing tokens: if such an engine acted on an outdated
   /// order, its state differs from the goal and it gets a new order.
   void Observe(const std::string& engine, const EngineState& state, TimeMs now);
-  /// Returns the orders to send at `now`, and records them as sent.
+  /// Returns the orders to send at `now`, and records them as sent. Their
+  /// fencing tokens are higher than those of processes that sent their last
+  /// order in an earlier minute, also of processes that started later.
   [[nodiscard]] std::vector<PlannedOrder> Plan(const Configuration& config,
                                                TimeMs now);
 
@@ -93,6 +96,8 @@
   std::uint64_t incarnation;
   OrderSettings settings;
   std::uint64_t counter = 0;
+  /// Time of the first call of `Plan`.
+  std::optional<TimeMs> first_plan_at;
   /// Owned engines, keyed by address.
   std::map<std::string, OwnedEngine, std::less<>> rows;
 };
--- a/src/core/order_planner.cc
+++ b/src/core/order_planner.cc
@@ -7,11 +7,11 @@
 namespace {
 
 /// Layout of a fencing token, from the high bits: 26 bits of configuration
-/// version, 26 bits of start time in minutes, 12 bits of counter.
+/// version, then the sum of the start time in minutes, shifted by 12 bits, and
+/// the counter.
 constexpr unsigned kVersionShift = 38;
-constexpr unsigned kStartMinuteShift = 12;
-constexpr std::uint64_t kStartMinuteMask = (1ULL << 26U) - 1;
-constexpr std::uint64_t kCounterMask = (1ULL << kStartMinuteShift) - 1;
+constexpr unsigned kMinuteShift = 12;
+constexpr std::uint64_t kOrderMask = (1ULL << kVersionShift) - 1;
 /// Bit position of the start time, in milliseconds, in an incarnation.
 constexpr std::uint64_t kIncarnationMsShift = 16;
 constexpr std::uint64_t kMsPerMinute = 60'000;
@@ -33,8 +33,7 @@
   const std::uint64_t start_minute =
       (incarnation >> kIncarnationMsShift) / kMsPerMinute;
   return (config_version << kVersionShift) |
-         ((start_minute & kStartMinuteMask) << kStartMinuteShift) |
-         (counter & kCounterMask);
+         (((start_minute << kMinuteShift) + counter) & kOrderMask);
 }
 
 OrderPlanner::OrderPlanner(std::uint64_t process_incarnation,
@@ -66,6 +65,10 @@
 
 std::vector<PlannedOrder> OrderPlanner::Plan(const Configuration& config,
                                              TimeMs now) {
+  if (!this->first_plan_at) this->first_plan_at = now;
+  const auto elapsed_minutes =
+      static_cast<std::uint64_t>(now - *this->first_plan_at) / kMsPerMinute;
+  this->counter = std::max(this->counter, elapsed_minutes << kMinuteShift);
   std::vector<PlannedOrder> orders;
   std::int64_t loading = 0;
   // Engines that serve their goal are no longer loading. They are found first,
--- a/tests/order_planner_test.cc
+++ b/tests/order_planner_test.cc
@@ -53,6 +53,41 @@
           MakeFencingToken(2, early_start, 1));
 }
 
+// A counter that wrapped would let an engine that checks fencing refuse the
+// later orders.
+TEST_CASE("fencing tokens grow with every order of one start") {
+  const std::uint64_t start = MakeIncarnation(1'780'000'000'000, 1);
+  std::uint64_t last = 0;
+  for (std::uint64_t counter = 1; counter < 20'000; ++counter) {
+    const std::uint64_t token = MakeFencingToken(7, start, counter);
+    REQUIRE(token > last);
+    last = token;
+  }
+  REQUIRE(MakeFencingToken(8, start, 1) > last);
+}
+
+// An engine may pass from a process to one that started earlier.
+TEST_CASE(
+    "orders have higher fencing tokens than orders of an earlier minute, "
+    "whichever process started first") {
+  constexpr TimeMs kMinuteMs = 60'000;
+  const Configuration config = ConfigWithGoal({"e1"}, "v1", 1);
+  const auto order = [&config](OrderPlanner& planner, TimeMs now) {
+    planner.SetOwned({"e1"}, now);
+    planner.Observe("e1", EngineState{"m", "v0", "decode", 0}, now);
+    const auto planned = planner.Plan(config, now);
+    REQUIRE(planned.size() == 1);
+    return planned[0].order.fence;
+  };
+  const OrderSettings settings{.lease_ms = 0, .repeat_interval_ms = 0};
+  OrderPlanner first(MakeIncarnation(1'780'000'000'000, 1), settings);
+  OrderPlanner later(MakeIncarnation(1'780'000'000'000 + 5 * kMinuteMs, 1),
+                     settings);
+  static_cast<void>(order(first, 0));
+  const std::uint64_t earlier_order = order(later, 0);
+  REQUIRE(order(first, 6 * kMinuteMs) > earlier_order);
+}
+
 TEST_CASE(
     "order planner sends no order before an earlier owner's lease has ended") {
   const Configuration config = ConfigWithGoal({"e1"}, "v1", 1);
