Report a broken run as such when it cannot be reconnected

Cause: the outcome of a reconnection took the place of the run's own; one that was not sent, or that the engine turned away, made the request one that has not run. Failed before, in a trial with this line taken back: the engine of a run is stopped, the caller is told ran:no.

--- a/include/limpethaven/request_record.h
+++ b/include/limpethaven/request_record.h
@@ -35,6 +35,12 @@
   kAnswered,  ///< The endpoint sent a complete answer.
 };
 
+/// Outcome of a run after a reconnection to it has ended. A reconnection that
+/// was not sent, or that the endpoint turned away, says nothing about the run
+/// itself, which may have run.
+[[nodiscard]] SendOutcome AfterReconnect(SendOutcome run,
+                                         SendOutcome reconnect) noexcept;
+
 /// Action after a send has ended.
 enum class NextStep {
   /// Send to another endpoint: the whole request, or what remains of an answer
--- a/src/core/request_record.cc
+++ b/src/core/request_record.cc
@@ -16,6 +16,12 @@
 
 }  // namespace
 
+SendOutcome AfterReconnect(SendOutcome run, SendOutcome reconnect) noexcept {
+  const bool reached_run = reconnect != SendOutcome::kNotSent &&
+                           reconnect != SendOutcome::kNotRun;
+  return reached_run ? reconnect : run;
+}
+
 RequestRecord::RequestRecord(RepeatRule repeat_rule, std::int64_t sends_allowed)
     : rule(repeat_rule), max_sends(sends_allowed) {}
 
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -332,7 +332,8 @@
               {"why", std::string(NameOf(outcome))}});
     Dispatch dispatch = this->MakeRunDispatch(placed, engine);
     dispatch.reattach = true;
-    outcome = co_await this->Send(std::move(dispatch));
+    const SendOutcome reconnect = co_await this->Send(std::move(dispatch));
+    outcome = AfterReconnect(outcome, reconnect);
     // The new connection brought no events either: the endpoint has stalled.
     if (outcome == SendOutcome::kSilent && !this->Progressed()) break;
   }
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -117,6 +117,30 @@
                                 kWaitLimitMs));
 }
 
+// The engine ends while it runs the request, so that no reconnection can be
+// sent. Guards against the report that the request has not run.
+TEST_CASE("fleet does not report a run as not run when its engine has ended") {
+  FleetFixture fleet(FleetSettings{.decode_engines = 1});
+  const auto client = NewHttpClient(fleet.AddressOf(0), kWaitLimitMs);
+  httplib::Request request = PostRequest(
+      "/v1/completions",
+      R"({"model":"model-1","prompt":"p","max_tokens":9000,"stream":false})");
+  request.set_header("Authorization", std::string("Bearer ") + kNorthKey);
+  std::string body;
+  std::thread caller([&] {
+    const auto response = client->send(request);
+    if (response) body = response->body;
+  });
+  REQUIRE(FleetFixture::WaitFor([&] { return fleet.PiecesHeld() > 0; },
+                                kWaitLimitMs));
+  fleet.decodes[0]->Stop();
+  caller.join();
+  const auto error = ErrorFromJsonBody(body);
+  REQUIRE(error);
+  INFO(body);
+  REQUIRE(error->ran != Ran::kNo);
+}
+
 /// Closes the stream after the first event.
 class StopAfterFirstEvent final : public StreamObserver {
  public:
--- a/tests/request_record_test.cc
+++ b/tests/request_record_test.cc
@@ -105,6 +105,23 @@
   });
 }
 
+// An engine that has crashed accepts no reconnection to the run that it broke.
+TEST_CASE("a reconnection that fails does not turn a broken run into no run") {
+  for (const SendOutcome reconnect :
+       {SendOutcome::kNotSent, SendOutcome::kNotRun}) {
+    RequestRecord record(RepeatRule::kOnce, 3);
+    record.OnAdmitted();
+    record.OnSend();
+    REQUIRE(record.OnOutcome(AfterReconnect(SendOutcome::kBroken, reconnect),
+                             true) == NextStep::kReport);
+    REQUIRE(record.MayHaveRun() != Ran::kNo);
+  }
+  REQUIRE(AfterReconnect(SendOutcome::kBroken, SendOutcome::kAnswered) ==
+          SendOutcome::kAnswered);
+  REQUIRE(AfterReconnect(SendOutcome::kBroken, SendOutcome::kSilent) ==
+          SendOutcome::kSilent);
+}
+
 TEST_CASE(
     "request record retries a timed-out send only if rule and budget allow") {
   RequestRecord once(RepeatRule::kOnce, 3);
