--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -81,9 +81,11 @@
   std::size_t cache_blocks = 512;
   /// Most requests that may wait; further ones are refused.
   std::size_t max_queue = 4096;
-  /// Cool-down of an engine that refused a request for lack of memory; it gets
-  /// no new requests until it ends.
-  DurationMs memory_full_cooldown_ms = 150;
+  /// Cool-down of an engine that refused a request for lack of memory or for
+  /// its load; it gets no new requests until it ends. Each further refusal
+  /// without a success between doubles it.
+  DurationMs refusal_cooldown_ms = 150;
+  DurationMs max_refusal_cooldown_ms = 1200;
 };
 
 /// An engine of the cell.
@@ -119,7 +121,11 @@
   /// The decode engine prefills the prompt itself, also where
   /// `CellSettings::allow_local_prefill` is off.
   bool force_local_prefill = false;
-  /// Engines that failed this request in earlier attempts.
+  /// Whether a prefill engine still holds the KV cache of the prompt, so that
+  /// only a decode engine is needed.
+  bool prefilled = false;
+  /// Engines that failed this request in earlier attempts, or that want no
+  /// request from its entry process.
   std::vector<std::string> excluded;
   friend auto operator<=>(const PlacementRequest&,
                           const PlacementRequest&) = default;
@@ -241,8 +247,8 @@
   void EngineFailed(std::string_view engine, TimeMs now);
   /// Counts a served request for the engine's health.
   void EngineServed(std::string_view engine, TimeMs now);
-  /// Starts the cool-down of an engine that had no memory for a request that
-  /// was placed there.
+  /// Starts the cool-down of an engine that refused a request which was placed
+  /// there, for lack of memory or for its load.
   void EngineFull(std::string_view engine, TimeMs now);
   /// Counts a failed fetch of KV memory from the prefill engine that holds it.
   /// Repeated failures exclude the engine from prefill for a while.
--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -12,6 +12,7 @@
 
 #include "limpethaven/clock.h"
 #include "limpethaven/config_model.h"
+#include "limpethaven/leaving_endpoints.h"
 
 namespace limpethaven {
 
@@ -25,7 +26,8 @@
   std::string pool;
   PoolRole role = PoolRole::kService;
   std::int64_t slots = 1;  ///< Requests that the endpoint runs at once.
-  /// Whether the endpoint is draining and accepts no new requests.
+  /// Whether the endpoint is draining and accepts no new requests, by the
+  /// source or by its own word.
   bool leaving = false;
   friend auto operator<=>(const EndpointRecord&,
                           const EndpointRecord&) = default;
@@ -47,6 +49,10 @@
   /// Adds or replaces an endpoint that was announced at `revision`.
   /// @returns true when the endpoint is new or differs from the earlier one.
   bool Put(const EndpointRecord& endpoint, std::uint64_t revision);
+  /// Marks an endpoint as leaving by its own word, which holds for this
+  /// incarnation whatever is announced. The endpoint need not be known.
+  /// @returns whether this is news.
+  bool MarkLeaving(const LeavingEndpoint& endpoint, TimeMs now);
   /// Removes an endpoint as of `revision`. Raises `Revision()` to `revision` if
   /// it is lower, even when nothing is removed.
   /// @returns true when the endpoint was present and had no newer update.
@@ -70,6 +76,8 @@
       std::string_view pool) const;
   /// All endpoints that are not removed, sorted by id.
   [[nodiscard]] std::vector<EndpointRecord> All() const;
+  /// Endpoints that are leaving by their own word.
+  [[nodiscard]] LeavingEndpoints& SaidLeaving() noexcept;
   /// Highest revision of the updates received, applied or not.
   [[nodiscard]] std::uint64_t Revision() const noexcept;
   /// Endpoints that were announced and ids of endpoints that were removed, each
@@ -91,6 +99,7 @@
     TimeMs remove_at = 0;
   };
 
+  LeavingEndpoints said_leaving;
   NamedTable<Row> rows;  ///< Keyed by endpoint id; includes tombstones.
   std::uint64_t highest_revision = 0;
 };
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -59,6 +59,8 @@
   kEndpointReturned = 471,
   kEndpointLimitNamed = 472,
   kEndpointLimitEnded = 473,
+  kEndpointPaused = 474,
+  kEndpointPauseEnded = 475,
   kPromptCrashRecorded = 480,
   kPromptQuarantined = 481,
   kPromptReleased = 482,
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -24,6 +24,7 @@
 #include "limpethaven/clock.h"
 #include "limpethaven/error.h"
 #include "limpethaven/interfaces.h"
+#include "limpethaven/leaving_endpoints.h"
 #include "limpethaven/prompt_quarantine.h"
 #include "limpethaven/vm_id.h"
 
@@ -136,6 +137,9 @@
   std::vector<MemberUpdate> updates;
   /// Evidence against parts of prompts; `Membership` neither reads nor sets it.
   std::vector<PartEvidence> evidence;
+  /// Endpoints that are leaving by their own word; `Membership` neither reads
+  /// nor sets them.
+  std::vector<LeavingEndpoint> leaving_endpoints;
   friend auto operator<=>(const GossipMessage&, const GossipMessage&) = default;
 };
 
--- a/src/core/cell_engines.cc
+++ b/src/core/cell_engines.cc
@@ -146,6 +146,10 @@
   EngineChoice choice;
   this->ChooseDecode(request, expected, now, choice);
   if (choice.decode == kNoEngine) return choice;
+  if (request.prefilled) {
+    choice.first_token_ms = this->IdlePrefillMs(0);
+    return choice;
+  }
   if (!request.force_local_prefill) this->ChoosePrefill(request, now, choice);
   const bool may_prefill_locally =
       this->settings.allow_local_prefill || request.force_local_prefill;
@@ -210,6 +214,13 @@
   return sum;
 }
 
+bool CellEngines::AnyFor(const PlacementRequest& request) const {
+  return std::ranges::any_of(this->rows, [&request](const EngineRow& engine) {
+    return engine.configured && !engine.spec.leaving && engine.CanDecode() &&
+           !IsExcluded(request, engine.spec.id);
+  });
+}
+
 Tokens CellEngines::LargestMemory() const {
   Tokens largest = 0;
   std::ranges::for_each(this->rows, [&largest](const EngineRow& engine) {
@@ -289,7 +300,7 @@
   for (std::size_t index = 0; index < this->rows.size(); ++index) {
     const EngineRow& engine = this->rows[index];
     if (!engine.usable || !engine.CanDecode() ||
-        now < engine.memory_full_until) {
+        now < engine.refusing_until) {
       continue;
     }
     const auto running_generations =
@@ -327,7 +338,8 @@
   double second_best = std::numeric_limits<double>::max();
   for (std::size_t index = 0; index < this->rows.size(); ++index) {
     const EngineRow& engine = this->rows[index];
-    if (!engine.usable || !engine.CanPrefill() || !engine.kv_fetchable) {
+    if (!engine.usable || !engine.CanPrefill() || !engine.kv_fetchable ||
+        now < engine.refusing_until) {
       continue;
     }
     if (!this->settings.allow_local_prefill &&
--- a/src/core/cell_engines.h
+++ b/src/core/cell_engines.h
@@ -61,8 +61,8 @@
   std::map<std::string, Generation, std::less<>> generations;
   /// Memory that the engine reports for attempts without a reservation here.
   Tokens unreserved_tokens = 0;
-  /// End of the cool-down after a refusal for lack of memory.
-  TimeMs memory_full_until = 0;
+  TimeMs refusing_until = 0;     ///< End of the cool-down after a refusal.
+  std::int64_t refusals = 0;     ///< Refusals since the last success.
   std::int64_t running_prefills = 0;
   /// Expected end of the prefill work that was placed on it.
   TimeMs prefill_busy_until = 0;
@@ -128,6 +128,8 @@
   /// @param request_token_ms Memory of one request multiplied by the time for
   /// which it is held.
   [[nodiscard]] Tokens UsableMemory(double request_token_ms) const;
+  /// Whether any decode engine may take the request at some time.
+  [[nodiscard]] bool AnyFor(const PlacementRequest& request) const;
   /// Memory of the largest configured decode engine, usable or not; 0 if there
   /// is none.
   [[nodiscard]] Tokens LargestMemory() const;
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -448,6 +448,12 @@
     return state.Refuse(id, ErrorKind::kNoEndpoint,
                         "the cell has no decode engine", 0);
   }
+  if (!state.engines.AnyFor(request)) {
+    return state.Refuse(id, ErrorKind::kCapacity,
+                        "every decode engine of the cell has failed or refused "
+                        "the request, or is leaving",
+                        0);
+  }
   if (tokens > largest) {
     return state.Refuse(id, ErrorKind::kBodyTooLarge,
                         "the request needs " + std::to_string(tokens) +
@@ -540,6 +546,7 @@
   EngineRow* engine = state.engines.Find(row.prefill);
   if (engine != nullptr && row.prefilling) {
     state.engines.engine_health.OnSuccess(row.prefill, now);
+    if (now >= engine->refusing_until) engine->refusals = 0;
     state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
                                row.expected_first_token_ms, measured_ms);
   }
@@ -558,13 +565,20 @@
 
 void CellScheduler::EngineServed(std::string_view engine, TimeMs now) {
   this->tables->engines.engine_health.OnSuccess(engine, now);
+  EngineRow* row = this->tables->engines.Find(engine);
+  if (row != nullptr && now >= row->refusing_until) row->refusals = 0;
 }
 
 void CellScheduler::EngineFull(std::string_view engine, TimeMs now) {
-  if (EngineRow* row = this->tables->engines.Find(engine)) {
-    row->memory_full_until =
-        now + this->tables->settings.memory_full_cooldown_ms;
-  }
+  EngineRow* row = this->tables->engines.Find(engine);
+  // Refusals during the cool-down are those of requests placed before it.
+  if (row == nullptr || now < row->refusing_until) return;
+  const CellSettings& settings = this->tables->settings;
+  // The limit keeps the shift from overflowing.
+  const std::int64_t doublings = std::min<std::int64_t>(row->refusals++, 16);
+  row->refusing_until =
+      now + std::min(settings.max_refusal_cooldown_ms,
+                     settings.refusal_cooldown_ms << doublings);
 }
 
 void CellScheduler::KvFetchFailed(std::string_view engine, TimeMs now) {
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -24,14 +24,30 @@
   this->highest_revision = std::max(this->highest_revision, revision);
   Row& row = this->rows[endpoint.id];
   if (revision < row.revision) return false;
+  EndpointRecord next = endpoint;
+  next.leaving = next.leaving ||
+                 this->said_leaving.Contains(endpoint.id, endpoint.born);
   const bool unchanged =
-      row.revision != 0 && !row.removed && row.endpoint == endpoint;
+      row.revision != 0 && !row.removed && row.endpoint == next;
   // A row that was just inserted has revision 0, so a stored row has at
   // least 1.
-  row = Row{endpoint, std::max<std::uint64_t>(1, revision), false};
+  row = Row{std::move(next), std::max<std::uint64_t>(1, revision), false};
   return !unchanged;
 }
 
+bool EndpointTable::MarkLeaving(const LeavingEndpoint& endpoint, TimeMs now) {
+  if (!this->said_leaving.Add(endpoint, now)) return false;
+  const auto row = this->rows.find(endpoint.id);
+  if (row != this->rows.end() && row->second.endpoint.born <= endpoint.born) {
+    row->second.endpoint.leaving = true;
+  }
+  return true;
+}
+
+LeavingEndpoints& EndpointTable::SaidLeaving() noexcept {
+  return this->said_leaving;
+}
+
 bool EndpointTable::Remove(std::string_view id, std::uint64_t revision) {
   this->highest_revision = std::max(this->highest_revision, revision);
   const auto row = this->rows.find(id);
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -56,6 +56,8 @@
     EventRow{EventId::kEndpointReturned, "endpoint_returned"},
     EventRow{EventId::kEndpointLimitNamed, "endpoint_limit_named"},
     EventRow{EventId::kEndpointLimitEnded, "endpoint_limit_ended"},
+    EventRow{EventId::kEndpointPaused, "endpoint_paused"},
+    EventRow{EventId::kEndpointPauseEnded, "endpoint_pause_ended"},
     EventRow{EventId::kPromptCrashRecorded, "prompt_crash_recorded"},
     EventRow{EventId::kPromptQuarantined, "prompt_quarantined"},
     EventRow{EventId::kPromptReleased, "prompt_released"},
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -12,8 +12,13 @@
 
 /// Bytes of the HMAC-SHA-256 that are sent as the authentication tag.
 constexpr std::size_t kTagBytes = 16;
-/// Elements of the CBOR array of a message without evidence.
+/// Elements of the CBOR array of a message without evidence and leaving
+/// endpoints, which follow in this order. Later versions may append others.
 constexpr std::size_t kMessageFieldCount = 13;
+constexpr std::size_t kEvidenceIndex = kMessageFieldCount;
+constexpr std::size_t kLeavingIndex = kMessageFieldCount + 1;
+/// Elements of the CBOR array of a leaving endpoint.
+constexpr std::size_t kLeavingFieldCount = 2;
 /// Elements of the CBOR array of an update.
 constexpr std::size_t kUpdateFieldCount = 7;
 /// Elements of the CBOR array of the evidence against a part of prompts.
@@ -77,11 +82,14 @@
   return evidence;
 }
 
+LeavingEndpoint LeavingFrom(const json& in) {
+  if (in.size() != kLeavingFieldCount) throw std::out_of_range("leaving");
+  return LeavingEndpoint{in.at(0).get<std::string>(),
+                         in.at(1).get<std::int64_t>()};
+}
+
 GossipMessage MessageFrom(const json& in) {
-  const bool has_evidence = in.size() == kMessageFieldCount + 1;
-  if (in.size() != kMessageFieldCount && !has_evidence) {
-    throw std::out_of_range("message");
-  }
+  if (in.size() < kMessageFieldCount) throw std::out_of_range("message");
   GossipMessage message;
   message.kind = EnumFrom(in.at(0), GossipKind::kRelayedPing);
   message.from =
@@ -99,10 +107,15 @@
   message.from_cpu_millicores = in.at(12).get<std::int64_t>();
   std::ranges::transform(in.at(10), std::back_inserter(message.updates),
                          UpdateFrom);
-  if (has_evidence) {
-    std::ranges::transform(in.at(kMessageFieldCount),
+  if (in.size() > kEvidenceIndex) {
+    std::ranges::transform(in.at(kEvidenceIndex),
                            std::back_inserter(message.evidence), EvidenceFrom);
   }
+  if (in.size() > kLeavingIndex) {
+    std::ranges::transform(in.at(kLeavingIndex),
+                           std::back_inserter(message.leaving_endpoints),
+                           LeavingFrom);
+  }
   return message;
 }
 
@@ -124,12 +137,22 @@
                    updates, message.from_serving, message.from_cpu_millicores});
   // Left out when empty, so that processes of an earlier version can read the
   // message.
-  if (!message.evidence.empty()) {
+  const bool has_leaving = !message.leaving_endpoints.empty();
+  if (!message.evidence.empty() || has_leaving) {
     json evidence = json::array();
     std::ranges::transform(message.evidence, std::back_inserter(evidence),
                            [](const PartEvidence& row) { return ToJson(row); });
     fields.push_back(std::move(evidence));
   }
+  if (has_leaving) {
+    json leaving = json::array();
+    std::ranges::transform(message.leaving_endpoints,
+                           std::back_inserter(leaving),
+                           [](const LeavingEndpoint& row) {
+                             return json::array({row.id, row.born});
+                           });
+    fields.push_back(std::move(leaving));
+  }
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
   return HmacSha256(secret, body).substr(0, kTagBytes) + body;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -189,6 +189,8 @@
   if (this->connection && !this->finished) this->connection->Close();
 }
 
+void HttpCall::DoNotReuse() noexcept { this->single_use = true; }
+
 const ResponseHead& HttpCall::Head() const noexcept {
   return this->parser->Response();
 }
@@ -227,7 +229,7 @@
 void HttpCall::Finish() {
   if (this->finished) return;
   this->finished = true;
-  const bool reusable = this->send_state->done && !this->send_state->failed &&
+  const bool reusable = !this->single_use && this->send_state->done && !this->send_state->failed &&
                         this->parser->Response().keep_alive &&
                         !this->parser->CloseDelimited() &&
                         this->connection->Input().empty() &&
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -93,6 +93,9 @@
   /// Waits for the next part of the body and stores it in `part`, which is
   /// empty once the body has ended.
   Task<CallFault> ReadBody(std::string& part, TimeMs deadline);
+  /// Closes the connection when the response has been read, instead of keeping
+  /// it for another call. Call it before the body is read.
+  void DoNotReuse() noexcept;
   /// Ends the call at once and closes the connection, unless the call has
   /// finished.
   void Cancel();
@@ -132,6 +135,7 @@
   bool reused = false;
   bool cancelled = false;
   bool finished = false;
+  bool single_use = false;  ///< Set by `DoNotReuse`.
 };
 
 /// A complete response, or the reason why there is none.
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -63,7 +63,7 @@
           RouterParts{event_loop, *this->dialects.callers,
                       *this->dialects.endpoints, this->pool, this->table,
                       this->shares, this->cells, this->gossip, this->quarantine,
-                      this->metrics, this->settings.data_centre},
+                      this->metrics, *this, this->settings.data_centre},
           this->settings.router),
       watcher(event_loop, *this->dialects.endpoints, this->pool, this->table,
               this->cells, this->settings.watcher),
@@ -92,6 +92,7 @@
           kMaxConnectionsPerServer) {
   this->cells.SetCanceller(&this->watcher);
   this->gossip.ShareEvidence(this->quarantine);
+  this->gossip.ShareLeaving(this->table.SaidLeaving());
 }
 
 EntryNode::~EntryNode() = default;
@@ -186,6 +187,17 @@
             {"before", std::string(NameOf(change.previous_state))}});
 }
 
+void EntryNode::OnLeavingEndpoints(
+    const std::string& peer, const std::vector<LeavingEndpoint>& leaving) {
+  static_cast<void>(this->state.MarkLeaving(leaving, peer));
+}
+
+void EntryNode::OnEndpointLeaving(const LeavingEndpoint& endpoint) {
+  if (this->state.MarkLeaving({endpoint}, "endpoint")) {
+    this->gossip.AnnounceLeaving();
+  }
+}
+
 void EntryNode::OnPause() { LogEvent(EventId::kPauseDetected, {}); }
 
 void EntryNode::OnListedVms(const std::vector<ListedVm>& vms) {
@@ -270,7 +282,7 @@
     this->cells.Tick(now);
     this->UpdateReadiness();
     this->LogQuarantine(now);
-    this->router.Core().ExpireLimits(now);
+    this->router.Core().Expire(now);
     if (this->on_tick) this->on_tick(now);
     if (this->leaving) this->TickDrain(now);
   }
@@ -370,6 +382,8 @@
   snapshot.endpoints = this->table.All().size();
   snapshot.ejected = this->router.Core().Ejected();
   snapshot.limited = this->router.Core().limits.Size();
+  snapshot.paused = this->router.Core().pauses.Size();
+  snapshot.said_leaving = this->table.SaidLeaving().Size();
   snapshot.quarantined_parts = this->quarantine.Quarantined(now).size();
   snapshot.members = this->gossip.Members().ServingMembers().size();
   snapshot.connections_made = this->pool.DialCount();
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -98,7 +98,9 @@
 
 /// Owns and connects the components of one entry process. Not thread safe: all
 /// of it runs on the event loop.
-class EntryNode final : public GossipListener, public StateListener {
+class EntryNode final : public GossipListener,
+                        public StateListener,
+                        public EndpointListener {
  public:
   EntryNode(Loop& event_loop, NodeSettings node_settings,
             NodeDialects node_dialects);
@@ -145,6 +147,9 @@
   void OnPeerVersions(const std::string& address, std::uint64_t version,
                       std::uint64_t endpoints_revision) override;
   void OnMemberChange(const MemberChange& change) override;
+  void OnLeavingEndpoints(const std::string& peer,
+                          const std::vector<LeavingEndpoint>& leaving) override;
+  void OnEndpointLeaving(const LeavingEndpoint& endpoint) override;
   void OnPause() override;
   void OnConfig(const std::shared_ptr<const Configuration>& config) override;
   void OnEndpoints() override;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -59,7 +59,9 @@
   if (!this->table.Put(endpoint, revision)) return;
   if (endpoint.leaving && !was_leaving) {
     LogEvent(EventId::kEndpointLeaving,
-             {{"endpoint", endpoint.id}, LogField::Of("revision", revision)});
+             {{"endpoint", endpoint.id},
+              {"from", "source"},
+              LogField::Of("revision", revision)});
   } else if (!was_known) {
     LogEvent(EventId::kEndpointAnnounced,
              {{"endpoint", endpoint.id},
@@ -129,6 +131,24 @@
   asio::co_spawn(this->link.GetLoop(), this->Pull(peer), asio::detached);
 }
 
+bool PublishedState::MarkLeaving(const std::vector<LeavingEndpoint>& leaving,
+                                 const std::string& from) {
+  bool news = false;
+  std::ranges::for_each(leaving, [&](const LeavingEndpoint& endpoint) {
+    const EndpointRecord* known = this->table.Find(endpoint.id);
+    const bool was_leaving = known != nullptr && known->leaving;
+    if (!this->table.MarkLeaving(endpoint, LoopNow())) return;
+    news = true;
+    if (was_leaving) return;
+    LogEvent(EventId::kEndpointLeaving,
+             {{"endpoint", endpoint.id},
+              {"from", from},
+              LogField::Of("revision", this->table.Revision())});
+  });
+  if (news) this->listener.OnEndpoints();
+  return news;
+}
+
 void PublishedState::Tick() {
   const TimeMs now = LoopNow();
   this->NotifyGone(this->table.Expire(now));
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -57,6 +57,11 @@
   /// endpoints are pulled by `Tick` if the source does not report them in time.
   void OnPeerVersions(const std::string& peer, std::uint64_t version,
                       std::uint64_t endpoints_revision);
+  /// Marks endpoints that are leaving by their own word.
+  /// @param from `endpoint`, or the address of the peer that reports them.
+  /// @returns whether any of them is news.
+  bool MarkLeaving(const std::vector<LeavingEndpoint>& leaving,
+                   const std::string& from);
   /// Expires retained endpoints. Pulls state from a peer while the source
   /// cannot be reached, state is missing, the source's watch hangs, or
   /// endpoints missing from the source's list are retained. Call it
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -10,6 +10,8 @@
 
 /// Index of the limits in a placement request.
 constexpr std::size_t kLimitsIndex = 15;
+/// Index of the flag of a prefilled prompt in a placement request.
+constexpr std::size_t kPrefilledIndex = 16;
 /// Index of the limit in a notice.
 constexpr std::size_t kNoticeLimitIndex = 7;
 /// Stands for a missing limit.
@@ -37,7 +39,7 @@
        request.priority, request.data_centre, request.prompt_tokens,
        request.max_tokens, OptionalTokens(request.hint), request.prefix,
        request.budget_ms, request.patience_ms, request.force_local_prefill,
-       request.excluded, message.may_redirect, limits});
+       request.excluded, message.may_redirect, limits, request.prefilled});
 }
 
 void from_json(const json& in, CellPlacementRequest& message) {
@@ -65,6 +67,9 @@
                            return EngineLimit{row.at(0).get<std::string>(),
                                               row.at(1).get<double>()};
                          });
+  if (in.size() > kPrefilledIndex) {
+    in.at(kPrefilledIndex).get_to(request.prefilled);
+  }
 }
 
 void to_json(json& out, const CellPlacementAnswer& answer) {
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -14,6 +14,12 @@
 /// Members to which a start or an end of serving, or a leave, is announced at
 /// once.
 constexpr std::size_t kStateFanout = 96;
+/// Members to which a leaving endpoint is announced at once. Several processes
+/// may announce the same one, and probes reach the other members within a
+/// second or two.
+constexpr std::size_t kLeavingFanout = 6;
+/// Leaving endpoints that are attached to one message.
+constexpr std::size_t kLeavingPerMessage = 8;
 /// Parts of prompts whose evidence is attached to one message.
 constexpr std::size_t kEvidencePerMessage = 3;
 
@@ -84,6 +90,14 @@
   this->Send(this->membership.Announce(kStateFanout));
 }
 
+void Gossip::ShareLeaving(LeavingEndpoints& leaving_endpoints) {
+  this->said_leaving = &leaving_endpoints;
+}
+
+void Gossip::AnnounceLeaving() {
+  this->Send(this->membership.Announce(kLeavingFanout));
+}
+
 const Membership& Gossip::Members() const noexcept { return this->membership; }
 
 std::string Gossip::PeerAddress(std::string_view ip) const {
@@ -99,8 +113,12 @@
   if (this->quarantine != nullptr) {
     this->quarantine->Merge(message.value().evidence, LoopNow());
   }
-  this->Send(answers.value());
   const std::string& sender = message.value().from.address;
+  if (!message.value().leaving_endpoints.empty()) {
+    this->listener.OnLeavingEndpoints(sender,
+                                      message.value().leaving_endpoints);
+  }
+  this->Send(answers.value());
   std::ranges::for_each(
       this->membership.TakeChanges(), [&](const MemberChange& change) {
         this->listener.OnMemberChange(change);
@@ -139,6 +157,10 @@
       outgoing.message.evidence =
           this->quarantine->Outgoing(kEvidencePerMessage, LoopNow());
     }
+    if (this->said_leaving != nullptr) {
+      outgoing.message.leaving_endpoints =
+          this->said_leaving->Outgoing(kLeavingPerMessage, LoopNow());
+    }
     const std::string text =
         EncodeGossip(this->identity.secret, outgoing.message);
     this->bytes += text.size();
--- a/src/peer/gossip.h
+++ b/src/peer/gossip.h
@@ -33,6 +33,13 @@
   virtual void OnPeerVersions(const std::string& address, std::uint64_t version,
                               std::uint64_t endpoints_revision) = 0;
   virtual void OnMemberChange(const MemberChange& change) = 0;
+  /// Called with the endpoints that, by a peer's message, are leaving by their
+  /// own word; most of them are known already.
+  virtual void OnLeavingEndpoints(
+      const std::string& peer, const std::vector<LeavingEndpoint>& leaving) {
+    static_cast<void>(peer);
+    static_cast<void>(leaving);
+  }
   /// Called after a pause of this process that was long enough for leases to
   /// expire.
   virtual void OnPause() = 0;
@@ -66,6 +73,11 @@
   void ShareEvidence(PromptQuarantine& prompt_quarantine);
   /// Sends new evidence of this process to many members at once.
   void AnnounceEvidence();
+  /// Sends the recent ones of `leaving_endpoints`, which must outlive this
+  /// object, with every message.
+  void ShareLeaving(LeavingEndpoints& leaving_endpoints);
+  /// Sends a newly leaving endpoint to a few members at once.
+  void AnnounceLeaving();
   /// Closes the socket. Unlike `Leave`, it announces nothing.
   void Stop();
   /// Announces at once that this process is leaving.
@@ -87,6 +99,7 @@
   Membership membership;
   DatagramSocket socket;
   PromptQuarantine* quarantine = nullptr;  ///< Null until `ShareEvidence`.
+  LeavingEndpoints* said_leaving = nullptr;  ///< Null until `ShareLeaving`.
   std::uint64_t bytes = 0;
 };
 
--- a/src/router/dialect.h
+++ b/src/router/dialect.h
@@ -101,6 +101,22 @@
   /// Requests a second that the endpoint takes from all entry processes
   /// together; empty when it names no limit.
   std::optional<double> max_requests_per_s;
+  /// Whether the head names this request. If it does not, a repetition of the
+  /// response on the same connection cannot be told from the response to a
+  /// later request.
+  bool identified = true;
+  /// Whether the endpoint reports that it failed by a fault of its own.
+  bool server_error = false;
+  /// Whether the endpoint reports that it is leaving.
+  bool leaving = false;
+  /// Time for which the endpoint wants no request from this process; empty when
+  /// it names none.
+  std::optional<DurationMs> pause_ms;
+  /// Whether the endpoint refused the request for its load, and not because a
+  /// KV cache could not be fetched.
+  bool overloaded = false;
+  /// Header whose value cannot be used, with that value; empty without one.
+  std::string unusable_header;
   friend auto operator<=>(const AnswerClass&, const AnswerClass&) = default;
 };
 
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -132,6 +132,16 @@
       this->admitted.request.attempt_id + "#" + RandomHex(kPlacementIdBytes);
   this->record.OnQueued();
   const RouteSpec& route = *this->admitted.route;
+  if (const DurationMs wait_ms =
+          this->core.PoolWaitMs(*this->admitted.pool, true);
+      wait_ms > 0) {
+    Error error = Error::Of(
+        ErrorKind::kCapacity, "all engines of pool " +
+                                  this->admitted.pool->name +
+                                  " have asked this process for a pause");
+    error.retry_after_ms = wait_ms;
+    co_return error;
+  }
   const std::string group =
       route.model.empty() ? this->admitted.pool->name : route.model;
   const Result<CellPlacement> placement_result =
@@ -142,7 +152,9 @@
   const Placement& placement = placed.placement;
   const EndpointTable& table = this->core.parts.table;
   const EndpointRecord* decode = table.Find(placement.decode);
-  if (decode == nullptr || decode->leaving || this->Cancelled()) {
+  const bool decode_usable =
+      decode != nullptr && !decode->leaving && !this->IsPaused(decode->id);
+  if (!decode_usable || this->Cancelled()) {
     this->NotifyOwner(placed, CellNoticeKind::kWithdrawn, "", 0, 0);
     // Recorded as a send, which the outcome `kNotSent` takes back.
     this->record.OnSend();
@@ -173,10 +185,11 @@
     this->stream->OnPlaced(placed.cell, placement.reservation, engine.id,
                            placement.tokens);
   }
-  std::optional<KvHandle> kv_handle;
+  std::optional<KvHandle> kv_handle = this->TakeUnusedKv(placement);
   bool prefill_sent = false;
   const EndpointRecord* prefill = table.Find(placement.prefill);
-  const bool prefills = prefill != nullptr && !prefill->leaving;
+  const bool prefills = prefill != nullptr && !prefill->leaving &&
+                        !this->IsPaused(prefill->id);
   const bool may_prefill = prefills && this->TryPrefillRetry();
   if (prefills && !may_prefill && !this->core.settings.allow_local_prefill) {
     this->core.parts.cells.Release(placement.reservation);
@@ -192,10 +205,10 @@
         co_await this->RunPrefill(prefill_engine, placed);
     kv_handle = result.kv_handle;
     prefill_sent = result.sent;
-    this->NotifyOwner(placed,
-                      kv_handle ? CellNoticeKind::kPrefillDone
-                                : CellNoticeKind::kEngineFailed,
-                      prefill_engine.id, 0, result.elapsed_ms);
+    CellNoticeKind notice = CellNoticeKind::kEngineFailed;
+    if (result.refused) notice = CellNoticeKind::kEngineFull;
+    if (kv_handle) notice = CellNoticeKind::kPrefillDone;
+    this->NotifyOwner(placed, notice, prefill_engine.id, 0, result.elapsed_ms);
     if (!kv_handle) this->tried_endpoints.push_back(prefill_engine.id);
   }
   const std::optional<Error> quarantined =
@@ -203,8 +216,10 @@
   SendOutcome outcome = SendOutcome::kNotSent;
   // The engine may have started to drain during the prefill.
   const EndpointRecord* current = table.Find(engine.id);
-  const bool leaving = current == nullptr || current->leaving;
-  if (leaving || (!kv_handle && !this->core.settings.allow_local_prefill)) {
+  const bool unusable = current == nullptr || current->leaving ||
+                        this->IsPaused(engine.id);
+  if (unusable) this->KeepKv(kv_handle);
+  if (unusable || (!kv_handle && !this->core.settings.allow_local_prefill)) {
     // A prefill call that may have run the request counts as a send. Where
     // decode engines may prefill prompts themselves, a prefill call does not
     // count as running the request; the outcome `kNotSent` takes the send back.
@@ -246,11 +261,16 @@
     this->NotifyLimit(placed, engine.id, was_limited);
   };
   Dispatch first = this->MakeRunDispatch(placed, engine);
-  first.kv_handle = std::move(kv_handle);
+  first.kv_handle = kv_handle;
   this->record.OnSend();
   SendOutcome outcome = co_await this->Send(std::move(first));
-  if (outcome == SendOutcome::kNotRun && fetches_kv && !this->Cancelled() &&
-      this->core.settings.allow_local_prefill && !this->IsLimited(engine.id)) {
+  const bool refused = outcome == SendOutcome::kNotRun && fetches_kv;
+  if (refused && this->LastAnswer().overloaded) {
+    // The engine has not fetched the KV cache, so that another one can.
+    this->KeepKv(kv_handle);
+  } else if (refused && !this->Cancelled() &&
+             this->core.settings.allow_local_prefill &&
+             !this->IsLimited(engine.id) && !this->IsPaused(engine.id)) {
     // The engine either could not fetch the KV cache or has no room. It is
     // asked once more, to prefill the prompt itself; if it has no room, it
     // refuses again. Both calls count as one send, since no further endpoint is
@@ -275,7 +295,11 @@
   this->NotePromptOutcome(engine, outcome, broke_at_start);
   switch (outcome) {
     case SendOutcome::kAnswered:
-      this->NotifyOwner(placed, CellNoticeKind::kEngineServed, engine.id, 0, 0);
+      this->NotifyOwner(placed,
+                        this->LastAnswer().server_error
+                            ? CellNoticeKind::kEngineFailed
+                            : CellNoticeKind::kEngineServed,
+                        engine.id, 0, 0);
       break;
     case SendOutcome::kNotRun:
       this->NotifyOwner(placed, CellNoticeKind::kEngineFull, engine.id, 0, 0);
@@ -289,11 +313,35 @@
       }
       break;
     case SendOutcome::kFailed:
+      if (this->LastAnswer().server_error) {
+        this->NotifyOwner(placed, CellNoticeKind::kEngineFailed, engine.id, 0,
+                          0);
+      }
       break;
   }
   co_return outcome;
 }
 
+void GenerationSession::KeepKv(const std::optional<KvHandle>& kv_handle) {
+  const PoolSpec& pool = *this->admitted.pool;
+  if (!kv_handle || !pool.engine || pool.engine->prefill_kept_ms <= 0) return;
+  this->unused_kv = kv_handle;
+}
+
+std::optional<KvHandle> GenerationSession::TakeUnusedKv(
+    const Placement& placement) {
+  std::optional<KvHandle> kept = std::exchange(this->unused_kv, std::nullopt);
+  const bool usable = placement.prefill.empty() && this->KvIsFresh();
+  if (!usable) kept.reset();
+  return kept;
+}
+
+bool GenerationSession::KvIsFresh() const {
+  return this->admitted.pool->engine &&
+         LoopNow() - this->prefilled_at <
+             this->admitted.pool->engine->prefill_kept_ms;
+}
+
 void GenerationSession::NotePromptOutcome(const EndpointRecord& engine,
                                           SendOutcome outcome,
                                           bool broke_at_start) {
@@ -414,9 +462,12 @@
   Dispatch dispatch = this->MakeRunDispatch(placed, engine);
   dispatch.stream = this->stream.get();
   const OutgoingCall outgoing = this->core.parts.endpoints.Prefill(dispatch);
-  CallFault fault = co_await this->Start(call, outgoing, kMaxIdleMs);
+  CallFault fault =
+      co_await this->Start(call, engine.address, outgoing, kMaxIdleMs);
   const TimeMs deadline = this->admitted.deadline;
   if (fault == CallFault::kNone) fault = co_await call.ReadHead(deadline);
+  AnswerClass answer;
+  if (fault == CallFault::kNone) answer = this->ClassifyHead(call);
   std::string body;
   bool ended = false;
   while (fault == CallFault::kNone && !ended) {
@@ -442,14 +493,14 @@
             LogField::Of("tokens", this->admitted.request.prompt_tokens),
             LogField::Of("elapsed_ms", result.elapsed_ms)});
   if (!answered) co_return result;
-  const AnswerClass answer = this->core.parts.endpoints.Classify(
-      call.Head(), {}, this->admitted.request);
   if (answer.matches_request) {
     const bool was_limited = this->IsLimited(engine.id);
-    this->core.NoteLimit(engine.id, answer);
+    this->core.NoteAnswer(engine, answer);
     this->NotifyLimit(placed, engine.id, was_limited);
   }
   if (!answer.success || !answer.matches_request) {
+    result.refused = answer.matches_request && answer.not_run &&
+                     !answer.address_reassigned;
     // Only a prefill call that an engine accepts is not a retry.
     if (first_call && this->core.settings.allow_local_prefill) {
       this->core.BudgetOf(this->admitted.pool->name).OnRetry(LoopNow());
@@ -460,6 +511,7 @@
       this->core.parts.endpoints.ParseHandle(body);
   if (!handle) co_return result;
   this->record.OnPrefillDone();
+  this->prefilled_at = LoopNow();
   result.kv_handle = KvHandle{engine.address, handle.value()};
   co_return result;
 }
@@ -506,7 +558,11 @@
   // were generated since.
   placement_request.force_local_prefill =
       this->core.settings.allow_local_prefill && produced > 0;
+  placement_request.prefilled =
+      this->unused_kv && produced == 0 && this->KvIsFresh();
   placement_request.excluded = this->tried_endpoints;
+  std::ranges::copy(this->core.pauses.Paused(now),
+                    std::back_inserter(placement_request.excluded));
   return placement_request;
 }
 
@@ -538,6 +594,10 @@
   return this->core.limits.Find(engine).has_value();
 }
 
+bool GenerationSession::IsPaused(const std::string& engine) const {
+  return this->core.pauses.WaitMs(engine, LoopNow()) > 0;
+}
+
 void GenerationSession::NotifyLimit(const CellPlacement& placed,
                                     const std::string& engine,
                                     bool was_limited) {
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -90,6 +90,8 @@
   set("endpoints", static_cast<double>(snapshot.endpoints));
   set("endpoints_ejected", static_cast<double>(snapshot.ejected));
   set("endpoints_limited", static_cast<double>(snapshot.limited));
+  set("endpoints_paused", static_cast<double>(snapshot.paused));
+  set("endpoints_said_leaving", static_cast<double>(snapshot.said_leaving));
   set("quarantined_parts", static_cast<double>(snapshot.quarantined_parts));
   set("members", static_cast<double>(snapshot.members));
   set("endpoint_connections_made",
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -34,6 +34,9 @@
   std::size_t endpoints = 0;
   std::size_t ejected = 0;  ///< Endpoints ejected after failures.
   std::size_t limited = 0;  ///< Endpoints that name a limit on requests.
+  std::size_t paused = 0;   ///< Endpoints that want nothing for a while.
+  /// Endpoints that are leaving by their own word.
+  std::size_t said_leaving = 0;
   std::size_t quarantined_parts = 0;  ///< Parts of prompts that are refused.
   /// Members that serve callers, including this process if it does.
   std::size_t members = 0;
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "router/session.h"
 
 namespace limpethaven {
@@ -15,26 +17,32 @@
     last = co_await this->Send(this->MakeDispatch(endpoint));
     this->core.AddInFlight(endpoint.id, -1);
     if (this->Cancelled()) break;
-    this->core.NoteOutcome(endpoint.id, last == SendOutcome::kAnswered ||
-                                            last == SendOutcome::kFailed);
+    const bool responded =
+        last == SendOutcome::kAnswered || last == SendOutcome::kFailed;
+    this->core.NoteOutcome(endpoint.id,
+                           responded && !this->LastAnswer().server_error);
     const NextStep step = this->DecideNextStep(last);
     if (step == NextStep::kForward) co_return std::nullopt;
     if (step != NextStep::kSendAgain) break;
   }
-  const DurationMs limit_wait_ms = this->core.LimitWaitMs(*this->admitted.pool);
-  if (this->tried_endpoints.empty() && limit_wait_ms > 0) {
-    Error error = Error::Of(
-        ErrorKind::kCapacity,
-        "the endpoints of pool " + this->admitted.pool->name +
-            " have named limits on their requests, which are used up");
-    error.retry_after_ms = limit_wait_ms;
+  const DurationMs wait_ms =
+      this->core.PoolWaitMs(*this->admitted.pool, false);
+  if (this->tried_endpoints.empty() && wait_ms > 0) {
+    Error error = Error::Of(ErrorKind::kCapacity,
+                            "the endpoints of pool " +
+                                this->admitted.pool->name +
+                                " want no requests now: their limits are used "
+                                "up, or they have asked for a pause");
+    error.retry_after_ms = wait_ms;
     co_return error;
   }
   if (this->tried_endpoints.empty()) {
     co_return Error::Of(ErrorKind::kNoEndpoint, "no usable endpoint in pool " +
                                                     this->admitted.pool->name);
   }
-  co_return this->MakeError(last);
+  Error error = this->MakeError(last);
+  error.retry_after_ms = std::max(error.retry_after_ms, wait_ms);
+  co_return error;
 }
 
 void PlainSession::SettleCharge() {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -42,6 +42,7 @@
   for (const EndpointRecord* endpoint : this->parts.table.Usable(pool.name)) {
     if (std::ranges::find(tried, endpoint->id) != tried.end()) continue;
     if (this->limits.WaitMs(endpoint->id, now) > 0) continue;
+    if (this->pauses.WaitMs(endpoint->id, now) > 0) continue;
     const auto calls = this->in_flight.find(endpoint->id);
     const double load =
         calls == this->in_flight.end() ? 0 : static_cast<double>(calls->second);
@@ -64,16 +65,20 @@
   return best;
 }
 
-DurationMs RouterCore::LimitWaitMs(const PoolSpec& pool) const {
+DurationMs RouterCore::PoolWaitMs(const PoolSpec& pool, bool decodes) const {
   const TimeMs now = LoopNow();
-  DurationMs shortest = 0;
+  std::optional<DurationMs> shortest;
   std::ranges::for_each(
       this->parts.table.Usable(pool.name), [&](const EndpointRecord* endpoint) {
-        const DurationMs wait = this->limits.WaitMs(endpoint->id, now);
-        if (wait == 0) return;
-        shortest = shortest == 0 ? wait : std::min(shortest, wait);
+        if (decodes && endpoint->role == PoolRole::kPrefill) return;
+        // The owner of the cell keeps the limits of engines.
+        const DurationMs limit_ms =
+            decodes ? 0 : this->limits.WaitMs(endpoint->id, now);
+        const DurationMs wait_ms =
+            std::max(limit_ms, this->pauses.WaitMs(endpoint->id, now));
+        shortest = std::min(shortest.value_or(wait_ms), wait_ms);
       });
-  return shortest;
+  return shortest.value_or(0);
 }
 
 const PoolSpec* RouterCore::DrawPool(const RouteSpec& route) {
@@ -137,11 +142,34 @@
   }
 }
 
-void RouterCore::ExpireLimits(TimeMs now) {
+void RouterCore::NoteAnswer(const EndpointRecord& endpoint,
+                            const AnswerClass& answer) {
+  this->NoteLimit(endpoint.id, answer);
+  if (answer.leaving) {
+    this->parts.endpoint_listener.OnEndpointLeaving(
+        LeavingEndpoint{endpoint.id, endpoint.born});
+  }
+  if (!answer.unusable_header.empty()) {
+    LogEvent(EventId::kEndpointRejected,
+             {{"what", endpoint.id}, {"why", answer.unusable_header}});
+  }
+  if (!answer.pause_ms) return;
+  if (this->pauses.Pause(endpoint.id, *answer.pause_ms, LoopNow())) {
+    LogEvent(EventId::kEndpointPaused,
+             {{"endpoint", endpoint.id},
+              LogField::Of("pause_ms", *answer.pause_ms)});
+  }
+}
+
+void RouterCore::Expire(TimeMs now) {
   std::ranges::for_each(
       this->limits.Expire(now), [](const std::string& endpoint) {
         LogEvent(EventId::kEndpointLimitEnded, {{"endpoint", endpoint}});
       });
+  std::ranges::for_each(
+      this->pauses.Expire(now), [](const std::string& endpoint) {
+        LogEvent(EventId::kEndpointPauseEnded, {{"endpoint", endpoint}});
+      });
 }
 
 std::optional<Error> RouterCore::CheckQuarantine(
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -11,6 +11,7 @@
 #include "limpethaven/config_model.h"
 #include "limpethaven/endpoint_health.h"
 #include "limpethaven/endpoint_limits.h"
+#include "limpethaven/endpoint_pauses.h"
 #include "limpethaven/endpoint_table.h"
 #include "limpethaven/prompt_quarantine.h"
 #include "limpethaven/retry_budget.h"
@@ -38,6 +39,14 @@
   std::size_t max_requests = 3000;
 };
 
+/// Receives what endpoints say about themselves in their answers.
+class EndpointListener {
+ public:
+  virtual ~EndpointListener() = default;
+  /// Called for each answer of an endpoint that is leaving.
+  virtual void OnEndpointLeaving(const LeavingEndpoint& endpoint) = 0;
+};
+
 /// Components that a router uses. All of them must outlive the router.
 struct RouterParts {
   Loop& loop;
@@ -50,6 +59,7 @@
   Gossip& gossip;
   PromptQuarantine& quarantine;
   Metrics& metrics;
+  EndpointListener& endpoint_listener;
   std::string data_centre;  ///< Data centre of this process.
 };
 
@@ -61,15 +71,17 @@
   /// Chooses the endpoint of a pool with the fewest calls in flight from this
   /// process; among equals, one in this data centre. An ejected endpoint is
   /// chosen only when no other is left, and none whose limit on requests is
-  /// used up. The choice is recorded in the endpoints' health, since a request
+  /// used up or that is paused. The choice is recorded in the endpoints' health, since a request
   /// to an ejected endpoint is a probe, and in the limits.
   /// @param tried Ids of endpoints that are left out.
   /// @returns null when there is none.
   [[nodiscard]] const EndpointRecord* ChooseEndpoint(
       const PoolSpec& pool, const std::vector<std::string>& tried);
-  /// Shortest time until an endpoint of a pool whose limit on requests is used
-  /// up takes another one; 0 when no endpoint's limit is used up.
-  [[nodiscard]] DurationMs LimitWaitMs(const PoolSpec& pool) const;
+  /// Time until the first endpoint of a pool may be sent a request, if all of
+  /// them are paused or have used up their limit on requests; 0 when one may be
+  /// sent a request now, or there is none.
+  /// @param decodes Whether only endpoints that can run a generation count.
+  [[nodiscard]] DurationMs PoolWaitMs(const PoolSpec& pool, bool decodes) const;
   /// Draws the pool for a request of this route, by the weights of the route's
   /// targets. @returns null when the pool is not configured.
   [[nodiscard]] const PoolSpec* DrawPool(const RouteSpec& route);
@@ -80,17 +92,19 @@
   void AddInFlight(const std::string& endpoint, std::int64_t calls);
   /// Records the outcome of a call to an endpoint of a plain service, and logs
   /// when the endpoint is ejected or returns.
-  /// @param served Whether the endpoint answered, even with a failure.
+  /// @param served Whether the endpoint answered, and not with an error of its
+  /// own.
   void NoteOutcome(const std::string& endpoint, bool served);
   /// Refusal of a prompt with a quarantined part; empty for other prompts.
   /// @param prompt_parts Result of `ShareableParts`.
   [[nodiscard]] std::optional<Error> CheckQuarantine(
       const std::vector<std::string>& prompt_parts) const;
-  /// Records the limit on requests that an endpoint names in an answer, or that
-  /// it names none.
-  void NoteLimit(const std::string& endpoint, const AnswerClass& answer);
-  /// Removes the limits of endpoints that no longer answer.
-  void ExpireLimits(TimeMs now);
+  /// Records what an endpoint says about itself in an answer: its limit on
+  /// requests, a pause, that it is leaving.
+  void NoteAnswer(const EndpointRecord& endpoint, const AnswerClass& answer);
+  /// Removes the limits of endpoints that no longer answer, and the pauses that
+  /// are over.
+  void Expire(TimeMs now);
   /// Smallest number of retries left in any pool's budget; 0 when there is no
   /// budget yet.
   [[nodiscard]] double RetriesLeft();
@@ -103,10 +117,13 @@
   std::shared_ptr<const Configuration> config;
   ActiveRequests active;
   EndpointLimits limits;
+  EndpointPauses pauses;
   /// Bytes of endpoints' answers that are held until they are complete.
   std::size_t buffered_bytes = 0;
 
  private:
+  void NoteLimit(const std::string& endpoint, const AnswerClass& answer);
+
   /// Calls in flight from this process, keyed by endpoint id.
   std::unordered_map<std::string, std::int64_t> in_flight;
   /// Retry budgets, keyed by pool name.
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -224,8 +224,10 @@
   const DurationMs max_idle_ms = once ? kMaxIdleRunOnceMs : kMaxIdleMs;
   this->progressed = false;
   this->response_begun = false;
-  CallFault fault =
-      co_await this->Start(call, outgoing, dispatch.reattach ? 0 : max_idle_ms);
+  this->last_answer = AnswerClass{};
+  const std::string address = dispatch.endpoint.address;
+  CallFault fault = co_await this->Start(call, address, outgoing,
+                                         dispatch.reattach ? 0 : max_idle_ms);
   if (fault == CallFault::kNone) {
     fault = co_await call.ReadHead(this->IdleDeadline(LoopNow()));
   }
@@ -235,10 +237,10 @@
     outcome = OutcomeOf(call, fault);
   } else {
     status = call.Head().status;
-    const AnswerClass answer = this->core.parts.endpoints.Classify(
-        call.Head(), {}, this->admitted.request);
+    const AnswerClass answer = this->ClassifyHead(call);
     if (answer.matches_request) {
-      this->core.NoteLimit(endpoint, answer);
+      this->last_answer = answer;
+      this->core.NoteAnswer(dispatch.endpoint, answer);
       if (this->on_response) this->on_response();
     }
     if (!answer.matches_request) {
@@ -273,6 +275,17 @@
 
 bool Session::ResponseBegun() const noexcept { return this->response_begun; }
 
+const AnswerClass& Session::LastAnswer() const noexcept {
+  return this->last_answer;
+}
+
+AnswerClass Session::ClassifyHead(HttpCall& call) const {
+  AnswerClass answer = this->core.parts.endpoints.Classify(
+      call.Head(), {}, this->admitted.request);
+  if (!answer.identified) call.DoNotReuse();
+  return answer;
+}
+
 NextStep Session::DecideNextStep(SendOutcome outcome) {
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
   const TimeMs now = LoopNow();
@@ -317,8 +330,13 @@
   return error;
 }
 
-Task<CallFault> Session::Start(HttpCall& call, const OutgoingCall& outgoing,
+Task<CallFault> Session::Start(HttpCall& call, std::string address,
+                               const OutgoingCall& outgoing,
                                DurationMs max_idle_ms) {
+  const bool called = std::ranges::find(this->called_addresses, address) !=
+                      this->called_addresses.end();
+  if (called) max_idle_ms = 0;
+  if (!called) this->called_addresses.push_back(std::move(address));
   const TimeMs deadline = this->admitted.deadline;
   std::string bytes = WriteRequest(outgoing.head, outgoing.body);
   const CallFault fault = co_await call.Send(
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -99,16 +99,23 @@
   [[nodiscard]] Error MakeError(SendOutcome last) const;
   /// Connects and sends; the rest of a long body is sent while the response is
   /// read.
+  /// @param address Address of the endpoint that is called.
   /// @param max_idle_ms Longest time that a reused connection may have been
   /// idle; 0 opens a new one.
-  Task<CallFault> Start(HttpCall& call, const OutgoingCall& outgoing,
-                        DurationMs max_idle_ms);
+  Task<CallFault> Start(HttpCall& call, std::string address,
+                        const OutgoingCall& outgoing, DurationMs max_idle_ms);
   /// Whether the caller has disconnected or the request was aborted.
   [[nodiscard]] bool Cancelled() const noexcept;
   /// Whether the last send brought new events of the stream.
   [[nodiscard]] bool Progressed() const noexcept;
   /// Whether the endpoint of the last send had begun a successful response.
   [[nodiscard]] bool ResponseBegun() const noexcept;
+  /// How the response to the last send was classified, by its head alone; empty
+  /// members when there was none.
+  [[nodiscard]] const AnswerClass& LastAnswer() const noexcept;
+  /// Classifies the head of a response, and closes the connection after it if
+  /// a repetition of it could be taken for the response to another request.
+  [[nodiscard]] AnswerClass ClassifyHead(HttpCall& call) const;
 
   RouterCore& core;
   Exchange& exchange;
@@ -150,6 +157,11 @@
   /// @param progress_at When its last output came, or the call was sent.
   [[nodiscard]] TimeMs IdleDeadline(TimeMs progress_at) const;
 
+  /// Addresses that this request was sent to. Their connections are not reused
+  /// for it, since all of its calls have the same id, so that a repeated
+  /// response to an earlier one could not be told from the present one.
+  std::vector<std::string> called_addresses;
+  AnswerClass last_answer;
   /// Reason why the last send brought no complete response.
   CallFault last_fault = CallFault::kNone;
   bool progressed = false;
@@ -184,6 +196,7 @@
     /// KV cache of the prompt; empty when the prefill failed.
     std::optional<KvHandle> kv_handle;
     bool sent = false;  ///< The engine may have received the call.
+    bool refused = false;  ///< The engine had no room, or wants no load now.
     DurationMs elapsed_ms = 0;
   };
 
@@ -223,6 +236,17 @@
                                       DurationMs measured_ms) const;
   /// Whether an engine names a limit on requests.
   [[nodiscard]] bool IsLimited(const std::string& engine) const;
+  /// Whether an engine wants no request from this process at present.
+  [[nodiscard]] bool IsPaused(const std::string& engine) const;
+  /// Keeps a KV cache that no engine has fetched for the next placement.
+  void KeepKv(const std::optional<KvHandle>& kv_handle);
+  /// The KV cache that was kept, if the placement was made for it and the
+  /// prefill engine still holds it.
+  [[nodiscard]] std::optional<KvHandle> TakeUnusedKv(
+      const Placement& placement);
+  /// Whether a prefill engine still holds the prompt's KV cache unless it was
+  /// fetched.
+  [[nodiscard]] bool KvIsFresh() const;
   /// Reports the limit on requests that an engine names to the owner of the
   /// cell.
   /// @param was_limited Whether it named one before its last answer.
@@ -245,6 +269,9 @@
   /// Id by which the cell's owner identifies the current placement of this
   /// request.
   std::string placement_id;
+  /// KV cache of the prompt that no engine has fetched.
+  std::optional<KvHandle> unused_kv;
+  TimeMs prefilled_at = 0;       ///< End of the last prefill that succeeded.
   bool prefill_called = false;   ///< A prefill call may have reached an engine.
   bool charge_deferred = false;  ///< `CancelRunLater` settles the charge.
 };
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -163,6 +163,13 @@
       // Lets the other tasks of the loop run.
       co_await asio::post(this->loop, asio::use_awaitable);
     }
+    if (!reply.late.empty()) {
+      Spawn(this->loop, [this, connection, text = reply.late,
+                         wait_ms = reply.late_ms]() mutable -> Task<> {
+        co_await SleepFor(this->loop, wait_ms);
+        co_await connection->Write(std::move(text), LoopNow() + kCallTimeoutMs);
+      });
+    }
     if (reply.crash) {
       Spawn(this->loop, [this]() -> Task<> { co_await this->Restart(); });
       co_return;
@@ -268,11 +275,13 @@
   const std::string address =
       this->addresses[entry] + ":" + std::to_string(kCallerPort);
   Spawn(
-      this->loop, [this, address, text = std::move(bytes)]() mutable -> Task<> {
+      this->loop, [this, address, started_at = LoopNow(),
+                   text = std::move(bytes)]() mutable -> Task<> {
         HttpResponse response =
             co_await FetchResponse(this->loop, this->pool, address,
                                    std::move(text), LoopNow() + kCallTimeoutMs);
         this->responses.push_back(std::move(response));
+        this->response_times.push_back(LoopNow() - started_at);
       });
 }
 
@@ -283,6 +292,10 @@
   return all_ended ? this->responses.back() : HttpResponse{CallFault::kTimeout};
 }
 
+void PlatformFleet::DrainEntry(std::size_t entry) {
+  this->entries[entry]->Drain();
+}
+
 void PlatformFleet::RestartEntry(std::size_t entry) {
   this->entries[entry]->CloseSockets();
   this->RunFor(kPollMs);
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -27,6 +27,10 @@
   /// Whether the engine ends: it resets all connections and refuses others for
   /// `ScriptedEngine::down_ms`.
   bool crash = false;
+  /// Sent `late_ms` after `bytes`, whatever the connection serves then; empty:
+  /// nothing is sent.
+  std::string late;
+  DurationMs late_ms = 0;
 };
 
 /// An engine of the platform that answers by a function. It records the calls
@@ -103,6 +107,8 @@
   /// within `limit_ms`.
   bool RunUntil(const std::function<bool()>& condition, DurationMs limit_ms);
   void RunFor(DurationMs duration_ms);
+  /// Starts the graceful stop of an entry.
+  void DrainEntry(std::size_t entry);
   /// Calls that reached any engine with `text` among the prompt's parts.
   [[nodiscard]] std::size_t CallsWith(std::string_view text) const;
 
@@ -111,6 +117,8 @@
   std::vector<std::unique_ptr<ScriptedEngine>> engines;
   std::vector<std::unique_ptr<EntryNode>> entries;
   std::vector<HttpResponse> responses;  ///< Responses to calls of `Start`.
+  /// Times at which `responses` came, after the start of their calls.
+  std::vector<DurationMs> response_times;
 
  private:
   void StartEntry(std::size_t index);
