Survive exceptions in tasks, handlers and callbacks, and malformed revisions

Cause: an exception ended its coroutine silently; one item of the store with a revision that is no number ended the watch of all endpoints for the life of the process, a failing handler left its connection and request open for good. Change: tasks log what leaves them; those that run as long as the process are started again; a handler that throws closes its own connection; a session cleans up behind itself; items without a readable revision are skipped.

--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -12,7 +12,6 @@
 #include <boost/asio/awaitable.hpp>
 // clang-format on
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -21,6 +20,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <exception>
 
 #include "limpethaven/clock.h"
 
@@ -56,10 +56,16 @@
       .count();
 }
 
-/// Starts a coroutine and returns at once. Its result is discarded.
+/// Logs an exception that has left a task; null logs nothing.
+void LogTaskFault(const std::exception_ptr& fault) noexcept;
+
+/// Starts a coroutine and returns at once. Its result is discarded. An
+/// exception that leaves it is logged and ends this coroutine only.
 template <typename Start>
 void Spawn(Loop& loop, Start start) {
-  asio::co_spawn(loop, std::move(start), asio::detached);
+  asio::co_spawn(loop, std::move(start), [](const std::exception_ptr& fault) {
+    LogTaskFault(fault);
+  });
 }
 
 }  // namespace limpethaven
--- a/src/net/datagrams.cc
+++ b/src/net/datagrams.cc
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "net/connection.h"
+#include "net/tasks.h"
 
 namespace limpethaven {
 namespace {
@@ -37,7 +38,7 @@
   if (fault) return false;
   this->socket.non_blocking(true, fault);
   if (fault) return false;
-  Spawn(this->loop, [this]() -> Task<> { co_await this->Receive(); });
+  SpawnService(this->loop, [this]() -> Task<> { co_await this->Receive(); });
   return true;
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,4 +1,5 @@
 #include "net/http_server.h"
+#include "net/tasks.h"
 
 #include <algorithm>
 #include <boost/asio/socket_base.hpp>
@@ -123,7 +124,7 @@
   if (fault) return false;
   this->acceptor.listen(kListenBacklog, fault);
   if (fault) return false;
-  Spawn(this->loop, [this]() -> Task<> { co_await this->Accept(); });
+  SpawnService(this->loop, [this]() -> Task<> { co_await this->Accept(); });
   return true;
 }
 
@@ -234,7 +235,13 @@
   ServerExchange exchange(accepted.connection, parser.Request(),
                           parser.TakeBody(), LoopNow());
   if (this->draining) exchange.CloseAfterResponse();
-  co_await this->handler(exchange);
+  std::exception_ptr handler_fault;
+  try {
+    co_await this->handler(exchange);
+  } catch (...) {
+    handler_fault = std::current_exception();
+  }
+  LogTaskFault(handler_fault);
   exchange.OnDisconnect(nullptr);
   if (!exchange.Ended()) exchange.Abort();
   --this->open_requests;
--- a/src/node/engine_watcher.cc
+++ b/src/node/engine_watcher.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "net/notifier.h"
+#include "net/tasks.h"
 
 namespace limpethaven {
 namespace {
@@ -41,7 +41,8 @@
       settings(watcher_settings) {}
 
 void EngineWatcher::Start() {
-  Spawn(this->loop, [this]() -> Task<> { co_await this->PollEngines(); });
+  SpawnService(this->loop,
+               [this]() -> Task<> { co_await this->PollEngines(); });
 }
 
 Task<bool> EngineWatcher::Cancel(CancelCommand command) {
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "limpethaven/crypto.h"
+#include "net/tasks.h"
 
 namespace limpethaven {
 namespace {
@@ -140,7 +141,7 @@
   if (!this->gossip.Start(this->settings.seeds)) return CannotListen(peers);
   source.Start(this->state);
   this->watcher.Start();
-  Spawn(this->loop, [this]() -> Task<> { co_await this->Tick(); });
+  SpawnService(this->loop, [this]() -> Task<> { co_await this->Tick(); });
   return Success();
 }
 
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -127,8 +127,7 @@
     this->ahead_revision = std::max(this->ahead_revision, endpoints_revision);
   }
   if (version <= this->config->version || this->pulling) return;
-  this->pulling = true;
-  asio::co_spawn(this->link.GetLoop(), this->Pull(peer), asio::detached);
+  this->StartPull(peer);
 }
 
 bool PublishedState::MarkLeaving(const std::vector<LeavingEndpoint>& leaving,
@@ -157,9 +156,7 @@
       !this->ahead_peer.empty() && now - this->ahead_since >= kWatchStalenessMs;
   if (watch_stale && !this->pulling && now >= this->next_pull_at) {
     this->next_pull_at = now + kPullPeriodMs;
-    this->pulling = true;
-    asio::co_spawn(this->link.GetLoop(), this->Pull(this->ahead_peer),
-                   asio::detached);
+    this->StartPull(this->ahead_peer);
     this->ahead_peer.clear();
     return;
   }
@@ -171,10 +168,8 @@
   std::erase(peers, this->gossip.Members().Self().address);
   if (peers.empty()) return;
   this->next_pull_at = now + kPullPeriodMs;
-  this->pulling = true;
   const std::size_t chosen = RandomBits() % peers.size();
-  asio::co_spawn(this->link.GetLoop(), this->Pull(peers[chosen]),
-                 asio::detached);
+  this->StartPull(peers[chosen]);
 }
 
 const std::shared_ptr<const Configuration>& PublishedState::Config()
@@ -242,6 +237,12 @@
   co_return answer.dump();
 }
 
+void PublishedState::StartPull(const std::string& peer) {
+  this->pulling = true;
+  Spawn(this->link.GetLoop(),
+        [this, peer]() -> Task<> { co_await this->Pull(peer); });
+}
+
 Task<> PublishedState::Pull(std::string peer) {
   const bool retaining_missing = LoopNow() < this->missing_retained_until;
   const json request = {
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -80,6 +80,8 @@
   /// Logs the removal of endpoints and notifies the listener.
   void NotifyGone(const std::vector<std::string>& ids);
   Task<Result<std::string>> AnswerState(PeerCall& call);
+  /// Starts to pull the changes that a peer has.
+  void StartPull(const std::string& peer);
   /// Requests the changes that a peer has and applies them.
   Task<> Pull(std::string peer);
   void ApplyPeerState(const std::string& body, const std::string& from);
--- a/src/node/run.cc
+++ b/src/node/run.cc
@@ -9,7 +9,7 @@
 #include <iostream>
 
 #include "log/event_log.h"
-#include "net/notifier.h"
+#include "net/tasks.h"
 
 namespace limpethaven {
 namespace {
@@ -69,6 +69,18 @@
   }
 }
 
+/// Runs the loop until it is stopped. An exception that leaves a callback ends
+/// that callback only.
+void RunLoop(Loop& loop) {
+  while (!loop.stopped()) {
+    try {
+      loop.run();
+    } catch (...) {
+      LogTaskFault(std::current_exception());
+    }
+  }
+}
+
 }  // namespace
 
 int RunNode(Loop& loop, EntryNode& node, Source& source,
@@ -86,12 +98,14 @@
     log.Flush();
     return 1;
   }
-  Spawn(loop, [&]() -> Task<> { co_await FlushLog(loop, log); });
-  Spawn(loop,
-        [&]() -> Task<> { co_await WaitForSignals(signals, node, settings); });
-  Spawn(loop,
-        [&]() -> Task<> { co_await WatchSettingsFile(loop, node, settings); });
-  loop.run();
+  SpawnService(loop, [&]() -> Task<> { co_await FlushLog(loop, log); });
+  SpawnService(loop, [&]() -> Task<> {
+    co_await WaitForSignals(signals, node, settings);
+  });
+  SpawnService(loop, [&]() -> Task<> {
+    co_await WatchSettingsFile(loop, node, settings);
+  });
+  RunLoop(loop);
   log.Flush();
   SetEventLog(nullptr);
   // Suspended coroutines still refer to the node and to other objects, so the
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "limpethaven/crypto.h"
-#include "net/notifier.h"
+#include "net/tasks.h"
 
 namespace limpethaven {
 namespace {
@@ -42,7 +42,7 @@
     return false;
   }
   this->SetSeeds(seeds);
-  Spawn(this->loop, [this]() -> Task<> { co_await this->Tick(); });
+  SpawnService(this->loop, [this]() -> Task<> { co_await this->Tick(); });
   return true;
 }
 
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -2,6 +2,7 @@
 
 #include "limpethaven/crypto.h"
 #include "log/event_log.h"
+#include "net/scope_exit.h"
 #include "router/session.h"
 
 namespace limpethaven {
@@ -181,6 +182,8 @@
       placed, Renewal{placement.reservation, this->placement_id, engine.id,
                       requested.prompt_tokens, requested.max_tokens,
                       placement.tokens - requested.prompt_tokens, 0});
+  const ScopeExit released(
+      [&] { this->core.parts.cells.Release(placement.reservation); });
   if (this->stream) {
     this->stream->OnPlaced(placed.cell, placement.reservation, engine.id,
                            placement.tokens);
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "net/scope_exit.h"
 #include "router/session.h"
 
 namespace limpethaven {
@@ -12,10 +13,13 @@
     if (chosen == nullptr) break;
     const EndpointRecord endpoint = *chosen;
     this->tried_endpoints.push_back(endpoint.id);
-    this->core.AddInFlight(endpoint.id, 1);
-    this->record.OnSend();
-    last = co_await this->Send(this->MakeDispatch(endpoint));
-    this->core.AddInFlight(endpoint.id, -1);
+    {
+      this->core.AddInFlight(endpoint.id, 1);
+      const ScopeExit ended(
+          [&] { this->core.AddInFlight(endpoint.id, -1); });
+      this->record.OnSend();
+      last = co_await this->Send(this->MakeDispatch(endpoint));
+    }
     if (this->Cancelled()) break;
     const bool responded =
         last == SendOutcome::kAnswered || last == SendOutcome::kFailed;
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -193,7 +193,18 @@
   this->exchange.OnDisconnect([this] { this->cancel.Request(); });
   this->core.BudgetOf(this->admitted.pool->name).OnRequest(LoopNow());
   this->LogAccepted();
-  std::optional<Error> error = co_await this->Run();
+  std::optional<Error> error;
+  std::exception_ptr fault;
+  try {
+    error = co_await this->Run();
+  } catch (...) {
+    fault = std::current_exception();
+  }
+  if (fault) {
+    LogTaskFault(fault);
+    error = Error::Of(ErrorKind::kInternal, "a fault inside the process")
+                .WithRan(this->record.MayHaveRun());
+  }
   this->exchange.OnDisconnect(nullptr);
   this->core.active.Remove(id, row.value());
   if (this->abort_reason) {
--- a/tests/http_wire_test.cc
+++ b/tests/http_wire_test.cc
@@ -5,12 +5,14 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/tasks.h"
 
 namespace limpethaven {
 namespace {
@@ -134,6 +136,57 @@
   REQUIRE(CountOf(received, "/a=body") == 1);
 }
 
+// Guards against a request whose handler fails and that leaves its connection
+// open for good, or ends the server.
+TEST_CASE("wire: a handler that throws ends its own connection only") {
+  struct ThrowingServer : LoopFixture {
+    ThrowingServer()
+        : server(
+              this->loop,
+              [](Exchange& exchange) -> Task<> {
+                if (exchange.Head().target == "/bad") {
+                  throw std::runtime_error("cannot handle this");
+                }
+                co_await Echo(exchange);
+              },
+              8) {
+      REQUIRE(this->server.Listen(kServerAddress));
+    }
+    ~ThrowingServer() { this->loop.EndTasks(); }
+    HttpServer server;
+  } fixture;
+  ConnectionPool pool(fixture.loop, 4);
+  std::vector<CallFault> faults;
+  REQUIRE(fixture.Run([&]() -> Task<> {
+    for (const char* target : {"/good", "/bad", "/good"}) {
+      const HttpResponse response =
+          co_await FetchResponse(fixture.loop, pool, kServerAddress,
+                                 Post(target, "x"), LoopNow() + 2000);
+      faults.push_back(response.fault);
+    }
+  }));
+  REQUIRE(faults[0] == CallFault::kNone);
+  REQUIRE(faults[1] == CallFault::kReset);
+  REQUIRE(faults[2] == CallFault::kNone);
+  REQUIRE(fixture.server.OpenRequests() == 0);
+}
+
+// Guards against a task that ends for good at the first message that it cannot
+// handle.
+TEST_CASE("wire: a service task is started again after an exception") {
+  LoopFixture fixture;
+  int starts = 0;
+  REQUIRE(fixture.Run([&]() -> Task<> {
+    SpawnService(fixture.loop, [&starts]() -> Task<> {
+      if (++starts < 3) throw std::runtime_error("cannot handle this");
+      co_return;
+    });
+    while (starts < 3) co_await SleepFor(fixture.loop, 10);
+    co_await SleepFor(fixture.loop, 3 * kTaskRestartMs);
+  }));
+  REQUIRE(starts == 3);
+}
+
 TEST_CASE("wire: server answers pipelined requests in order") {
   ServerFixture fixture;
   const std::string received = fixture.SendRaw(
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -152,7 +152,9 @@
   const auto answer = ReadStoreAnswer(R"({"as_of": 9, "events": [
     {"key": "servers/a", "rev": 8, "value": "aGk="},
     {"key": "servers/b", "rev": 9, "deleted": true},
-    {"key": "servers/c", "rev": 9, "value": "!"}, {"rev": 1}, 4]})");
+    {"key": "servers/c", "rev": 9, "value": "!"}, {"rev": 1}, 4,
+    {"key": "servers/d", "rev": "soon", "value": "aGk="},
+    {"key": "servers/e", "rev": -4, "value": "aGk="}]})");
   REQUIRE(answer);
   REQUIRE(answer.value().as_of == 9);
   REQUIRE(answer.value().events.size() == 3);
