Borrow a request's tokens from many peers at once, and give back what is not needed

Cause: with 83 VMs a share is about a thousand tokens, so a request needs tens of them, but at most 8 peers were asked, one after the other. What they had lent to a request that was refused all the same was lost. Change: up to 24 lenders are called at the same time, in two rounds, the fullest first, until their balances cover the request with a margin. Loans that are not needed, and all loans of a request that is refused, are returned. Failed before: 24 processes of 500 tokens refuse a request for 9,000 of 9,500.

--- a/include/limpethaven/share_ledger.h
+++ b/include/limpethaven/share_ledger.h
@@ -110,6 +110,9 @@
   /// Ends a transfer that the borrower has accepted: its tokens no longer count
   /// against this process's cap.
   void Confirm(std::string_view transfer_id, TimeMs now);
+  /// Takes back the tokens of a transfer that the borrower will never accept.
+  /// Without effect once the transfer has expired or was confirmed.
+  void Return(std::string_view transfer_id, TimeMs now);
   /// A team's share in this process; zeros for an unknown team.
   [[nodiscard]] ShareView View(std::string_view team, TimeMs now);
   /// The team's burst over all slots, which no charge can exceed; 0 for an
@@ -157,7 +160,7 @@
 
   struct LentTransfer {
     std::string team;
-    MilliTokens tokens = 0;  ///< 0 after the transfer was confirmed.
+    MilliTokens tokens = 0;  ///< 0 once it was confirmed or returned.
     TimeMs expires_at = 0;
   };
 
--- a/src/core/share_ledger.cc
+++ b/src/core/share_ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ostream>
+#include <utility>
 
 namespace limpethaven {
 namespace {
@@ -132,6 +133,19 @@
   transfer->second.tokens = 0;
 }
 
+void ShareLedger::Return(std::string_view transfer_id, TimeMs now) {
+  this->ExpireTransfers(now);
+  const auto transfer = this->lent_transfers.find(std::string(transfer_id));
+  if (transfer == this->lent_transfers.end()) return;
+  TeamShare* share = this->Find(transfer->second.team, now);
+  const MilliTokens tokens = std::exchange(transfer->second.tokens, 0);
+  if (share == nullptr) return;
+  share->in_flight -= tokens;
+  const MilliTokens room =
+      std::max<MilliTokens>(0, share->cap - share->in_flight);
+  share->level = std::max(share->level, std::min(room, share->level + tokens));
+}
+
 ShareView ShareLedger::View(std::string_view team, TimeMs now) {
   const TeamShare* share = this->Find(team, now);
   if (share == nullptr) return {};
--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <random>
 
 #include "limpethaven/crypto.h"
@@ -14,10 +15,15 @@
 using nlohmann::json;
 
 /// A lender that does not answer within this time is skipped.
-constexpr DurationMs kLendTimeoutMs = 25;
-/// Most lenders called in one try to charge a request. With many processes, a
-/// request may need more than one share.
-constexpr std::size_t kMaxLenders = 8;
+constexpr DurationMs kLendTimeoutMs = 40;
+/// Most lenders that are called at the same time. In a large fleet a share is a
+/// small part of what a request needs.
+constexpr std::size_t kLendersPerRound = 24;
+/// Lenders are called in at most this many rounds for one request.
+constexpr int kMaxBorrowRounds = 2;
+/// Lenders are called until their estimated balances exceed what is missing by
+/// this factor.
+constexpr double kEstimateMargin = 1.2;
 /// Weight of the balance of a lender in the same data centre, whose answer
 /// arrives sooner and costs less.
 constexpr double kSameDataCentreWeight = 2.0;
@@ -34,6 +40,7 @@
 constexpr DurationMs kChargeRetryPeriodMs = 20;
 constexpr std::string_view kLendPath = "/peer/v1/lend";
 constexpr std::string_view kConfirmPath = "/peer/v1/confirm";
+constexpr std::string_view kReturnPath = "/peer/v1/return";
 constexpr double kMsPerS = 1000.0;
 
 Tokens TokensField(const std::string& body, const char* field) {
@@ -79,7 +86,10 @@
   this->link.Handle(std::string(kLendPath),
                     [this](PeerCall& call) { return this->AnswerLend(call); });
   this->link.Handle(std::string(kConfirmPath), [this](PeerCall& call) {
-    return this->AnswerConfirm(call);
+    return this->AnswerTransferEnd(call, &ShareLedger::Confirm);
+  });
+  this->link.Handle(std::string(kReturnPath), [this](PeerCall& call) {
+    return this->AnswerTransferEnd(call, &ShareLedger::Return);
   });
 }
 
@@ -138,16 +148,10 @@
                                            std::to_string(outcome.missing) +
                                            " of the " + std::to_string(tokens) +
                                            " tokens that the request needs");
-  // Time until the shares that this request may draw on have accrued what is
-  // missing.
-  const double usable_shares =
-      static_cast<double>(std::min<std::int64_t>(this->slots, kMaxLenders + 1));
-  const double accrued_per_s =
-      std::max(1.0, rate * usable_shares / static_cast<double>(this->slots));
   error.retry_after_ms =
       std::max(error.retry_after_ms,
                static_cast<DurationMs>(static_cast<double>(outcome.missing) *
-                                       kMsPerS / accrued_per_s));
+                                       kMsPerS / std::max(1.0, rate)));
   co_return error;
 }
 
@@ -155,20 +159,52 @@
                                                    std::string request_id,
                                                    Tokens tokens,
                                                    Tokens missing) {
-  std::vector<Loan> loans;
-  const bool may_borrow = LoopNow() >= this->borrow_cooldown_until[team];
-  if (may_borrow) loans = co_await this->Borrow(team, missing);
+  const auto cooldown = this->borrow_cooldowns.find(team);
+  const bool cooling = cooldown != this->borrow_cooldowns.end() &&
+                       LoopNow() < cooldown->second.until &&
+                       missing >= cooldown->second.missing;
+  if (cooling) co_return ChargeOutcome{false, missing};
+  std::vector<Loan> loans = co_await this->Borrow(team, missing);
+  const auto sum = [&loans] {
+    return std::accumulate(loans.begin(), loans.end(), Tokens{0},
+                           [](Tokens total, const Loan& loan) {
+                             return total + loan.transfer.tokens;
+                           });
+  };
+  // Other requests may have spent tokens of this process meanwhile.
+  const Tokens needed = tokens - this->View(team).available;
+  if (sum() < needed) {
+    this->EndTransfers(loans, kReturnPath);
+    this->borrow_cooldowns.insert_or_assign(
+        team, BorrowCooldown{LoopNow() + kBorrowCooldownMs, missing});
+    co_return ChargeOutcome{false, std::max<Tokens>(1, needed - sum())};
+  }
+  this->EndTransfers(TakeSurplus(loans, sum() - needed), kReturnPath);
   std::vector<Transfer> transfers;
   std::ranges::transform(loans, std::back_inserter(transfers), &Loan::transfer);
   const ChargeOutcome outcome =
       this->ledger.TryCharge(team, request_id, tokens, transfers, LoopNow());
-  this->Confirm(loans);
-  if (may_borrow && !outcome.charged) {
-    this->borrow_cooldown_until[team] = LoopNow() + kBorrowCooldownMs;
-  }
+  this->borrowed += sum();
+  this->EndTransfers(loans, kConfirmPath);
   co_return outcome;
 }
 
+std::vector<ShareExchange::Loan> ShareExchange::TakeSurplus(
+    std::vector<Loan>& loans, Tokens surplus) {
+  // The smallest loans are given back, so that as many lenders as possible keep
+  // some tokens.
+  std::ranges::sort(loans, {},
+                    [](const Loan& loan) { return loan.transfer.tokens; });
+  std::vector<Loan> unneeded;
+  std::erase_if(loans, [&](const Loan& loan) {
+    if (loan.transfer.tokens > surplus) return false;
+    surplus -= loan.transfer.tokens;
+    unneeded.push_back(loan);
+    return true;
+  });
+  return unneeded;
+}
+
 void ShareExchange::Settle(std::string_view request_id, Tokens used) {
   static_cast<void>(this->ledger.Settle(request_id, used, LoopNow()));
 }
@@ -205,12 +241,14 @@
   co_return answer.dump();
 }
 
-Task<Result<std::string>> ShareExchange::AnswerConfirm(PeerCall& call) {
-  const json confirmed = json::parse(call.body, nullptr, false);
-  if (confirmed.is_array()) {
-    std::ranges::for_each(confirmed, [this](const json& id) {
+Task<Result<std::string>> ShareExchange::AnswerTransferEnd(
+    PeerCall& call,
+    void (ShareLedger::*end)(std::string_view transfer_id, TimeMs now)) {
+  const json transfers = json::parse(call.body, nullptr, false);
+  if (transfers.is_array()) {
+    std::ranges::for_each(transfers, [&](const json& id) {
       if (id.is_string()) {
-        this->ledger.Confirm(id.get<std::string>(), LoopNow());
+        (this->ledger.*end)(id.get<std::string>(), LoopNow());
       }
     });
   }
@@ -219,55 +257,108 @@
 
 Task<std::vector<ShareExchange::Loan>> ShareExchange::Borrow(std::string team,
                                                              Tokens missing) {
+  const std::vector<Lender> lenders = this->RankLenders(team);
+  auto next = lenders.begin();
   std::vector<Loan> loans;
-  for (const std::string& lender : this->RankLenders(team)) {
+  for (int round = 0; round < kMaxBorrowRounds; ++round) {
+    std::vector<Lender> called;
+    double estimate = 0;
+    while (next != lenders.end() && called.size() < kLendersPerRound &&
+           estimate < kEstimateMargin * static_cast<double>(missing)) {
+      estimate += next->estimate;
+      called.push_back(*next++);
+    }
+    if (called.empty()) break;
+    for (Loan& loan : co_await this->CallLenders(team, missing, called)) {
+      missing -= loan.transfer.tokens;
+      loans.push_back(std::move(loan));
+    }
     if (missing <= 0) break;
-    const TimeMs requested_at = LoopNow();
-    const VmId& self = this->gossip.Members().Self();
-    Transfer transfer{self.address + "-" + std::to_string(self.incarnation) +
-                          "-" + std::to_string(this->next_transfer_number++),
-                      team, 0, requested_at};
-    const json request = {
-        {"team", team}, {"transfer", transfer.id}, {"wanted", missing}};
-    const Result<std::string> answer =
-        co_await this->link.Call(lender, std::string(kLendPath), request.dump(),
-                                 requested_at + kLendTimeoutMs);
-    if (!answer) continue;
-    transfer.tokens = TokensField(answer.value(), "tokens");
-    this->lender_balances[team].insert_or_assign(
-        lender, LenderBalance{TokensField(answer.value(), "left"), LoopNow()});
-    if (transfer.tokens <= 0) continue;
-    missing -= transfer.tokens;
-    this->borrowed += transfer.tokens;
+  }
+  co_return loans;
+}
+
+Task<std::vector<ShareExchange::Loan>> ShareExchange::CallLenders(
+    std::string team, Tokens missing, std::vector<Lender> called) {
+  struct Round {
+    explicit Round(Loop& loop) : answered(loop) {}
+    Notifier answered;
+    std::size_t pending = 0;
+    std::vector<Loan> loans;
+  };
+  Loop& loop = this->link.GetLoop();
+  const auto round = std::make_shared<Round>(loop);
+  round->pending = called.size();
+  const auto fair_part =
+      (missing + static_cast<Tokens>(called.size()) - 1) /
+      static_cast<Tokens>(called.size());
+  std::ranges::for_each(called, [&](const Lender& lender) {
+    const Tokens wanted = std::min(
+        missing, std::max(fair_part, static_cast<Tokens>(lender.estimate)));
+    Spawn(loop,
+          [this, round, team, wanted, address = lender.address]() -> Task<> {
+            Loan loan = co_await this->BorrowFrom(address, team, wanted);
+            if (loan.transfer.tokens > 0) round->loans.push_back(loan);
+            --round->pending;
+            round->answered.Notify();
+          });
+  });
+  const TimeMs deadline = LoopNow() + kLendTimeoutMs;
+  while (round->pending > 0 && LoopNow() < deadline) {
+    co_await round->answered.WaitUntil(deadline);
+  }
+  co_return std::exchange(round->loans, {});
+}
+
+Task<ShareExchange::Loan> ShareExchange::BorrowFrom(std::string lender,
+                                                    std::string team,
+                                                    Tokens wanted) {
+  const TimeMs requested_at = LoopNow();
+  const VmId& self = this->gossip.Members().Self();
+  Loan loan{Transfer{self.address + "-" + std::to_string(self.incarnation) +
+                         "-" + std::to_string(this->next_transfer_number++),
+                     team, 0, requested_at},
+            lender};
+  const json request = {
+      {"team", team}, {"transfer", loan.transfer.id}, {"wanted", wanted}};
+  const Result<std::string> answer =
+      co_await this->link.Call(lender, std::string(kLendPath), request.dump(),
+                               requested_at + kLendTimeoutMs);
+  if (!answer) co_return loan;
+  loan.transfer.tokens = TokensField(answer.value(), "tokens");
+  this->lender_balances[team].insert_or_assign(
+      lender, LenderBalance{TokensField(answer.value(), "left"), LoopNow()});
+  if (loan.transfer.tokens > 0) {
     LogEvent(EventId::kTokensBorrowed,
              {{"team", team},
               {"from", lender},
-              LogField::Of("tokens", transfer.tokens)});
-    loans.push_back(Loan{std::move(transfer), lender});
+              LogField::Of("tokens", loan.transfer.tokens)});
   }
-  co_return loans;
+  co_return loan;
 }
 
-void ShareExchange::Confirm(const std::vector<Loan>& loans) {
-  std::ranges::for_each(loans, [this](const Loan& loan) {
+void ShareExchange::EndTransfers(const std::vector<Loan>& loans,
+                                 std::string_view path) {
+  std::ranges::for_each(loans, [&](const Loan& loan) {
+    if (path == kReturnPath) {
+      this->lender_balances[loan.transfer.team][loan.lender].available +=
+          loan.transfer.tokens;
+    }
     const json ids = json::array({loan.transfer.id});
-    // A lost confirmation only delays the lender's accrual until the transfer
-    // expires.
+    // A lost call only delays the lender's accrual until the transfer expires;
+    // tokens that were to be returned are then lost.
     Spawn(this->link.GetLoop(),
-          [this, lender = loan.lender, body = ids.dump()]() -> Task<> {
-            const Result<std::string> ignored =
-                co_await this->link.Call(lender, std::string(kConfirmPath),
-                                         body, LoopNow() + kTransferTtlMs);
+          [this, lender = loan.lender, to = std::string(path),
+           body = ids.dump()]() -> Task<> {
+            const Result<std::string> ignored = co_await this->link.Call(
+                lender, to, body, LoopNow() + kTransferTtlMs);
             static_cast<void>(ignored);
           });
   });
 }
 
-std::vector<std::string> ShareExchange::RankLenders(const std::string& team) {
-  struct Candidate {
-    std::string address;
-    double score = 0;
-  };
+std::vector<ShareExchange::Lender> ShareExchange::RankLenders(
+    const std::string& team) {
   const TimeMs now = LoopNow();
   auto& balances = this->lender_balances[team];
   std::erase_if(balances, [now](const auto& row) {
@@ -281,7 +372,7 @@
           : static_cast<double>(spec->second.rate_tokens_per_s) / kMsPerS /
                 static_cast<double>(this->slots);
   const auto cap = static_cast<double>(local_share.cap);
-  std::vector<Candidate> candidates;
+  std::vector<Lender> lenders;
   std::ranges::for_each(
       this->gossip.Members().ServingMembers(), [&](const MemberUpdate& member) {
         if (member.address == this->gossip.Members().Self().address) return;
@@ -296,17 +387,13 @@
                            static_cast<double>(now - row->second.received_at));
         }
         const bool same_data_centre = member.data_centre == this->data_centre;
-        candidates.push_back(Candidate{
-            member.address,
+        lenders.push_back(Lender{
+            member.address, estimate,
             estimate * (same_data_centre ? kSameDataCentreWeight : 1.0)});
       });
   std::mt19937_64 random(RandomBits());
-  std::ranges::shuffle(candidates, random);
-  std::ranges::stable_sort(candidates, std::greater<>(), &Candidate::score);
-  if (candidates.size() > kMaxLenders) candidates.resize(kMaxLenders);
-  std::vector<std::string> lenders;
-  std::ranges::transform(candidates, std::back_inserter(lenders),
-                         &Candidate::address);
+  std::ranges::shuffle(lenders, random);
+  std::ranges::stable_sort(lenders, std::greater<>(), &Lender::score);
   return lenders;
 }
 
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -66,6 +66,20 @@
     std::string lender;
   };
 
+  /// A peer to borrow from.
+  struct Lender {
+    std::string address;
+    double estimate = 0;  ///< Tokens that it is expected to have.
+    double score = 0;     ///< The estimate, weighted by data centre.
+  };
+
+  /// Time during which nothing is borrowed for requests that lack as many
+  /// tokens as one that peers could not cover.
+  struct BorrowCooldown {
+    TimeMs until = 0;
+    Tokens missing = 0;
+  };
+
   /// Tokens of a team that a peer had left after its last answer.
   struct LenderBalance {
     Tokens available = 0;
@@ -73,20 +87,33 @@
   };
 
   Task<Result<std::string>> AnswerLend(PeerCall& call);
-  Task<Result<std::string>> AnswerConfirm(PeerCall& call);
+  /// Ends the transfers that a peer has accepted, or has not needed.
+  Task<Result<std::string>> AnswerTransferEnd(
+      PeerCall& call,
+      void (ShareLedger::*end)(std::string_view transfer_id, TimeMs now));
   /// Borrows `missing` tokens, unless the team is in its cool-down, and charges
   /// the request.
   Task<ChargeOutcome> ChargeWithLoans(std::string team, std::string request_id,
                                       Tokens tokens, Tokens missing);
   /// Number of slots that rates and bursts are divided into.
   [[nodiscard]] std::int64_t SlotCount() const;
-  /// Calls lenders in turn until they have lent `missing` tokens.
+  /// Calls lenders, the fullest ones first, until they have lent `missing`
+  /// tokens. May return less, or more.
   Task<std::vector<Loan>> Borrow(std::string team, Tokens missing);
-  /// Confirms to the lenders that the loans were accepted.
-  void Confirm(const std::vector<Loan>& loans);
-  /// Addresses of peers to borrow a team's tokens from, in descending order of
-  /// their estimated balance, weighted by data centre.
-  [[nodiscard]] std::vector<std::string> RankLenders(const std::string& team);
+  /// Calls lenders at the same time.
+  Task<std::vector<Loan>> CallLenders(std::string team, Tokens missing,
+                                      std::vector<Lender> called);
+  /// Borrows from one lender; the loan holds no tokens if it lends none.
+  Task<Loan> BorrowFrom(std::string lender, std::string team, Tokens wanted);
+  /// Removes loans that add up to at most `surplus` tokens.
+  [[nodiscard]] static std::vector<Loan> TakeSurplus(std::vector<Loan>& loans,
+                                                     Tokens surplus);
+  /// Tells the lenders that the loans were accepted or are not needed.
+  /// @param path Path of the call.
+  void EndTransfers(const std::vector<Loan>& loans, std::string_view path);
+  /// All peers to borrow a team's tokens from, in descending order of their
+  /// estimated balance, weighted by data centre.
+  [[nodiscard]] std::vector<Lender> RankLenders(const std::string& team);
 
   PeerLink& link;
   const Gossip& gossip;
@@ -102,8 +129,7 @@
   std::int64_t configured_slots = 0;
   /// Slots in use.
   std::int64_t slots = 1;
-  /// End of the cool-down after peers could not lend enough, keyed by team.
-  std::unordered_map<std::string, TimeMs> borrow_cooldown_until;
+  std::unordered_map<std::string, BorrowCooldown> borrow_cooldowns;  ///< By team.
   /// Keyed by team, then by the lender's address.
   std::unordered_map<std::string,
                      std::unordered_map<std::string, LenderBalance>>
--- a/tests/share_exchange_test.cc
+++ b/tests/share_exchange_test.cc
@@ -125,6 +125,30 @@
   REQUIRE_FALSE(fleet.Charge(0, "r2", 12'000));
 }
 
+// In a large fleet a share is a small part of a request. Guards against requests
+// that are refused although the fleet has the tokens, and against tokens that
+// are lost when a request is refused.
+TEST_CASE("share exchange finds the tokens of a request in many small shares") {
+  constexpr std::size_t kProcesses = 24;
+  constexpr Tokens kShare = 500;
+  const Configuration config =
+      OneTeam(600, static_cast<Tokens>(kProcesses) * kShare);
+  Fleet fleet(kProcesses, config, LimitTolerance{});
+  const auto held = [&fleet] {
+    Tokens sum = 0;
+    for (const auto& each : fleet.processes) {
+      sum += each->shares.View("north").available;
+    }
+    return sum;
+  };
+  fleet.RunUntil([&] { return held() >= 9500; });
+  // More than the fleet has: the tokens that peers lent go back to them.
+  REQUIRE_FALSE(fleet.Charge(0, "r1", 12'000));
+  fleet.RunUntil([&] { return held() >= 9500; });
+  REQUIRE(fleet.Charge(0, "r2", 9000));
+  REQUIRE_FALSE(fleet.Charge(0, "r3", 9000));
+}
+
 TEST_CASE("ledger burst uses the whole tolerance of the bound and no more") {
   const TeamSpec team{"north", 1000, 4000, 1};
   REQUIRE(LedgerBurst(team, LimitTolerance{}) == 4000);
--- a/tests/share_ledger_test.cc
+++ b/tests/share_ledger_test.cc
@@ -95,6 +95,28 @@
       borrower.TryCharge("north", "r3", 800, {expired}, now + 1000).charged);
 }
 
+TEST_CASE("share ledger takes back a transfer that was not accepted, once") {
+  ShareLedger lender;
+  lender.Configure(OneTeam(1000, 4000, 2), 0);
+  const TimeMs now = 10'000;
+  REQUIRE(lender.Lend("north", "t1", 1500, now) == 1500);
+  REQUIRE(lender.View("north", now).available == 500);
+  lender.Return("t1", now);
+  lender.Return("t1", now);
+  lender.Confirm("t1", now);
+  REQUIRE(lender.View("north", now) == ShareView{2000, 2000, 0, 0});
+  REQUIRE(lender.Lend("north", "t1", 100, now) == 0);
+  // Returned too late: the tokens may have accrued again.
+  REQUIRE(lender.Lend("north", "t2", 1500, now) == 1500);
+  lender.Return("t2", now + 1000);
+  REQUIRE(lender.View("north", now + 1000).available == 1000);
+  // A confirmed transfer was spent.
+  REQUIRE(lender.Lend("north", "t3", 900, now + 1000) == 900);
+  lender.Confirm("t3", now + 1000);
+  lender.Return("t3", now + 1000);
+  REQUIRE(lender.View("north", now + 1000).available == 100);
+}
+
 TEST_CASE(
     "share ledger of a restarted lender does not count lent tokens twice") {
   // A restarted lender has no record of its transfers. It must not accrue the
