Keep the ledger of engines that move to another cell

Cause: the number of cells follows the number of engines. When crashed engines left the list, 70 engines became 56, six cells became one, and its owner knew nothing of what the engines of the other five ran: it placed on full engines (8% of memory forecast, 8 to 11 generations running), 133 refusals in 8 s, most with a prefill lost. Change: each VM renews its reservations with the owner of the engine's present cell at once; ends go there too. Requests that wait in a cell that is gone are redirected.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -43,6 +43,10 @@
   /// A request that the engine holds without an open stream, and that this
   /// scheduler did not place, is cancelled after this time.
   DurationMs orphan_grace_ms = 3000;
+  /// An engine that is new to the cell gets no generations for this time.
+  /// Another cell, or an earlier owner of this one, may have filled it; the
+  /// entry processes renew what they run there within it.
+  DurationMs settle_ms = 0;
   /// Interval at which a cancel is repeated until the engine confirms it, for
   /// at most 60 s.
   DurationMs cancel_retry_ms = 300;
@@ -243,6 +247,9 @@
   /// answer is complete or the attempt failed.
   /// @param produced Output tokens of a complete answer; 0 otherwise.
   void Finish(std::string_view reservation, Tokens produced, TimeMs now);
+  /// Removes a reservation that another cell accounts for from now on. Unlike
+  /// an ended one it can be adopted again.
+  void Forget(std::string_view reservation, TimeMs now);
   /// Counts a failed request against the engine's health.
   void EngineFailed(std::string_view engine, TimeMs now);
   /// Counts a served request for the engine's health.
--- a/src/core/cell_engines.cc
+++ b/src/core/cell_engines.cc
@@ -106,6 +106,7 @@
     EngineRow row{.spec = spec,
                   .cache = PrefixCacheView(this->settings.cache_blocks)};
     row.prefill_busy_until = now;
+    row.settles_at = now + this->settings.settle_ms;
     this->index_of.emplace(spec.id, this->rows.size());
     this->rows.push_back(std::move(row));
   });
@@ -300,7 +301,7 @@
   for (std::size_t index = 0; index < this->rows.size(); ++index) {
     const EngineRow& engine = this->rows[index];
     if (!engine.usable || !engine.CanDecode() ||
-        now < engine.refusing_until) {
+        now < std::max(engine.refusing_until, engine.settles_at)) {
       continue;
     }
     const auto running_generations =
--- a/src/core/cell_engines.h
+++ b/src/core/cell_engines.h
@@ -61,6 +61,9 @@
   std::map<std::string, Generation, std::less<>> generations;
   /// Memory that the engine reports for attempts without a reservation here.
   Tokens unreserved_tokens = 0;
+  /// Until then it gets no generations, so that the entry processes can report
+  /// what it runs already.
+  TimeMs settles_at = 0;
   TimeMs refusing_until = 0;     ///< End of the cool-down after a refusal.
   std::int64_t refusals = 0;     ///< Refusals since the last success.
   std::int64_t running_prefills = 0;
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -559,6 +559,12 @@
   if (row) this->tables->outputs.Learn(row->hint, produced);
 }
 
+void CellScheduler::Forget(std::string_view reservation, TimeMs now) {
+  const auto row = this->tables->TakeReservation(reservation, now);
+  if (!row) return;
+  this->tables->ended.erase(std::string(reservation));
+}
+
 void CellScheduler::EngineFailed(std::string_view engine, TimeMs now) {
   this->tables->engines.engine_health.OnFailure(engine, now);
 }
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -24,6 +24,9 @@
 /// renewals do not end it.
 constexpr DurationMs kRenewalPeriodMs = 500;
 constexpr DurationMs kReportTimeoutMs = 500;
+/// A released reservation of which no end is reported is forgotten after this
+/// time.
+constexpr DurationMs kReleasedRetentionMs = 5000;
 /// Time that a placement may take beyond the larger of `patience_ms` and
 /// `budget_ms` of its request.
 constexpr DurationMs kPlacementMarginMs = 100;
@@ -61,11 +64,48 @@
 void CellExchange::Configure(std::vector<CellSpec> next) {
   this->cells = std::move(next);
   const TimeMs now = LoopNow();
-  std::ranges::for_each(this->cells, [&](const CellSpec& cell) {
-    const auto host = this->hosted.find(cell.name);
-    if (host == this->hosted.end()) return;
-    host->second->scheduler.Configure(cell.engines, now);
-    this->RunScheduler(*host->second, now);
+  this->cell_of_engine.clear();
+  std::ranges::for_each(this->cells, [this](const CellSpec& cell) {
+    std::ranges::for_each(cell.engines, [&](const CellEngine& engine) {
+      this->cell_of_engine.insert_or_assign(engine.id, cell.name);
+    });
+  });
+  this->MoveReservations();
+  std::ranges::for_each(this->hosted, [&](auto& entry) {
+    const CellSpec* cell = this->FindCell(entry.first);
+    if (cell == nullptr) return this->CloseCell(*entry.second, now);
+    entry.second->scheduler.Configure(cell->engines, now);
+    this->RunScheduler(*entry.second, now);
+  });
+}
+
+void CellExchange::MoveReservations() {
+  const std::string& self = this->gossip.Members().Self().address;
+  std::ranges::for_each(this->held, [&](auto& entry) {
+    HeldReservation& row = entry.second;
+    const auto cell_name = this->cell_of_engine.find(row.renewal.engine);
+    if (row.released_at || cell_name == this->cell_of_engine.end() ||
+        cell_name->second == row.cell) {
+      return;
+    }
+    CellNotice notice;
+    notice.kind = CellNoticeKind::kMoved;
+    notice.cell = row.cell;
+    notice.reservation = row.renewal.reservation;
+    this->QueueNotice(row.owner, std::move(notice));
+    row.cell = cell_name->second;
+    const CellSpec* cell = this->FindCell(row.cell);
+    const std::vector<std::string> order = this->OwnersOf(*cell);
+    row.owner = order.empty() ? self : order.front();
+    this->outbox[row.owner].renewals.emplace_back(row.cell, row.renewal);
+  });
+}
+
+void CellExchange::CloseCell(HostedCell& host, TimeMs now) {
+  host.scheduler.Configure({}, now);
+  std::ranges::for_each(host.pending, [](const auto& entry) {
+    entry.second->cell_gone = true;
+    entry.second->decided.Notify();
   });
 }
 
@@ -77,6 +117,8 @@
   bool may_redirect = true;
   while (!name.empty()) {
     const CellSpec* found = this->FindCell(name);
+    // The peer that redirected the request may know other cells.
+    if (found == nullptr) found = this->FindCell(this->HomeCell(pool));
     if (found == nullptr) break;
     const CellSpec cell = *found;
     PlacementRequest remaining = request;
@@ -146,6 +188,14 @@
 
 void CellExchange::QueueNotice(const std::string& owner, CellNotice notice) {
   std::string receiver = owner;
+  const auto held_row = this->held.find(notice.reservation);
+  if (held_row != this->held.end() && notice.kind != CellNoticeKind::kMoved) {
+    receiver = held_row->second.owner;
+    notice.cell = held_row->second.cell;
+    const bool ends = notice.kind == CellNoticeKind::kFinished ||
+                      notice.kind == CellNoticeKind::kWithdrawn;
+    if (ends) this->held.erase(held_row);
+  }
   if (receiver.empty()) {
     const CellSpec* cell = this->FindCell(notice.cell);
     if (cell == nullptr) return;
@@ -197,18 +247,23 @@
 }
 
 void CellExchange::Release(const std::string& reservation) {
-  this->held.erase(reservation);
+  const auto row = this->held.find(reservation);
+  if (row != this->held.end()) row->second.released_at = LoopNow();
 }
 
 void CellExchange::Tick(TimeMs now) {
   const std::string& self = this->gossip.Members().Self().address;
+  std::erase_if(this->held, [now](const auto& entry) {
+    const std::optional<TimeMs>& released_at = entry.second.released_at;
+    return released_at && now - *released_at >= kReleasedRetentionMs;
+  });
   // Renewals go to the present owner of the cell, so that a new owner adopts
   // the reservations of the previous one.
   bool owner_changed = false;
   std::ranges::for_each(this->held, [&](auto& entry) {
     HeldReservation& row = entry.second;
     const CellSpec* cell = this->FindCell(row.cell);
-    if (cell == nullptr) return;
+    if (cell == nullptr || row.released_at) return;
     const std::vector<std::string> order = this->OwnersOf(*cell);
     const std::string& owner = order.empty() ? self : order.front();
     owner_changed = owner_changed || owner != row.owner;
@@ -232,8 +287,11 @@
   return views;
 }
 
-std::size_t CellExchange::HeldReservations() const noexcept {
-  return this->held.size();
+std::size_t CellExchange::HeldReservations() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->held, [](const auto& entry) {
+        return !entry.second.released_at.has_value();
+      }));
 }
 
 std::vector<CellSpec> CellExchange::OwnedCells() const {
@@ -394,7 +452,8 @@
     }
   }
   const CancelScope scope(cancel, [&pending] { pending.decided.Notify(); });
-  while (!pending.decision && !cancel.Requested() && LoopNow() < deadline) {
+  while (!pending.decision && !pending.cell_gone && !cancel.Requested() &&
+         LoopNow() < deadline) {
     const TimeMs keep_alive_at = LoopNow() + kKeepAlivePeriodMs;
     co_await pending.decided.WaitUntil(
         call == nullptr ? deadline : std::min(deadline, keep_alive_at));
@@ -408,6 +467,9 @@
     co_return CellPlacementAnswer{"", decision.value()};
   }
   host.scheduler.Withdraw(id, LoopNow());
+  const std::string home =
+      pending.cell_gone ? this->HomeCell(cell.model) : std::string();
+  if (!home.empty()) co_return CellPlacementAnswer{home, {}};
   co_return Error::Of(ErrorKind::kCapacity,
                       "cell " + cell.name + " had not placed request " + id +
                           " when its deadline passed or it was cancelled");
@@ -482,42 +544,55 @@
   });
   std::ranges::for_each(report.notices, [&](const CellNotice& notice) {
     const CellSpec* cell = this->FindCell(notice.cell);
-    if (cell == nullptr) return;
-    HostedCell& host = this->HostCell(*cell);
-    CellScheduler& scheduler = host.scheduler;
-    switch (notice.kind) {
-      case CellNoticeKind::kPrefillDone:
-        scheduler.PrefillDone(notice.reservation, notice.measured_ms, now);
-        break;
-      case CellNoticeKind::kFinished:
-        scheduler.Finish(notice.reservation, notice.tokens, now);
-        break;
-      case CellNoticeKind::kWithdrawn:
-        scheduler.Withdraw(notice.request_id, now);
-        break;
-      case CellNoticeKind::kEngineFailed:
-        scheduler.EngineFailed(notice.engine, now);
-        break;
-      case CellNoticeKind::kEngineServed:
-        scheduler.EngineServed(notice.engine, now);
-        break;
-      case CellNoticeKind::kEngineFull:
-        scheduler.EngineFull(notice.engine, now);
-        break;
-      case CellNoticeKind::kKvFetchFailed:
-        scheduler.KvFetchFailed(notice.engine, now);
-        break;
-      case CellNoticeKind::kKvFetchSucceeded:
-        scheduler.KvFetchSucceeded(notice.engine, now);
-        break;
-      case CellNoticeKind::kEngineLimit:
-        scheduler.LimitEngine(notice.engine, notice.max_per_s, now);
-        break;
+    if (cell != nullptr) {
+      return this->ApplyNotice(this->HostCell(*cell), notice, now);
+    }
+    // Requests that were placed before the cell was closed still end.
+    const auto closed = this->hosted.find(notice.cell);
+    if (closed != this->hosted.end()) {
+      this->ApplyNotice(*closed->second, notice, now);
     }
-    this->RunScheduler(host, now);
   });
 }
 
+void CellExchange::ApplyNotice(HostedCell& host, const CellNotice& notice,
+                               TimeMs now) {
+  CellScheduler& scheduler = host.scheduler;
+  switch (notice.kind) {
+    case CellNoticeKind::kPrefillDone:
+      scheduler.PrefillDone(notice.reservation, notice.measured_ms, now);
+      break;
+    case CellNoticeKind::kFinished:
+      scheduler.Finish(notice.reservation, notice.tokens, now);
+      break;
+    case CellNoticeKind::kWithdrawn:
+      scheduler.Withdraw(notice.request_id, now);
+      break;
+    case CellNoticeKind::kEngineFailed:
+      scheduler.EngineFailed(notice.engine, now);
+      break;
+    case CellNoticeKind::kEngineServed:
+      scheduler.EngineServed(notice.engine, now);
+      break;
+    case CellNoticeKind::kEngineFull:
+      scheduler.EngineFull(notice.engine, now);
+      break;
+    case CellNoticeKind::kKvFetchFailed:
+      scheduler.KvFetchFailed(notice.engine, now);
+      break;
+    case CellNoticeKind::kKvFetchSucceeded:
+      scheduler.KvFetchSucceeded(notice.engine, now);
+      break;
+    case CellNoticeKind::kEngineLimit:
+      scheduler.LimitEngine(notice.engine, notice.max_per_s, now);
+      break;
+    case CellNoticeKind::kMoved:
+      scheduler.Forget(notice.reservation, now);
+      break;
+  }
+  this->RunScheduler(host, now);
+}
+
 void CellExchange::RunScheduler(HostedCell& cell, TimeMs now) {
   const std::vector<CellCommand> commands = cell.scheduler.Tick(now);
   const auto answer = [&cell](const std::string& request,
@@ -599,6 +674,7 @@
   if (renew) {
     std::ranges::for_each(this->held, [this](const auto& entry) {
       const HeldReservation& row = entry.second;
+      if (row.released_at) return;
       this->outbox[row.owner].renewals.emplace_back(row.cell, row.renewal);
     });
   }
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -55,7 +55,9 @@
   /// the connection of its stream does. `run_canceller` must outlive this
   /// object.
   void SetCanceller(RunCanceller* run_canceller);
-  /// Sets the cells of all pools.
+  /// Sets the cells of all pools. Engines may have moved from one cell to
+  /// another: the reservations on them are renewed with the owners of their new
+  /// cells at once.
   void Configure(std::vector<CellSpec> next);
   /// Places a request in a cell of `pool`. A request on `cancel` ends the wait
   /// for the placement. The error is `kNoEndpoint` when this process has no
@@ -64,8 +66,10 @@
   /// the call to the owner. A cancelled call returns an error of any kind.
   Task<Result<CellPlacement>> Place(std::string pool, PlacementRequest request,
                                     Cancellation& cancel);
-  /// Queues a notice, which the next `Tick` sends. An empty `owner` stands for
-  /// the present owner of the notice's cell. A limit that an engine names is
+  /// Queues a notice, which the next `Tick` sends. A notice on a held reservation
+  /// goes to the present owner of its engine's cell, whatever `owner` and the
+  /// notice's cell are. An empty `owner` stands for the present owner of the
+  /// notice's cell. A limit that an engine names is
   /// also sent to later owners of the cell.
   void QueueNotice(const std::string& owner, CellNotice notice);
   /// Renews a reservation periodically until `Release`. The present owner of
@@ -94,7 +98,7 @@
   /// Requests that wait in the queues of all hosted cells.
   [[nodiscard]] std::size_t QueueLength() const;
   /// Number of reservations between `Hold` and `Release`.
-  [[nodiscard]] std::size_t HeldReservations() const noexcept;
+  [[nodiscard]] std::size_t HeldReservations() const;
 
  private:
   /// A cell's answer and the address of the process that gave it.
@@ -112,6 +116,9 @@
     explicit PendingPlacement(Loop& loop) : decided(loop) {}
     Notifier decided;
     std::optional<Result<Placement>> decision;
+    /// Whether the cell is no longer among those of this process, so that the
+    /// request must be placed in another one.
+    bool cell_gone = false;
   };
   /// A cell whose scheduler runs in this process.
   struct HostedCell {
@@ -130,6 +137,9 @@
     std::string cell;
     std::string owner;
     Renewal renewal;
+    /// When `Release` was called; the row stays until the owner is told of the
+    /// end.
+    std::optional<TimeMs> released_at;
   };
   /// Limits that this process has reported for the engines of a cell, keyed by
   /// engine.
@@ -158,6 +168,10 @@
   /// the cell that it returns.
   [[nodiscard]] std::string RedirectCell(const CellSpec& cell, Tokens tokens,
                                          TimeMs now);
+  /// Moves held reservations to the cells that their engines belong to now.
+  void MoveReservations();
+  /// Ends the scheduling of a hosted cell that is no longer configured.
+  void CloseCell(HostedCell& host, TimeMs now);
   /// The hosted cell of this name, created when it is not hosted yet.
   HostedCell& HostCell(const CellSpec& cell);
   /// Calls the owners of a cell in turn, and schedules locally when none
@@ -182,6 +196,7 @@
   Task<Result<std::string>> AnswerPlace(PeerCall& call);
   Task<Result<std::string>> AnswerReport(PeerCall& call);
   void ApplyReport(const CellReport& report);
+  void ApplyNotice(HostedCell& host, const CellNotice& notice, TimeMs now);
   /// Runs a cell's scheduler and carries out its commands.
   void RunScheduler(HostedCell& cell, TimeMs now);
   void CancelRun(HostedCell& cell, const CancelCommand& command);
@@ -213,6 +228,8 @@
   /// Loads of cells that other processes own, keyed by cell name.
   std::unordered_map<std::string, RemoteLoad> loads;
   std::map<std::string, ReportedLimits> reported_limits;  ///< Keyed by cell.
+  /// Cell of each engine, keyed by engine id.
+  std::unordered_map<std::string, std::string> cell_of_engine;
   TimeMs next_renewal = 0;
   TimeMs next_loads = 0;
 };
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -55,6 +55,8 @@
   /// An engine named a limit on requests, `CellNotice::max_per_s`, or no longer
   /// names one.
   kEngineLimit,
+  /// The engine of the reservation belongs to another cell now.
+  kMoved,
 };
 
 /// One notice to the owner of a cell. The owner ignores the fields that the
@@ -62,7 +64,7 @@
 struct CellNotice {
   CellNoticeKind kind = CellNoticeKind::kEngineServed;
   std::string cell;
-  /// Used by `kPrefillDone` and `kFinished`.
+  /// Used by `kPrefillDone`, `kFinished` and `kMoved`.
   std::string reservation;
   /// Id of the placement request; used by `kWithdrawn`.
   std::string request_id;
