--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -59,7 +59,9 @@
              this->settings.tolerance, this->settings.token_wait_ms),
       cells(this->link, this->gossip, this->settings.data_centre,
             this->settings.cells),
-      state(this->link, this->gossip, this->table, *this),
+      state(this->link, this->gossip, this->table, *this,
+            PublishedState::kMissingRetentionMs,
+            this->settings.peer_staleness_ms),
       router(
           RouterParts{event_loop, *this->dialects.callers,
                       *this->dialects.endpoints, this->pool, this->table,
@@ -189,8 +191,8 @@
 }
 
 void EntryNode::OnLeavingEndpoints(
-    const std::string& peer, const std::vector<LeavingEndpoint>& leaving) {
-  static_cast<void>(this->state.MarkLeaving(leaving, peer));
+    const std::string& peer, const std::vector<LeavingEndpoint>& endpoints) {
+  static_cast<void>(this->state.MarkLeaving(endpoints, peer));
 }
 
 void EntryNode::OnEndpointLeaving(const LeavingEndpoint& endpoint) {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -59,6 +59,9 @@
   /// Whether running requests of withdrawn API keys are aborted.
   bool abort_withdrawn_keys = false;
   LimitTolerance tolerance;
+  /// Endpoints are pulled from a peer that has had a newer revision of them for
+  /// this time.
+  DurationMs peer_staleness_ms = 700;
   /// Longest time that a request waits for its team's tokens before it is
   /// refused.
   DurationMs token_wait_ms = 0;
@@ -147,8 +150,9 @@
   void OnPeerVersions(const std::string& address, std::uint64_t version,
                       std::uint64_t endpoints_revision) override;
   void OnMemberChange(const MemberChange& change) override;
-  void OnLeavingEndpoints(const std::string& peer,
-                          const std::vector<LeavingEndpoint>& leaving) override;
+  void OnLeavingEndpoints(
+      const std::string& peer,
+      const std::vector<LeavingEndpoint>& endpoints) override;
   void OnEndpointLeaving(const LeavingEndpoint& endpoint) override;
   void OnPause() override;
   void OnConfig(const std::shared_ptr<const Configuration>& config) override;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -26,23 +26,20 @@
 constexpr DurationMs kPullTimeoutMs = 400;
 /// Shortest time between two pulls that `Tick` starts.
 constexpr DurationMs kPullPeriodMs = 300;
-/// A working watch reports an update within a few hundred ms. When a peer has
-/// had newer endpoints for this long, the watch of this process is taken to
-/// hang and the endpoints are pulled from the peer.
-constexpr DurationMs kWatchStalenessMs = 700;
 
 }  // namespace
 
 PublishedState::PublishedState(PeerLink& peer_link, const Gossip& peer_gossip,
                                EndpointTable& endpoint_table,
                                StateListener& state_listener,
-                               DurationMs retention_ms)
+                               DurationMs retention_ms, DurationMs staleness_ms)
     : link(peer_link),
       gossip(peer_gossip),
       table(endpoint_table),
       listener(state_listener),
       config(std::make_shared<const Configuration>()),
-      missing_retention_ms(retention_ms) {
+      missing_retention_ms(retention_ms),
+      watch_staleness_ms(staleness_ms) {
   this->link.Handle(std::string(kStatePath),
                     [this](PeerCall& call) { return this->AnswerState(call); });
 }
@@ -58,10 +55,9 @@
   const bool was_known = known != nullptr;
   if (!this->table.Put(endpoint, revision)) return;
   if (endpoint.leaving && !was_leaving) {
-    LogEvent(EventId::kEndpointLeaving,
-             {{"endpoint", endpoint.id},
-              {"from", "source"},
-              LogField::Of("revision", revision)});
+    LogEvent(EventId::kEndpointLeaving, {{"endpoint", endpoint.id},
+                                         {"from", "source"},
+                                         LogField::Of("revision", revision)});
   } else if (!was_known) {
     LogEvent(EventId::kEndpointAnnounced,
              {{"endpoint", endpoint.id},
@@ -152,8 +148,8 @@
   const TimeMs now = LoopNow();
   this->NotifyGone(this->table.Expire(now));
   if (this->ahead_revision <= this->table.Revision()) this->ahead_peer.clear();
-  const bool watch_stale =
-      !this->ahead_peer.empty() && now - this->ahead_since >= kWatchStalenessMs;
+  const bool watch_stale = !this->ahead_peer.empty() &&
+                           now - this->ahead_since >= this->watch_staleness_ms;
   if (watch_stale && !this->pulling && now >= this->next_pull_at) {
     this->next_pull_at = now + kPullPeriodMs;
     this->StartPull(this->ahead_peer);
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -35,12 +35,18 @@
   /// outage: during the outage the source may have expired the announcements of
   /// endpoints that are alive.
   static constexpr DurationMs kMissingRetentionMs = 2000;
+  /// When a peer has had newer endpoints for this long, the watch of this
+  /// process is taken to hang and the endpoints are pulled from the peer.
+  static constexpr DurationMs kWatchStalenessMs = 700;
 
+  /// @param staleness_ms See `kWatchStalenessMs`; longer than the source needs
+  /// to report a change.
   /// @param retention_ms How long endpoints that are missing from an incomplete
   /// list are retained, unless a peer reports that they are gone.
   PublishedState(PeerLink& peer_link, const Gossip& peer_gossip,
                  EndpointTable& endpoint_table, StateListener& state_listener,
-                 DurationMs retention_ms = kMissingRetentionMs);
+                 DurationMs retention_ms = kMissingRetentionMs,
+                 DurationMs staleness_ms = kWatchStalenessMs);
 
   void OnConfiguration(const Configuration& next) override;
   void OnEndpoint(const EndpointRecord& endpoint,
@@ -103,6 +109,7 @@
   std::uint64_t ahead_revision = 0;
   TimeMs ahead_since = 0;  ///< When a peer first reported a newer revision.
   DurationMs missing_retention_ms;
+  DurationMs watch_staleness_ms;
   /// Time until which endpoints missing from the source's list are retained.
   TimeMs missing_retained_until = 0;
   /// Endpoints revision before the source's incomplete list was applied.
