Keep the KV cache of a prompt whose decode engine is down, and eject such engines sooner

Change: the KV cache goes to the next engine while the prefill engine keeps it; a failed connection counts 1.5 failures.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -252,6 +252,9 @@
   void Forget(std::string_view reservation, TimeMs now);
   /// Counts a failed request against the engine's health.
   void EngineFailed(std::string_view engine, TimeMs now);
+  /// Counts a failed connection against the engine's health, for more than a
+  /// failed request: the engine is down, unless the entry process is cut off.
+  void EngineUnreachable(std::string_view engine, TimeMs now);
   /// Counts a served request for the engine's health.
   void EngineServed(std::string_view engine, TimeMs now);
   /// Starts the cool-down of an engine that refused a request which was placed
--- a/include/limpethaven/endpoint_health.h
+++ b/include/limpethaven/endpoint_health.h
@@ -39,8 +39,9 @@
   /// the threshold, and at once one that has been ejected and may be probed.
   /// Failures during an ejection have no effect: they are those of requests
   /// that were sent before it.
+  /// @param weight Failures that it counts as.
   /// @returns whether this failure ejects the endpoint.
-  bool OnFailure(std::string_view address, TimeMs now);
+  bool OnFailure(std::string_view address, TimeMs now, double weight = 1.0);
   /// Records a success. It readmits an endpoint that has been ejected, unless
   /// it comes during the ejection and may be that of an earlier request.
   /// @returns whether it readmits the endpoint.
--- a/include/limpethaven/endpoint_pauses.h
+++ b/include/limpethaven/endpoint_pauses.h
@@ -15,7 +15,8 @@
 
 namespace limpethaven {
 
-/// Pauses of one process, keyed by endpoint id. Not thread safe; reads no clock.
+/// Pauses of one process, keyed by endpoint id. Not thread safe; reads no
+/// clock.
 class EndpointPauses {
  public:
   /// A longer pause is cut to this time.
--- a/include/limpethaven/leaving_endpoints.h
+++ b/include/limpethaven/leaving_endpoints.h
@@ -29,8 +29,8 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& endpoint);
 
-/// The endpoints that one process knows to be leaving. Not thread safe; reads no
-/// clock.
+/// The endpoints that one process knows to be leaving. Not thread safe; reads
+/// no clock.
 class LeavingEndpoints {
  public:
   /// Most endpoints that are remembered; beyond it the one that was added first
--- a/src/core/cell_engines.h
+++ b/src/core/cell_engines.h
@@ -64,8 +64,8 @@
   /// Until then it gets no generations, so that the entry processes can report
   /// what it runs already.
   TimeMs settles_at = 0;
-  TimeMs refusing_until = 0;     ///< End of the cool-down after a refusal.
-  std::int64_t refusals = 0;     ///< Refusals since the last success.
+  TimeMs refusing_until = 0;  ///< End of the cool-down after a refusal.
+  std::int64_t refusals = 0;  ///< Refusals since the last success.
   std::int64_t running_prefills = 0;
   /// Expected end of the prefill work that was placed on it.
   TimeMs prefill_busy_until = 0;
--- a/src/core/cell_scheduler.cc
+++ b/src/core/cell_scheduler.cc
@@ -29,6 +29,10 @@
 /// other teams cannot starve it.
 constexpr std::int64_t kMaxBypassCount = 64;
 
+/// Failures that a failed connection counts as: two in quick succession eject
+/// an engine.
+constexpr double kUnreachableWeight = 1.5;
+
 /// A queued request.
 struct WaitingRow {
   PlacementRequest request;
@@ -569,6 +573,11 @@
   this->tables->engines.engine_health.OnFailure(engine, now);
 }
 
+void CellScheduler::EngineUnreachable(std::string_view engine, TimeMs now) {
+  this->tables->engines.engine_health.OnFailure(engine, now,
+                                                kUnreachableWeight);
+}
+
 void CellScheduler::EngineServed(std::string_view engine, TimeMs now) {
   this->tables->engines.engine_health.OnSuccess(engine, now);
   EngineRow* row = this->tables->engines.Find(engine);
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -7,11 +7,12 @@
 
 EndpointHealth::EndpointHealth(HealthSettings initial) : settings(initial) {}
 
-bool EndpointHealth::OnFailure(std::string_view address, TimeMs now) {
+bool EndpointHealth::OnFailure(std::string_view address, TimeMs now,
+                               double weight) {
   EndpointRow& row = this->rows[std::string(address)];
   if (row.ejected && now < row.ejected_until) return false;
   this->Decay(row, now);
-  row.failure_count += 1.0;
+  row.failure_count += weight;
   if (row.failure_count < this->settings.eject_threshold && !row.ejected) {
     return false;
   }
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -25,8 +25,8 @@
   Row& row = this->rows[endpoint.id];
   if (revision < row.revision) return false;
   EndpointRecord next = endpoint;
-  next.leaving = next.leaving ||
-                 this->said_leaving.Contains(endpoint.id, endpoint.born);
+  next.leaving =
+      next.leaving || this->said_leaving.Contains(endpoint.id, endpoint.born);
   const bool unchanged =
       row.revision != 0 && !row.removed && row.endpoint == next;
   // A row that was just inserted has revision 0, so a stored row has at
--- a/src/core/leaving_endpoints.cc
+++ b/src/core/leaving_endpoints.cc
@@ -18,8 +18,8 @@
 
 bool LeavingEndpoints::Add(const LeavingEndpoint& endpoint, TimeMs now) {
   if (this->Contains(endpoint.id, endpoint.born)) return false;
-  this->rows.insert_or_assign(
-      endpoint.id, Row{endpoint.born, now, this->next_number++, 0});
+  this->rows.insert_or_assign(endpoint.id,
+                              Row{endpoint.born, now, this->next_number++, 0});
   this->sent_until = now + kSendForMs;
   if (this->rows.size() > kMaxCount) {
     this->rows.erase(std::ranges::min_element(
@@ -47,12 +47,11 @@
       [](const Entry* entry) { return entry->second.transmissions; });
   recent.resize(sent);
   std::vector<LeavingEndpoint> outgoing;
-  std::ranges::transform(recent, std::back_inserter(outgoing),
-                         [](Entry* entry) {
-                           ++entry->second.transmissions;
-                           return LeavingEndpoint{entry->first,
-                                                  entry->second.born};
-                         });
+  std::ranges::transform(
+      recent, std::back_inserter(outgoing), [](Entry* entry) {
+        ++entry->second.transmissions;
+        return LeavingEndpoint{entry->first, entry->second.born};
+      });
   return outgoing;
 }
 
--- a/src/core/request_record.cc
+++ b/src/core/request_record.cc
@@ -17,8 +17,8 @@
 }  // namespace
 
 SendOutcome AfterReconnect(SendOutcome run, SendOutcome reconnect) noexcept {
-  const bool reached_run = reconnect != SendOutcome::kNotSent &&
-                           reconnect != SendOutcome::kNotRun;
+  const bool reached_run =
+      reconnect != SendOutcome::kNotSent && reconnect != SendOutcome::kNotRun;
   return reached_run ? reconnect : run;
 }
 
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -63,9 +63,8 @@
 /// exception that leaves it is logged and ends this coroutine only.
 template <typename Start>
 void Spawn(Loop& loop, Start start) {
-  asio::co_spawn(loop, std::move(start), [](const std::exception_ptr& fault) {
-    LogTaskFault(fault);
-  });
+  asio::co_spawn(loop, std::move(start),
+                 [](const std::exception_ptr& fault) { LogTaskFault(fault); });
 }
 
 }  // namespace limpethaven
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -229,11 +229,11 @@
 void HttpCall::Finish() {
   if (this->finished) return;
   this->finished = true;
-  const bool reusable = !this->single_use && this->send_state->done && !this->send_state->failed &&
-                        this->parser->Response().keep_alive &&
-                        !this->parser->CloseDelimited() &&
-                        this->connection->Input().empty() &&
-                        this->connection->State() == InputState::kOpen;
+  const bool reusable =
+      !this->single_use && this->send_state->done &&
+      !this->send_state->failed && this->parser->Response().keep_alive &&
+      !this->parser->CloseDelimited() && this->connection->Input().empty() &&
+      this->connection->State() == InputState::kOpen;
   if (!reusable) {
     this->connection->Close();
     return;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,9 +1,10 @@
 #include "net/http_server.h"
-#include "net/tasks.h"
 
 #include <algorithm>
 #include <boost/asio/socket_base.hpp>
 
+#include "net/tasks.h"
+
 namespace limpethaven {
 namespace {
 
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -288,10 +288,9 @@
 }
 
 std::size_t CellExchange::HeldReservations() const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(this->held, [](const auto& entry) {
-        return !entry.second.released_at.has_value();
-      }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->held,
+      [](const auto& entry) { return !entry.second.released_at.has_value(); }));
 }
 
 std::vector<CellSpec> CellExchange::OwnedCells() const {
@@ -586,6 +585,9 @@
     case CellNoticeKind::kEngineLimit:
       scheduler.LimitEngine(notice.engine, notice.max_per_s, now);
       break;
+    case CellNoticeKind::kEngineUnreachable:
+      scheduler.EngineUnreachable(notice.engine, now);
+      break;
     case CellNoticeKind::kMoved:
       scheduler.Forget(notice.reservation, now);
       break;
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -66,11 +66,11 @@
   /// the call to the owner. A cancelled call returns an error of any kind.
   Task<Result<CellPlacement>> Place(std::string pool, PlacementRequest request,
                                     Cancellation& cancel);
-  /// Queues a notice, which the next `Tick` sends. A notice on a held reservation
-  /// goes to the present owner of its engine's cell, whatever `owner` and the
-  /// notice's cell are. An empty `owner` stands for the present owner of the
-  /// notice's cell. A limit that an engine names is
-  /// also sent to later owners of the cell.
+  /// Queues a notice, which the next `Tick` sends. A notice on a held
+  /// reservation goes to the present owner of its engine's cell, whatever
+  /// `owner` and the notice's cell are. An empty `owner` stands for the present
+  /// owner of the notice's cell. A limit that an engine names is also sent to
+  /// later owners of the cell.
   void QueueNotice(const std::string& owner, CellNotice notice);
   /// Renews a reservation periodically until `Release`. The present owner of
   /// the cell receives the renewals.
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -16,7 +16,8 @@
 constexpr std::size_t kNoticeLimitIndex = 7;
 /// Stands for a missing limit.
 constexpr double kNoLimit = -1;
-constexpr int kLastNoticeKind = static_cast<int>(CellNoticeKind::kMoved);
+constexpr int kLastNoticeKind =
+    static_cast<int>(CellNoticeKind::kEngineUnreachable);
 
 json OptionalTokens(const std::optional<Tokens>& tokens) {
   return tokens ? json(*tokens) : json(nullptr);
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -57,6 +57,7 @@
   kEngineLimit,
   /// The engine of the reservation belongs to another cell now.
   kMoved,
+  kEngineUnreachable,  ///< No connection to an engine could be made.
 };
 
 /// One notice to the owner of a cell. The owner ignores the fields that the
--- a/src/peer/gossip.h
+++ b/src/peer/gossip.h
@@ -36,9 +36,9 @@
   /// Called with the endpoints that, by a peer's message, are leaving by their
   /// own word; most of them are known already.
   virtual void OnLeavingEndpoints(
-      const std::string& peer, const std::vector<LeavingEndpoint>& leaving) {
+      const std::string& peer, const std::vector<LeavingEndpoint>& endpoints) {
     static_cast<void>(peer);
-    static_cast<void>(leaving);
+    static_cast<void>(endpoints);
   }
   /// Called after a pause of this process that was long enough for leases to
   /// expire.
@@ -98,7 +98,7 @@
   GossipListener& listener;
   Membership membership;
   DatagramSocket socket;
-  PromptQuarantine* quarantine = nullptr;  ///< Null until `ShareEvidence`.
+  PromptQuarantine* quarantine = nullptr;    ///< Null until `ShareEvidence`.
   LeavingEndpoints* said_leaving = nullptr;  ///< Null until `ShareLeaving`.
   std::uint64_t bytes = 0;
 };
--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -289,9 +289,8 @@
   Loop& loop = this->link.GetLoop();
   const auto round = std::make_shared<Round>(loop);
   round->pending = called.size();
-  const auto fair_part =
-      (missing + static_cast<Tokens>(called.size()) - 1) /
-      static_cast<Tokens>(called.size());
+  const auto fair_part = (missing + static_cast<Tokens>(called.size()) - 1) /
+                         static_cast<Tokens>(called.size());
   std::ranges::for_each(called, [&](const Lender& lender) {
     const Tokens wanted = std::min(
         missing, std::max(fair_part, static_cast<Tokens>(lender.estimate)));
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -129,7 +129,8 @@
   std::int64_t configured_slots = 0;
   /// Slots in use.
   std::int64_t slots = 1;
-  std::unordered_map<std::string, BorrowCooldown> borrow_cooldowns;  ///< By team.
+  std::unordered_map<std::string, BorrowCooldown>
+      borrow_cooldowns;  ///< By team.
   /// Keyed by team, then by the lender's address.
   std::unordered_map<std::string,
                      std::unordered_map<std::string, LenderBalance>>
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -136,10 +136,9 @@
   if (const DurationMs wait_ms =
           this->core.PoolWaitMs(*this->admitted.pool, true);
       wait_ms > 0) {
-    Error error = Error::Of(
-        ErrorKind::kCapacity, "all engines of pool " +
-                                  this->admitted.pool->name +
-                                  " have asked this process for a pause");
+    Error error = Error::Of(ErrorKind::kCapacity,
+                            "all engines of pool " + this->admitted.pool->name +
+                                " have asked this process for a pause");
     error.retry_after_ms = wait_ms;
     co_return error;
   }
@@ -191,8 +190,8 @@
   std::optional<KvHandle> kv_handle = this->TakeUnusedKv(placement);
   bool prefill_sent = false;
   const EndpointRecord* prefill = table.Find(placement.prefill);
-  const bool prefills = prefill != nullptr && !prefill->leaving &&
-                        !this->IsPaused(prefill->id);
+  const bool prefills =
+      prefill != nullptr && !prefill->leaving && !this->IsPaused(prefill->id);
   const bool may_prefill = prefills && this->TryPrefillRetry();
   if (prefills && !may_prefill && !this->core.settings.allow_local_prefill) {
     this->core.parts.cells.Release(placement.reservation);
@@ -209,6 +208,7 @@
     kv_handle = result.kv_handle;
     prefill_sent = result.sent;
     CellNoticeKind notice = CellNoticeKind::kEngineFailed;
+    if (!result.sent) notice = CellNoticeKind::kEngineUnreachable;
     if (result.refused) notice = CellNoticeKind::kEngineFull;
     if (kv_handle) notice = CellNoticeKind::kPrefillDone;
     this->NotifyOwner(placed, notice, prefill_engine.id, 0, result.elapsed_ms);
@@ -219,8 +219,8 @@
   SendOutcome outcome = SendOutcome::kNotSent;
   // The engine may have started to drain during the prefill.
   const EndpointRecord* current = table.Find(engine.id);
-  const bool unusable = current == nullptr || current->leaving ||
-                        this->IsPaused(engine.id);
+  const bool unusable =
+      current == nullptr || current->leaving || this->IsPaused(engine.id);
   if (unusable) this->KeepKv(kv_handle);
   if (unusable || (!kv_handle && !this->core.settings.allow_local_prefill)) {
     // A prefill call that may have run the request counts as a send. Where
@@ -268,7 +268,12 @@
   this->record.OnSend();
   SendOutcome outcome = co_await this->Send(std::move(first));
   const bool refused = outcome == SendOutcome::kNotRun && fetches_kv;
-  if (refused && this->LastAnswer().overloaded) {
+  // A reset before the head of a response is mostly that of an engine which is
+  // down; if it has fetched the KV cache, the next one prefills the prompt.
+  const bool broke_unanswered = outcome == SendOutcome::kBroken &&
+                                !this->ResponseBegun() && !this->Progressed();
+  if (outcome == SendOutcome::kNotSent || broke_unanswered ||
+      (refused && this->LastAnswer().overloaded)) {
     // The engine has not fetched the KV cache, so that another one can.
     this->KeepKv(kv_handle);
   } else if (refused && !this->Cancelled() &&
@@ -308,6 +313,11 @@
       this->NotifyOwner(placed, CellNoticeKind::kEngineFull, engine.id, 0, 0);
       break;
     case SendOutcome::kNotSent:
+      if (!this->Cancelled()) {
+        this->NotifyOwner(placed, CellNoticeKind::kEngineUnreachable, engine.id,
+                          0, 0);
+      }
+      break;
     case SendOutcome::kBroken:
     case SendOutcome::kSilent:
       if (!this->Cancelled()) {
@@ -502,8 +512,8 @@
     this->NotifyLimit(placed, engine.id, was_limited);
   }
   if (!answer.success || !answer.matches_request) {
-    result.refused = answer.matches_request && answer.not_run &&
-                     !answer.address_reassigned;
+    result.refused =
+        answer.matches_request && answer.not_run && !answer.address_reassigned;
     // Only a prefill call that an engine accepts is not a retry.
     if (first_call && this->core.settings.allow_local_prefill) {
       this->core.BudgetOf(this->admitted.pool->name).OnRetry(LoopNow());
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -15,28 +15,24 @@
     this->tried_endpoints.push_back(endpoint.id);
     {
       this->core.AddInFlight(endpoint.id, 1);
-      const ScopeExit ended(
-          [&] { this->core.AddInFlight(endpoint.id, -1); });
+      const ScopeExit ended([&] { this->core.AddInFlight(endpoint.id, -1); });
       this->record.OnSend();
       last = co_await this->Send(this->MakeDispatch(endpoint));
     }
     if (this->Cancelled()) break;
-    const bool responded =
-        last == SendOutcome::kAnswered || last == SendOutcome::kFailed;
-    this->core.NoteOutcome(endpoint.id,
-                           responded && !this->LastAnswer().server_error);
+    this->core.NoteOutcome(endpoint.id, last == SendOutcome::kAnswered ||
+                                            last == SendOutcome::kFailed);
     const NextStep step = this->DecideNextStep(last);
     if (step == NextStep::kForward) co_return std::nullopt;
     if (step != NextStep::kSendAgain) break;
   }
-  const DurationMs wait_ms =
-      this->core.PoolWaitMs(*this->admitted.pool, false);
+  const DurationMs wait_ms = this->core.PoolWaitMs(*this->admitted.pool, false);
   if (this->tried_endpoints.empty() && wait_ms > 0) {
-    Error error = Error::Of(ErrorKind::kCapacity,
-                            "the endpoints of pool " +
-                                this->admitted.pool->name +
-                                " want no requests now: their limits are used "
-                                "up, or they have asked for a pause");
+    Error error =
+        Error::Of(ErrorKind::kCapacity,
+                  "the endpoints of pool " + this->admitted.pool->name +
+                      " want no requests now: their limits are used "
+                      "up, or they have asked for a pause");
     error.retry_after_ms = wait_ms;
     co_return error;
   }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -71,8 +71,9 @@
   /// Chooses the endpoint of a pool with the fewest calls in flight from this
   /// process; among equals, one in this data centre. An ejected endpoint is
   /// chosen only when no other is left, and none whose limit on requests is
-  /// used up or that is paused. The choice is recorded in the endpoints' health, since a request
-  /// to an ejected endpoint is a probe, and in the limits.
+  /// used up or that is paused. The choice is recorded in the endpoints'
+  /// health, since a request to an ejected endpoint is a probe, and in the
+  /// limits.
   /// @param tried Ids of endpoints that are left out.
   /// @returns null when there is none.
   [[nodiscard]] const EndpointRecord* ChooseEndpoint(
@@ -92,8 +93,7 @@
   void AddInFlight(const std::string& endpoint, std::int64_t calls);
   /// Records the outcome of a call to an endpoint of a plain service, and logs
   /// when the endpoint is ejected or returns.
-  /// @param served Whether the endpoint answered, and not with an error of its
-  /// own.
+  /// @param served Whether the endpoint answered, even with a failure.
   void NoteOutcome(const std::string& endpoint, bool served);
   /// Refusal of a prompt with a quarantined part; empty for other prompts.
   /// @param prompt_parts Result of `ShareableParts`.
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -195,7 +195,7 @@
   struct PrefillResult {
     /// KV cache of the prompt; empty when the prefill failed.
     std::optional<KvHandle> kv_handle;
-    bool sent = false;  ///< The engine may have received the call.
+    bool sent = false;     ///< The engine may have received the call.
     bool refused = false;  ///< The engine had no room, or wants no load now.
     DurationMs elapsed_ms = 0;
   };
--- a/tests/share_exchange_test.cc
+++ b/tests/share_exchange_test.cc
@@ -125,9 +125,9 @@
   REQUIRE_FALSE(fleet.Charge(0, "r2", 12'000));
 }
 
-// In a large fleet a share is a small part of a request. Guards against requests
-// that are refused although the fleet has the tokens, and against tokens that
-// are lost when a request is refused.
+// In a large fleet a share is a small part of a request. Guards against
+// requests that are refused although the fleet has the tokens, and against
+// tokens that are lost when a request is refused.
 TEST_CASE("share exchange finds the tokens of a request in many small shares") {
   constexpr std::size_t kProcesses = 24;
   constexpr Tokens kShare = 500;
