--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -28,26 +28,13 @@
          std::to_string(number % 250 + 1);
 }
 
-/// Source that reports one configuration and one list of endpoints.
-class FixedSource final : public Source {
- public:
-  void Start(SourceListener& listener) override {
-    listener.OnSourceReachable(true);
-    listener.OnConfiguration(this->config);
-    listener.OnAllEndpoints(this->endpoints, 1, true);
-  }
-
-  Configuration config;
-  std::vector<EndpointRecord> endpoints;
-};
-
 Configuration ConfigurationOf(const PlatformFleetSettings& settings) {
   Configuration config;
   config.version = 1;
   config.digest = "fixed";
   PoolSpec engines;
   engines.name = "scribe";
-  engines.engine = EngineSpec{16, 100'000, 1000, 10'000, 0, 1};
+  engines.engine = EngineSpec{16, 100'000, 1000, 10'000, 500, 1};
   config.pools.emplace(engines.name, engines);
   PoolSpec service;
   service.name = "shop";
@@ -89,6 +76,34 @@
 
 }  // namespace
 
+/// Source that reports one configuration and a list of endpoints.
+class FixedSource final : public Source {
+ public:
+  void Start(SourceListener& listener) override {
+    this->listeners.push_back(&listener);
+    listener.OnSourceReachable(true);
+    listener.OnConfiguration(this->config);
+    listener.OnAllEndpoints(this->endpoints, this->revision, true);
+  }
+  /// Removes the first `count` endpoints.
+  void Remove(std::size_t count) {
+    ++this->revision;
+    this->endpoints.erase(
+        this->endpoints.begin(),
+        this->endpoints.begin() + static_cast<std::ptrdiff_t>(count));
+    std::ranges::for_each(this->listeners, [this](SourceListener* listener) {
+      listener->OnAllEndpoints(this->endpoints, this->revision, true);
+    });
+  }
+
+  Configuration config;
+  std::vector<EndpointRecord> endpoints;
+
+ private:
+  std::uint64_t revision = 1;
+  std::vector<SourceListener*> listeners;
+};
+
 std::string PrefillAnswer(const RequestHead& call) {
   ResponseHead head = AnswerHeadOf(call);
   return WriteResponse(head, R"({"handle":"h1","tokens":120,"version":1})");
@@ -164,11 +179,13 @@
       co_await asio::post(this->loop, asio::use_awaitable);
     }
     if (!reply.late.empty()) {
-      Spawn(this->loop, [this, connection, text = reply.late,
-                         wait_ms = reply.late_ms]() mutable -> Task<> {
-        co_await SleepFor(this->loop, wait_ms);
-        co_await connection->Write(std::move(text), LoopNow() + kCallTimeoutMs);
-      });
+      Spawn(this->loop,
+            [this, connection, text = reply.late,
+             wait_ms = reply.late_ms]() mutable -> Task<> {
+              co_await SleepFor(this->loop, wait_ms);
+              co_await connection->Write(std::move(text),
+                                         LoopNow() + kCallTimeoutMs);
+            });
     }
     if (reply.crash) {
       Spawn(this->loop, [this]() -> Task<> { co_await this->Restart(); });
@@ -211,9 +228,10 @@
         this->loop, NextLoopbackIp() + ":" + std::to_string(kEnginePort),
         script));
     this->engines.back()->Listen();
-    fixed->endpoints.push_back(EndpointRecord{
-        "engine-" + std::to_string(this->engines.size()), 1,
-        this->engines.back()->address, "zone", pool_name, role, 16, false});
+    fixed->endpoints.push_back(
+        EndpointRecord{"engine-" + std::to_string(this->engines.size()), 1,
+                       this->engines.back()->address, "zone", pool_name, role,
+                       this->settings.slots, false});
   };
   for (std::size_t index = 0; index < this->settings.engines; ++index) {
     add("scribe", PoolRole::kDecode);
@@ -274,15 +292,15 @@
   ++this->started_calls;
   const std::string address =
       this->addresses[entry] + ":" + std::to_string(kCallerPort);
-  Spawn(
-      this->loop, [this, address, started_at = LoopNow(),
-                   text = std::move(bytes)]() mutable -> Task<> {
-        HttpResponse response =
-            co_await FetchResponse(this->loop, this->pool, address,
-                                   std::move(text), LoopNow() + kCallTimeoutMs);
-        this->responses.push_back(std::move(response));
-        this->response_times.push_back(LoopNow() - started_at);
-      });
+  Spawn(this->loop,
+        [this, address, started_at = LoopNow(),
+         text = std::move(bytes)]() mutable -> Task<> {
+          HttpResponse response = co_await FetchResponse(
+              this->loop, this->pool, address, std::move(text),
+              LoopNow() + kCallTimeoutMs);
+          this->responses.push_back(std::move(response));
+          this->response_times.push_back(LoopNow() - started_at);
+        });
 }
 
 HttpResponse PlatformFleet::AwaitResponse() {
@@ -292,6 +310,10 @@
   return all_ended ? this->responses.back() : HttpResponse{CallFault::kTimeout};
 }
 
+void PlatformFleet::RemoveEngines(std::size_t count) {
+  this->source->Remove(count);
+}
+
 void PlatformFleet::DrainEntry(std::size_t entry) {
   this->entries[entry]->Drain();
 }
@@ -343,6 +365,8 @@
   node.router.allow_local_prefill = true;
   node.cells.allow_local_prefill = true;
   node.cells.reserve_maximum = false;
+  node.cells.settle_ms = this->settings.settle_ms;
+  node.cell_size = this->settings.cell_size;
   NodeDialects dialects;
   dialects.callers = std::make_unique<platform::PlatformCallers>();
   dialects.endpoints = std::make_unique<platform::PlatformEndpoints>();
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -74,15 +74,22 @@
 /// Parameters of a fleet.
 struct PlatformFleetSettings {
   std::size_t entries = 3;
-  std::size_t engines = 8;          ///< Decode engines.
-  std::size_t prefill_engines = 0;  ///< Listed after the decode engines.
+  std::size_t engines = 8;            ///< Decode engines.
+  std::size_t prefill_engines = 0;    ///< Listed after the decode engines.
   std::size_t service_endpoints = 1;  ///< Listed last.
   RepeatRule repeat = RepeatRule::kOnce;
   RetrySettings retries{0.2, 50, 10'000};
+  std::int64_t slots = 16;  ///< Requests that an engine runs at once.
+  /// Engines in one cell, and the time for which a cell sends nothing to an
+  /// engine that is new to it.
+  std::size_t cell_size = 64;
+  DurationMs settle_ms = 0;
   /// Time limit of each request of a caller.
   DurationMs timeout_ms = 10'000;
 };
 
+class FixedSource;
+
 /// Starts the fleet when constructed and stops it when destroyed.
 class PlatformFleet {
  public:
@@ -107,6 +114,8 @@
   /// within `limit_ms`.
   bool RunUntil(const std::function<bool()>& condition, DurationMs limit_ms);
   void RunFor(DurationMs duration_ms);
+  /// Announces to all entries that the first `count` engines are gone.
+  void RemoveEngines(std::size_t count);
   /// Starts the graceful stop of an entry.
   void DrainEntry(std::size_t entry);
   /// Calls that reached any engine with `text` among the prompt's parts.
@@ -128,7 +137,7 @@
   [[nodiscard]] std::string RequestBytes(std::string_view path,
                                          std::string_view prefix);
 
-  std::unique_ptr<Source> source;
+  std::unique_ptr<FixedSource> source;
   /// Ended entries, kept because pending tasks refer to them.
   std::vector<std::unique_ptr<EntryNode>> ended;
   ConnectionPool pool;
