Judge whether a stream has stalled by its own pace

Cause: a stream that may be resumed was given up after 1.5 s without an event, also when its engine was merely slow; with engines slowed eight times a sound run was read again at another one. Change: a rule of the core: four times the longest pause so far, at least 1.5 s, at most two thirds of the time that the caller waits. Bytes without an event are no progress, as before.

--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -23,10 +23,6 @@
 /// Timeout of the start of the response to such a call on routes without
 /// `first_token_ms`.
 constexpr DurationMs kHeadTimeoutMs = 10'000;
-/// The call of a stream that may be sent again times out after this long
-/// without new events, also before the first one. Where the protocol can
-/// reconnect to a run, the same endpoint is tried first, then another.
-constexpr DurationMs kStreamIdleTimeoutMs = 1500;
 
 /// Largest body of an answer that is not a stream.
 constexpr std::size_t kMaxBodyBytes = 4'194'304;
@@ -240,7 +236,7 @@
   CallFault fault = co_await this->Start(call, address, outgoing,
                                          dispatch.reattach ? 0 : max_idle_ms);
   if (fault == CallFault::kNone) {
-    fault = co_await call.ReadHead(this->IdleDeadline(LoopNow()));
+    fault = co_await call.ReadHead(this->HeadDeadline());
   }
   SendOutcome outcome = SendOutcome::kBroken;
   int status = 0;  // Stays 0 without a response head.
@@ -361,22 +357,30 @@
                                       : SendOutcome::kBroken;
 }
 
-TimeMs Session::IdleDeadline(TimeMs progress_at) const {
+bool Session::MaySendAgain() const {
   const RouteSpec& route = *this->admitted.route;
-  // An idle endpoint is abandoned before the request's deadline only if sends
-  // and retry budget are left to send the request again.
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
-  const bool may_send_again = route.repeat != RepeatRule::kOnce &&
-                              this->record.Sends() < route.max_sends &&
-                              budget.RetriesLeft(LoopNow()) >= 1.0;
-  if (!may_send_again) return this->admitted.deadline;
+  return route.repeat != RepeatRule::kOnce &&
+         this->record.Sends() < route.max_sends &&
+         budget.RetriesLeft(LoopNow()) >= 1.0;
+}
+
+TimeMs Session::HeadDeadline() const {
+  if (!this->MaySendAgain()) return this->admitted.deadline;
+  const RouteSpec& route = *this->admitted.route;
   const DurationMs call_ms =
       route.first_token_ms > 0
           ? kHeadTimeoutTargetMultiple * route.first_token_ms
           : kHeadTimeoutMs;
-  return std::min(
-      this->admitted.deadline,
-      progress_at + (this->stream ? kStreamIdleTimeoutMs : call_ms));
+  const DurationMs stream_ms = StallSettings{}.min_timeout_ms;
+  return std::min(this->admitted.deadline,
+                  LoopNow() + (this->stream ? stream_ms : call_ms));
+}
+
+TimeMs Session::EventDeadline(const StallRule& stall) const {
+  return this->MaySendAgain()
+             ? std::min(this->admitted.deadline, stall.Deadline())
+             : this->admitted.deadline;
 }
 
 Task<SendOutcome> Session::ForwardStream(HttpCall& call, CallFault& fault) {
@@ -389,18 +393,19 @@
     if (!begun) this->cancel.Request();
   }
   bool ended = false;
-  TimeMs progress_at = LoopNow();
+  StallRule stall(this->admitted.route->patience_ms);
+  stall.OnProgress(LoopNow());
   while (fault == CallFault::kNone && !this->Cancelled() && !ended &&
          this->stream->State() == StreamState::kOpen) {
     std::string chunk;
-    fault = co_await call.ReadBody(chunk, this->IdleDeadline(progress_at));
+    fault = co_await call.ReadBody(chunk, this->EventDeadline(stall));
     ended = fault == CallFault::kNone && call.Done() && chunk.empty();
     const std::optional<std::int64_t> last_event = this->stream->LastEvent();
     std::string events = this->stream->Feed(chunk);
     if (events.empty()) continue;
     // Keep-alives are not progress: a stalled engine may still send them.
     const bool progress = this->stream->LastEvent() != last_event;
-    if (progress) progress_at = LoopNow();
+    if (progress) stall.OnProgress(LoopNow());
     if (progress && !this->first_event_seen) {
       this->first_event_seen = true;
       this->core.parts.metrics.OnFirstEvent(LoopNow() -
@@ -464,12 +469,7 @@
       (this->stream && !answer.final_failure)) {
     co_return SendOutcome::kBroken;
   }
-  const bool may_send_again =
-      this->admitted.route->repeat != RepeatRule::kOnce &&
-      this->record.Sends() < this->admitted.route->max_sends &&
-      this->core.BudgetOf(this->admitted.pool->name).RetriesLeft(LoopNow()) >=
-          1.0;
-  if (!answer.success && may_send_again) co_return SendOutcome::kFailed;
+  if (!answer.success && this->MaySendAgain()) co_return SendOutcome::kFailed;
   co_await this->exchange.Answer(
       this->core.parts.callers.AnswerHead(call.Head(), this->admitted.request),
       body.Take());
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "limpethaven/request_record.h"
+#include "limpethaven/stall_rule.h"
 #include "net/cancellation.h"
 #include "router/router.h"
 
@@ -152,10 +153,16 @@
   /// Outcome of a call that brought no complete response.
   [[nodiscard]] static SendOutcome OutcomeOf(const HttpCall& failed,
                                              CallFault fault);
-  /// Time at which a call to an endpoint times out unless the endpoint sends
-  /// new output before.
-  /// @param progress_at When its last output came, or the call was sent.
-  [[nodiscard]] TimeMs IdleDeadline(TimeMs progress_at) const;
+  /// Whether the request could be sent to another endpoint if the present one
+  /// failed. Only then is an endpoint given up before the request's deadline.
+  [[nodiscard]] bool MaySendAgain() const;
+  /// Time at which a call that was just sent times out without the head of a
+  /// response.
+  [[nodiscard]] TimeMs HeadDeadline() const;
+  /// Time at which a stream is given up unless it brings an event before. Where
+  /// the protocol can reconnect to a run, the same endpoint is tried first,
+  /// then another.
+  [[nodiscard]] TimeMs EventDeadline(const StallRule& stall) const;
 
   /// Addresses that this request was sent to. Their connections are not reused
   /// for it, since all of its calls have the same id, so that a repeated
