--- a/include/limpethaven/event_splitter.h
+++ b/include/limpethaven/event_splitter.h
@@ -21,6 +21,12 @@
   /// Number at the start of the last `id:` of a complete event; an id that does
   /// not start with a number is skipped. Empty when there was none.
   [[nodiscard]] std::optional<std::int64_t> LastId() const noexcept;
+  /// Number at the start of the `id:` of the first event in a text of complete
+  /// events, comments aside; empty when that event has none.
+  [[nodiscard]] static std::optional<std::int64_t> FirstId(
+      std::string_view events);
+  /// Sets the last id back, when events were not passed on after all.
+  void SetLastId(std::optional<std::int64_t> id);
   /// Whether bytes of an incomplete event are held back.
   [[nodiscard]] bool HasPartial() const noexcept;
   /// Whether an incomplete event is longer than any event may be.
--- a/src/core/event_splitter.cc
+++ b/src/core/event_splitter.cc
@@ -20,6 +20,28 @@
   return std::max(lf_end, crlf_end);
 }
 
+/// Removes the first line from a text. @returns it without its end.
+std::string_view TakeLine(std::string_view& text) {
+  const auto end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
+/// Number at the start of the value of an `id:` line; empty for other lines.
+std::optional<std::int64_t> IdOf(std::string_view line) {
+  constexpr std::string_view kField = "id:";
+  if (!line.starts_with(kField)) return std::nullopt;
+  line.remove_prefix(kField.size());
+  line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
+  std::int64_t number = 0;
+  const auto parsed =
+      std::from_chars(line.data(), line.data() + line.size(), number);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
 std::string EventSplitter::Append(std::string_view bytes) {
@@ -42,6 +64,10 @@
   return this->last_id;
 }
 
+void EventSplitter::SetLastId(std::optional<std::int64_t> id) {
+  this->last_id = id;
+}
+
 bool EventSplitter::HasPartial() const noexcept {
   return !this->partial.empty();
 }
@@ -50,21 +76,20 @@
   return this->partial.size() > kMaxEventBytes;
 }
 
+std::optional<std::int64_t> EventSplitter::FirstId(std::string_view events) {
+  bool in_event = false;
+  while (!events.empty()) {
+    const std::string_view line = TakeLine(events);
+    if (line.empty() && in_event) return std::nullopt;
+    if (const auto number = IdOf(line)) return number;
+    in_event = in_event || (!line.empty() && line.front() != ':');
+  }
+  return std::nullopt;
+}
+
 void EventSplitter::ReadIds(std::string_view events) {
-  constexpr std::string_view kField = "id:";
   while (!events.empty()) {
-    const auto end = events.find('\n');
-    std::string_view line = events.substr(0, end);
-    if (line.starts_with(kField)) {
-      line.remove_prefix(kField.size());
-      line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
-      std::int64_t number = 0;
-      const auto parsed =
-          std::from_chars(line.data(), line.data() + line.size(), number);
-      if (parsed.ec == std::errc()) this->last_id = number;
-    }
-    if (end == std::string_view::npos) return;
-    events.remove_prefix(end + 1);
+    if (const auto number = IdOf(TakeLine(events))) this->last_id = number;
   }
 }
 
