Do not ask an engine once more that has given up its address

Cause: a 421 was taken for a KV cache that cannot be had, and the same address was called again. Change: the KV cache goes to another engine, and the owner of the cell hears that the engine cannot be reached.

--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -273,7 +273,8 @@
   const bool broke_unanswered = outcome == SendOutcome::kBroken &&
                                 !this->ResponseBegun() && !this->Progressed();
   if (outcome == SendOutcome::kNotSent || broke_unanswered ||
-      (refused && this->LastAnswer().overloaded)) {
+      (refused && (this->LastAnswer().overloaded ||
+                   this->LastAnswer().address_reassigned))) {
     // The engine has not fetched the KV cache, so that another one can.
     this->KeepKv(kv_handle);
   } else if (refused && !this->Cancelled() &&
@@ -310,7 +311,11 @@
                         engine.id, 0, 0);
       break;
     case SendOutcome::kNotRun:
-      this->NotifyOwner(placed, CellNoticeKind::kEngineFull, engine.id, 0, 0);
+      this->NotifyOwner(placed,
+                        this->LastAnswer().address_reassigned
+                            ? CellNoticeKind::kEngineUnreachable
+                            : CellNoticeKind::kEngineFull,
+                        engine.id, 0, 0);
       break;
     case SendOutcome::kNotSent:
       if (!this->Cancelled()) {
--- a/tests/endpoint_signals_test.cc
+++ b/tests/endpoint_signals_test.cc
@@ -364,11 +364,14 @@
   settings.engines = 2;
   settings.prefill_engines = 2;
   settings.repeat = RepeatRule::kResumable;
+  // It wants no load, or another endpoint has its address now.
+  const int status = GENERATE(429, 421);
+  INFO(status);
   bool refused = false;  // By whichever engine is called first.
-  PlatformFleet fleet(settings, [&refused](const RequestHead& call) {
+  PlatformFleet fleet(settings, [&refused, status](const RequestHead& call) {
     const bool refuses = !call.headers.Has("X-Stage") && !refused;
     refused = refused || refuses;
-    return EngineAnswer{refuses ? Refusal(call, 429) : Answer(call)};
+    return EngineAnswer{refuses ? Refusal(call, status) : Answer(call)};
   });
   const HttpResponse response = fleet.Call(0, "first:80,own:9");
   CHECK(response.head.status == 200);
