--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -47,6 +47,7 @@
   generate.open = true;
   generate.streams = true;
   generate.repeat = settings.repeat;
+  generate.max_sends = settings.max_sends;
   generate.first_token_ms = 2000;
   generate.timeout_ms = settings.timeout_ms;
   generate.patience_ms = settings.timeout_ms;
@@ -179,13 +180,16 @@
       co_await asio::post(this->loop, asio::use_awaitable);
     }
     if (!reply.late.empty()) {
-      Spawn(this->loop,
-            [this, connection, text = reply.late,
-             wait_ms = reply.late_ms]() mutable -> Task<> {
-              co_await SleepFor(this->loop, wait_ms);
-              co_await connection->Write(std::move(text),
-                                         LoopNow() + kCallTimeoutMs);
-            });
+      Spawn(this->loop, [this, connection, reply]() -> Task<> {
+        bool more = true;
+        while (more && connection->State() == InputState::kOpen) {
+          co_await SleepFor(this->loop, reply.late_ms);
+          std::string text = reply.late;
+          more = co_await connection->Write(std::move(text),
+                                            LoopNow() + kCallTimeoutMs);
+          more = more && reply.late_repeats;
+        }
+      });
     }
     if (reply.crash) {
       Spawn(this->loop, [this]() -> Task<> { co_await this->Restart(); });
@@ -362,6 +366,7 @@
   node.peer_port = kPeerPort;
   node.seeds = {this->addresses.front(), this->addresses.back()};
   node.router.retries = this->settings.retries;
+  node.address_ttl_ms = this->settings.address_ttl_ms;
   node.router.allow_local_prefill = true;
   node.cells.allow_local_prefill = true;
   node.cells.reserve_maximum = false;
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -31,6 +31,8 @@
   /// nothing is sent.
   std::string late;
   DurationMs late_ms = 0;
+  /// Whether `late` is sent again and again at that interval.
+  bool late_repeats = false;
 };
 
 /// An engine of the platform that answers by a function. It records the calls
@@ -78,6 +80,9 @@
   std::size_t prefill_engines = 0;    ///< Listed after the decode engines.
   std::size_t service_endpoints = 1;  ///< Listed last.
   RepeatRule repeat = RepeatRule::kOnce;
+  std::int64_t max_sends = RouteSpec{}.max_sends;
+  /// Time for which callers use an address answer.
+  DurationMs address_ttl_ms = NodeSettings{}.address_ttl_ms;
   RetrySettings retries{0.2, 50, 10'000};
   std::int64_t slots = 16;  ///< Requests that an engine runs at once.
   /// Engines in one cell, and the time for which a cell sends nothing to an
