--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -89,7 +89,7 @@
   /// its load; it gets no new requests until it ends. Each further refusal
   /// without a success between doubles it.
   DurationMs refusal_cooldown_ms = 150;
-  DurationMs max_refusal_cooldown_ms = 1200;
+  DurationMs max_refusal_cooldown_ms = 4800;
 };
 
 /// An engine of the cell.
