--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -35,6 +35,12 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& endpoint);
 
+/// An endpoint that is missing from the source's list and not removed yet.
+struct RetainedEndpoint {
+  std::string id;
+  DurationMs remaining_ms = 0;  ///< Time until its removal.
+};
+
 /// Announced endpoints, keyed by id. Not thread safe.
 ///
 /// Each update has the revision that the source assigned to it. An update that
@@ -76,6 +82,8 @@
       std::string_view pool) const;
   /// All endpoints that are not removed, sorted by id.
   [[nodiscard]] std::vector<EndpointRecord> All() const;
+  /// Endpoints that `Replace` has scheduled for removal.
+  [[nodiscard]] std::vector<RetainedEndpoint> Retained(TimeMs now) const;
   /// Endpoints that are leaving by their own word.
   [[nodiscard]] LeavingEndpoints& SaidLeaving() noexcept;
   /// Highest revision of the updates received, applied or not.
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -102,6 +102,16 @@
   return expired;
 }
 
+std::vector<RetainedEndpoint> EndpointTable::Retained(TimeMs now) const {
+  std::vector<RetainedEndpoint> retained;
+  std::ranges::for_each(this->rows, [&](const auto& entry) {
+    const Row& row = entry.second;
+    if (row.removed || row.remove_at == 0) return;
+    retained.push_back(RetainedEndpoint{entry.first, row.remove_at - now});
+  });
+  return retained;
+}
+
 EndpointTable::Changes EndpointTable::ChangesAfter(
     std::uint64_t revision) const {
   Changes changes;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -91,6 +91,13 @@
       now);
   this->endpoints_known = true;
   this->NotifyGone(gone);
+  std::ranges::for_each(
+      this->table.Retained(now), [&](const RetainedEndpoint& endpoint) {
+        LogEvent(EventId::kEndpointRetained,
+                 {{"endpoint", endpoint.id},
+                  LogField::Of("retained_ms", endpoint.remaining_ms),
+                  LogField::Of("revision", revision)});
+      });
   this->listener.OnEndpoints();
 }
 
