--- /dev/null
+++ b/tests/store_watch_test.cc
@@ -0,0 +1,114 @@
+/// @file
+/// Following a store that loses watches, forgets or goes back. Guards
+/// against processes that keep to an older state than the bounds allow.
+#include <catch2/catch.hpp>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "platform/store_source.h"
+#include "store_standin.h"
+
+namespace limpethaven {
+namespace {
+
+using testing::ConfigItem;
+using testing::EndpointItem;
+using testing::StoreStandin;
+
+/// Time after a disturbance until changes must come into force in time again.
+constexpr DurationMs kContactMs = 3000;
+
+/// Keeps what the source reports.
+class RecordingListener final : public SourceListener {
+ public:
+  void OnConfiguration(const Configuration& config) override {
+    this->version = config.version;
+  }
+  void OnEndpoint(const EndpointRecord& endpoint, std::uint64_t) override {
+    this->usable.insert(endpoint.id);
+    if (endpoint.leaving) this->usable.erase(endpoint.id);
+  }
+  void OnEndpointGone(const std::string& id, std::uint64_t) override {
+    this->usable.erase(id);
+  }
+  void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
+                      std::uint64_t, bool complete) override {
+    ++this->lists;
+    this->last_list_complete = complete;
+    this->usable.clear();
+    for (const EndpointRecord& endpoint : endpoints) {
+      if (!endpoint.leaving) this->usable.insert(endpoint.id);
+    }
+  }
+  void OnVms(const std::vector<ListedVm>&) override {}
+  void OnSourceReachable(bool) override {}
+  void OnUnreadable(const std::string&, const Error&) override {}
+
+  std::uint64_t version = 0;
+  std::set<std::string> usable;
+  int lists = 0;
+  bool last_list_complete = false;
+};
+
+/// A store and a source that follows it.
+class FollowedStore {
+ public:
+  explicit FollowedStore(const std::string& address)
+      : store(this->loop, address), source(this->loop, address, 500) {
+    this->store.Put("op/config", ConfigItem(1));
+    this->store.Put("servers/e1", EndpointItem("127.0.0.1:9", "ready", 1));
+    this->store.Put("servers/e2", EndpointItem("127.0.0.1:8", "ready", 1));
+    this->store.Listen();
+    this->source.Start(this->listener);
+    REQUIRE(this->RunUntil(
+        [this] {
+          return this->listener.version == 1 && this->listener.lists == 1 &&
+                 this->store.CallsWith("kv-watch").size() == 2;
+        },
+        kContactMs));
+  }
+  ~FollowedStore() {
+    this->store.Stop();
+    CloseAllConnections(this->loop);
+    this->loop.poll();
+    this->loop.EndTasks();
+  }
+  FollowedStore(const FollowedStore&) = delete;
+  FollowedStore& operator=(const FollowedStore&) = delete;
+
+  template <typename Condition>
+  bool RunUntil(const Condition& holds, DurationMs limit_ms) {
+    const TimeMs end = LoopNow() + limit_ms;
+    while (!holds() && LoopNow() < end) {
+      this->loop.run_for(std::chrono::milliseconds(5));
+    }
+    return holds();
+  }
+
+  Loop loop{1};
+  StoreStandin store;
+  RecordingListener listener;
+  platform::StoreSource source;
+};
+
+TEST_CASE(
+    "platform: watches that hang hide a change after the bounds hold again",
+    "[.known-red]") {
+  FollowedStore followed("127.93.0.1:18194");
+  // All watches are lost at once, as when their connections fall silent, so
+  // that no peer knows of the change either.
+  followed.store.SetWatchesSilent(true);
+  followed.store.SetWatchesSilent(false);
+  followed.store.Put("op/config", ConfigItem(2));
+  followed.store.Put("servers/e1", EndpointItem("127.0.0.1:9", "draining", 1));
+  CHECK(followed.RunUntil(
+      [&] {
+        return followed.listener.version == 2 &&
+               followed.listener.usable == std::set<std::string>{"e2"};
+      },
+      kContactMs));
+}
+
+}  // namespace
+}  // namespace limpethaven
