Give up a watch that hangs before the bounds hold again after a silence

What callers saw: new routes answered 404 and requests handled by an older configuration seconds after its confirmation; requests at endpoints that had left. Cause: a silence (connections that go silent, a store that loses calls) hits the watches of all VMs at once. It was noticed by TCP keep-alives after 4 s, or by the watch's own time limit after 11 s; the bounds hold again contact_ms (3 s) after the silence. Class of fault: a failure detector that is slower than the guarantee built on it. Change: the time limit of a watch is contact_ms less 500 ms (2.5 s, on larger fleets 3.5 and 4.5 s); after a hang all items are read at once, over a new connection. An idle watch is not followed by the batch pause. Evidence: 'platform: watches that hang hide a change ...' failed before and passes; the test of an unanswered watch now demands 3 s instead of 12.5 s.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -26,7 +26,7 @@
                "directory": "127.0.0.9:8082"},
     "platform": {"addr": "127.0.0.1:9000"},
     "port_range": [7000, 7099], "seeds": ["127.0.0.1:7000", 5],
-    "bounds": {"grace_s": 8, "ttl_max_s": 0.5, "quota_window_s": 2,
+    "bounds": {"grace_s": 8, "contact_ms": 4000, "ttl_max_s": 0.5, "quota_window_s": 2,
                "budget_ratio": 0.2, "extra_retries": 7, "budget_window_s": 9},
     "limits": {"cores": 2, "cpu_share": 0.25}, "unknown": {"a": [1]}})");
 }
@@ -42,6 +42,8 @@
   REQUIRE(node.cpu_millicores == 500);
   REQUIRE(node.shutdown_timeout_ms == 7600);
   REQUIRE(node.router.retries == RetrySettings{0.2, 7, 9000});
+  REQUIRE(read.value().store.address == "127.0.0.1:9000");
+  REQUIRE(read.value().store.max_silence_ms == 3500);
 }
 
 TEST_CASE("platform settings: one error names every invalid field") {
--- a/tests/store_silence_test.cc
+++ b/tests/store_silence_test.cc
@@ -32,9 +32,8 @@
 };
 
 TEST_CASE("platform: a watch that the store never answers is given up") {
-  // The longest silence that is known to be short enough.
-  constexpr DurationMs kBoundMs = 11'000;
-  constexpr DurationMs kMarginMs = 1500;
+  // Time after a disturbance until changes must come into force in time again.
+  constexpr DurationMs kBoundMs = 3000;
   Loop loop(1);
   const std::string address = "127.93.0.1:18194";
   ScriptedEngine store(loop, address, [](const RequestHead& call) {
@@ -45,14 +44,14 @@
   });
   store.Listen();
   CountingListener listener;
-  platform::StoreSource source(loop, address, 500);
+  platform::StoreSource source(loop, platform::StoreSettings{address});
   source.Start(listener);
   const TimeMs started_at = LoopNow();
   while (listener.lists < 2 && LoopNow() < started_at + 2 * kBoundMs) {
     loop.run_for(std::chrono::milliseconds(20));
   }
   CHECK(listener.lists == 2);
-  CHECK(LoopNow() - started_at <= kBoundMs + kMarginMs);
+  CHECK(LoopNow() - started_at <= kBoundMs);
   store.Stop();
   CloseAllConnections(loop);
   loop.poll();
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -55,7 +55,8 @@
 class FollowedStore {
  public:
   explicit FollowedStore(const std::string& address)
-      : store(this->loop, address), source(this->loop, address, 500) {
+      : store(this->loop, address),
+        source(this->loop, platform::StoreSettings{address}) {
     this->store.Put("op/config", ConfigItem(1));
     this->store.Put("servers/e1", EndpointItem("127.0.0.1:9", "ready", 1));
     this->store.Put("servers/e2", EndpointItem("127.0.0.1:8", "ready", 1));
@@ -93,8 +94,7 @@
 };
 
 TEST_CASE(
-    "platform: watches that hang hide a change after the bounds hold again",
-    "[.known-red]") {
+    "platform: watches that hang hide a change after the bounds hold again") {
   FollowedStore followed("127.93.0.1:18194");
   // All watches are lost at once, as when their connections fall silent, so
   // that no peer knows of the change either.
