Count the retention of missing endpoints from the return of the source

What callers saw: requests at an endpoint that had left, 2,110 ms after the store had confirmed it (bound 2,000). Cause: an endpoint that is missing from the first list after an outage stays in use for 2 s, as its announcement may have expired in the outage. The time ran from the reading of the list; a watch that hung in the outage is given up seconds after the source had returned, as another call of the same process had shown. Class of fault: a time limit that starts at the detection instead of the event.

--- a/src/entry/native_source.cc
+++ b/src/entry/native_source.cc
@@ -165,7 +165,8 @@
 void NativeSource::NotifyListener() {
   const Configuration& config = *this->follower.Snapshot();
   this->listener->OnConfiguration(config);
-  this->listener->OnAllEndpoints(EndpointsOf(config), config.version, true);
+  this->listener->OnAllEndpoints(EndpointsOf(config), config.version,
+                                 std::nullopt);
 }
 
 }  // namespace limpethaven
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -77,18 +77,19 @@
 
 void PublishedState::OnAllEndpoints(
     const std::vector<EndpointRecord>& endpoints, std::uint64_t revision,
-    bool complete) {
+    std::optional<TimeMs> returned_at) {
   const TimeMs now = LoopNow();
-  if (!complete && this->endpoints_known) {
+  const TimeMs retained_until =
+      returned_at ? *returned_at + this->missing_retention_ms : now;
+  if (retained_until > now && this->endpoints_known) {
     // The source may have been unreachable from this process only. Peers that
     // followed it without interruption have applied the removals that this
     // process has missed, so pulls start from the revision before the outage.
-    this->missing_retained_until = now + this->missing_retention_ms;
+    this->missing_retained_until = retained_until;
     this->revision_before_outage = this->table.Revision();
   }
-  const std::vector<std::string> gone = this->table.Replace(
-      endpoints, revision, complete ? now : now + this->missing_retention_ms,
-      now);
+  const std::vector<std::string> gone =
+      this->table.Replace(endpoints, revision, retained_until, now);
   this->endpoints_known = true;
   this->NotifyGone(gone);
   std::ranges::for_each(
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "limpethaven/config_model.h"
@@ -31,9 +32,9 @@
 /// configuration version never decreases.
 class PublishedState final : public SourceListener {
  public:
-  /// Retention of endpoints that are missing from the source's list after an
-  /// outage: during the outage the source may have expired the announcements of
-  /// endpoints that are alive.
+  /// Retention of endpoints that are missing from the source's list, from the
+  /// end of an outage: during the outage the source may have expired the
+  /// announcements of endpoints that are alive.
   static constexpr DurationMs kMissingRetentionMs = 2000;
   /// When a peer has had newer endpoints for this long, the watch of this
   /// process is taken to hang and the endpoints are pulled from the peer.
@@ -53,7 +54,8 @@
                   std::uint64_t revision) override;
   void OnEndpointGone(const std::string& id, std::uint64_t revision) override;
   void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
-                      std::uint64_t revision, bool complete) override;
+                      std::uint64_t revision,
+                      std::optional<TimeMs> returned_at) override;
   void OnVms(const std::vector<ListedVm>& vms) override;
   void OnSourceReachable(bool reachable) override;
   void OnUnreadable(const std::string& what, const Error& why) override;
--- a/src/node/source.h
+++ b/src/node/source.h
@@ -3,6 +3,7 @@
 /// endpoints.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,12 @@
   virtual void OnEndpointGone(const std::string& id,
                               std::uint64_t revision) = 0;
   /// Called with all endpoints that the source lists.
-  /// @param complete False when the source may have lost announcements of live
-  /// endpoints, so that they are missing from its list.
+  /// @param returned_at Set after an outage, in which the source may have lost
+  /// announcements of live endpoints, so that they are missing from its list:
+  /// the time since which it is known to answer again.
   virtual void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
-                              std::uint64_t revision, bool complete) = 0;
+                              std::uint64_t revision,
+                              std::optional<TimeMs> returned_at) = 0;
   /// Called with the list of VMs, if the source has one.
   virtual void OnVms(const std::vector<ListedVm>& vms) = 0;
   /// Called to report whether the source answers.
--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -80,7 +80,7 @@
   for (const auto& process : processes) {
     process->state.OnSourceReachable(true);
     process->state.OnConfiguration(config);
-    process->state.OnAllEndpoints({EndpointOf("e1", false)}, 5, true);
+    process->state.OnAllEndpoints({EndpointOf("e1", false)}, 5, std::nullopt);
   }
   // Only the first process's watch reports that the endpoint leaves. The
   // watches of the others hang on connections that stay open, so that their
@@ -125,12 +125,12 @@
     process->state.OnSourceReachable(true);
     process->state.OnConfiguration(config);
     process->state.OnAllEndpoints(
-        {EndpointOf("e1", false), EndpointOf("e2", false)}, 5, true);
+        {EndpointOf("e1", false), EndpointOf("e2", false)}, 5, std::nullopt);
   }
   // The first process follows the source without interruption. The second could
   // not reach it while e1 was removed, and reads an incomplete list afterwards.
   processes[0]->state.OnEndpointGone("e1", 6);
-  processes[1]->state.OnAllEndpoints({EndpointOf("e2", false)}, 7, false);
+  processes[1]->state.OnAllEndpoints({EndpointOf("e2", false)}, 7, LoopNow());
   REQUIRE(processes[1]->table.Find("e1") != nullptr);
   const TimeMs deadline = LoopNow() + kTimeoutMs;
   while (processes[1]->table.Find("e1") != nullptr && LoopNow() < deadline) {
--- a/tests/store_silence_test.cc
+++ b/tests/store_silence_test.cc
@@ -21,7 +21,7 @@
   void OnEndpoint(const EndpointRecord&, std::uint64_t) override {}
   void OnEndpointGone(const std::string&, std::uint64_t) override {}
   void OnAllEndpoints(const std::vector<EndpointRecord>&, std::uint64_t,
-                      bool) override {
+                      std::optional<TimeMs>) override {
     ++this->lists;
   }
   void OnVms(const std::vector<ListedVm>&) override {}
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -33,9 +33,10 @@
     this->usable.erase(id);
   }
   void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
-                      std::uint64_t, bool complete) override {
+                      std::uint64_t,
+                      std::optional<TimeMs> source_returned_at) override {
     ++this->lists;
-    this->last_list_complete = complete;
+    this->returned_at = source_returned_at;
     this->usable.clear();
     for (const EndpointRecord& endpoint : endpoints) {
       if (!endpoint.leaving) this->usable.insert(endpoint.id);
@@ -48,15 +49,18 @@
   std::uint64_t version = 0;
   std::set<std::string> usable;
   int lists = 0;
-  bool last_list_complete = false;
+  std::optional<TimeMs> returned_at;  ///< Of the last list.
 };
 
 /// A store and a source that follows it.
 class FollowedStore {
  public:
-  explicit FollowedStore(const std::string& address)
-      : store(this->loop, address),
-        source(this->loop, platform::StoreSettings{address}) {
+  explicit FollowedStore(const std::string& address,
+                         platform::StoreSettings settings = {})
+      : store(this->loop, address), source(this->loop, [&] {
+          settings.address = address;
+          return settings;
+        }()) {
     this->store.Put("op/config", ConfigItem(1));
     this->store.Put("servers/e1", EndpointItem("127.0.0.1:9", "ready", 1));
     this->store.Put("servers/e2", EndpointItem("127.0.0.1:8", "ready", 1));
@@ -110,5 +114,32 @@
       kContactMs));
 }
 
+TEST_CASE(
+    "platform: a list read late after an outage counts as incomplete from its "
+    "reading on") {
+  constexpr DurationMs kSilenceMs = 1500;
+  FollowedStore followed(
+      "127.93.0.2:18194",
+      platform::StoreSettings{.batch_ms = 50, .max_silence_ms = kSilenceMs});
+  // The watch of the endpoints begins a second after that of the configuration.
+  followed.loop.run_for(std::chrono::milliseconds(900));
+  followed.store.Put("servers/e3", EndpointItem("127.0.0.1:7", "ready", 1));
+  REQUIRE(followed.RunUntil(
+      [&] { return followed.store.CallsWith("kv-watch").size() == 3; }, 500));
+  // Both watches are lost, and that of the configuration is given up first.
+  followed.store.SetSilent(true);
+  followed.loop.run_for(std::chrono::milliseconds(200));
+  followed.store.SetSilent(false);
+  REQUIRE(followed.RunUntil(
+      [&] { return followed.store.CallsWith("config").size() >= 3; },
+      kSilenceMs));
+  const TimeMs returned_by = LoopNow() + 100;
+  REQUIRE(followed.RunUntil([&] { return followed.listener.lists == 2; },
+                            kSilenceMs + 500));
+  REQUIRE(followed.listener.returned_at.has_value());
+  CHECK(LoopNow() > returned_by + 300);
+  CHECK(*followed.listener.returned_at <= returned_by);
+}
+
 }  // namespace
 }  // namespace limpethaven
