Tell peers of endpoints that are removed after having been retained

What callers would see: a VM that the store turns away keeps sending requests to an endpoint that has left, for as long as only peers inform it. Cause: an endpoint that is missing from an incomplete list is retained and then removed with the revision of its last announcement, while the list's higher revision is told to peers at once. A peer that pulls takes that revision as its own and never asks for the removal. Class of fault: a replica that claims more progress than it has applied. Change: EndpointTable::Revision() is the revision up to which nothing is missing; it does not rise while endpoints are retained, a removal has the revision of the list, and an answer to a pull carries the revision that it reaches. The revision of pulls during a retention, kept apart before, follows from it.

--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -45,7 +45,9 @@
 ///
 /// Each update has the revision that the source assigned to it. An update that
 /// is older than the last one applied to its endpoint is ignored, so that
-/// updates from the source and from peers may arrive in any order. For this, a
+/// updates from the source and from peers may arrive in any order. `Revision()`
+/// says up to which revision no update is missing: peers ask each other for the
+/// updates after it. For the order of updates, a
 /// removed endpoint is retained as a tombstone with the revision of its
 /// removal. The order matters in two cases: a removal of an unknown id leaves
 /// no tombstone, and of more than 4096 tombstones the oldest is dropped. An
@@ -59,13 +61,13 @@
   /// incarnation whatever is announced. The endpoint need not be known.
   /// @returns whether this is news.
   bool MarkLeaving(const LeavingEndpoint& endpoint, TimeMs now);
-  /// Removes an endpoint as of `revision`. Raises `Revision()` to `revision` if
-  /// it is lower, even when nothing is removed.
+  /// Removes an endpoint as of `revision`.
   /// @returns true when the endpoint was present and had no newer update.
   bool Remove(std::string_view id, std::uint64_t revision);
   /// Applies the source's full list as of `revision`. Endpoints that are not in
   /// the list, and that have no newer update, are removed at
-  /// `retain_missing_until`, or at once when that is not after `now`.
+  /// `retain_missing_until`, or at once when that is not after `now`. Until
+  /// then `Revision()` does not rise, since a peer would miss the removals.
   /// @returns ids of the endpoints removed by this call.
   std::vector<std::string> Replace(const std::vector<EndpointRecord>& endpoints,
                                    std::uint64_t revision,
@@ -74,6 +76,11 @@
   /// @returns ids of the endpoints removed.
   std::vector<std::string> Expire(TimeMs now);
 
+  /// Records that all updates up to `revision` have been applied.
+  void AdvanceTo(std::uint64_t revision) noexcept;
+  /// Whether endpoints that are missing from the source's list are retained.
+  [[nodiscard]] bool Retaining() const;
+
   /// The endpoint with this id, whether or not it is leaving; null when it is
   /// unknown or removed.
   [[nodiscard]] const EndpointRecord* Find(std::string_view id) const;
@@ -86,8 +93,8 @@
   [[nodiscard]] std::vector<RetainedEndpoint> Retained(TimeMs now) const;
   /// Endpoints that are leaving by their own word.
   [[nodiscard]] LeavingEndpoints& SaidLeaving() noexcept;
-  /// Highest revision of the updates received, applied or not.
-  [[nodiscard]] std::uint64_t Revision() const noexcept;
+  /// Revision up to which all updates have been applied.
+  [[nodiscard]] std::uint64_t Revision() const;
   /// Endpoints that were announced and ids of endpoints that were removed, each
   /// with the revision of its last update.
   struct Changes {
@@ -105,11 +112,15 @@
     /// Time at which the endpoint is removed, because the source's full list
     /// did not include it; 0 when no removal is scheduled.
     TimeMs remove_at = 0;
+    /// Revision of that list.
+    std::uint64_t missing_as_of = 0;
   };
 
   LeavingEndpoints said_leaving;
   NamedTable<Row> rows;  ///< Keyed by endpoint id; includes tombstones.
-  std::uint64_t highest_revision = 0;
+  std::uint64_t applied_revision = 0;
+  /// `Revision()` while endpoints are retained.
+  std::uint64_t revision_before_retention = 0;
 };
 
 }  // namespace limpethaven
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -21,7 +21,6 @@
 
 bool EndpointTable::Put(const EndpointRecord& endpoint,
                         std::uint64_t revision) {
-  this->highest_revision = std::max(this->highest_revision, revision);
   Row& row = this->rows[endpoint.id];
   if (revision < row.revision) return false;
   EndpointRecord next = endpoint;
@@ -49,7 +48,6 @@
 }
 
 bool EndpointTable::Remove(std::string_view id, std::uint64_t revision) {
-  this->highest_revision = std::max(this->highest_revision, revision);
   const auto row = this->rows.find(id);
   if (row == this->rows.end() || row->second.removed ||
       revision < row->second.revision) {
@@ -72,6 +70,7 @@
 std::vector<std::string> EndpointTable::Replace(
     const std::vector<EndpointRecord>& endpoints, std::uint64_t revision,
     TimeMs retain_missing_until, TimeMs now) {
+  const std::uint64_t revision_before = this->Revision();
   std::set<std::string_view> listed;
   std::ranges::for_each(endpoints, [&](const EndpointRecord& endpoint) {
     listed.insert(endpoint.id);
@@ -81,11 +80,14 @@
     Row& row = entry.second;
     const bool missing = !row.removed && !listed.contains(entry.first) &&
                          row.revision <= revision;
-    if (missing && row.remove_at == 0) {
-      row.remove_at = std::max(retain_missing_until, now);
-    }
+    if (!missing) return;
+    if (row.remove_at == 0) row.remove_at = std::max(retain_missing_until, now);
+    row.missing_as_of = revision;
   });
-  return this->Expire(now);
+  std::vector<std::string> expired = this->Expire(now);
+  this->revision_before_retention = revision_before;
+  this->AdvanceTo(revision);
+  return expired;
 }
 
 std::vector<std::string> EndpointTable::Expire(TimeMs now) {
@@ -97,7 +99,7 @@
     }
   });
   std::ranges::for_each(expired, [this](const std::string& id) {
-    this->Remove(id, this->rows.find(id)->second.revision);
+    this->Remove(id, this->rows.find(id)->second.missing_as_of);
   });
   return expired;
 }
@@ -153,8 +155,19 @@
   return all;
 }
 
-std::uint64_t EndpointTable::Revision() const noexcept {
-  return this->highest_revision;
+void EndpointTable::AdvanceTo(std::uint64_t revision) noexcept {
+  this->applied_revision = std::max(this->applied_revision, revision);
+}
+
+bool EndpointTable::Retaining() const {
+  return std::ranges::any_of(this->rows, [](const auto& entry) {
+    return !entry.second.removed && entry.second.remove_at != 0;
+  });
+}
+
+std::uint64_t EndpointTable::Revision() const {
+  return this->Retaining() ? this->revision_before_retention
+                           : this->applied_revision;
 }
 
 }  // namespace limpethaven
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -27,6 +27,22 @@
 /// Shortest time between two pulls that `Tick` starts.
 constexpr DurationMs kPullPeriodMs = 300;
 
+using AnnouncedRows = std::vector<std::pair<EndpointRecord, std::uint64_t>>;
+using GoneRows = std::vector<std::pair<std::string, std::uint64_t>>;
+
+/// Revision to which the answer of a peer of an earlier version reaches, which
+/// does not say it.
+std::uint64_t HighestRevision(const AnnouncedRows& announced,
+                              const GoneRows& gone) {
+  std::uint64_t highest = 0;
+  const auto raise = [&highest](const auto& row) {
+    highest = std::max(highest, row.second);
+  };
+  std::ranges::for_each(announced, raise);
+  std::ranges::for_each(gone, raise);
+  return highest;
+}
+
 }  // namespace
 
 PublishedState::PublishedState(PeerLink& peer_link, const Gossip& peer_gossip,
@@ -50,6 +66,12 @@
 
 void PublishedState::OnEndpoint(const EndpointRecord& endpoint,
                                 std::uint64_t revision) {
+  this->table.AdvanceTo(revision);
+  this->Announce(endpoint, revision);
+}
+
+void PublishedState::Announce(const EndpointRecord& endpoint,
+                              std::uint64_t revision) {
   const EndpointRecord* known = this->table.Find(endpoint.id);
   const bool was_leaving = known != nullptr && known->leaving;
   const bool was_known = known != nullptr;
@@ -71,6 +93,11 @@
 
 void PublishedState::OnEndpointGone(const std::string& id,
                                     std::uint64_t revision) {
+  this->table.AdvanceTo(revision);
+  this->Withdraw(id, revision);
+}
+
+void PublishedState::Withdraw(const std::string& id, std::uint64_t revision) {
   if (!this->table.Remove(id, revision)) return;
   this->NotifyGone({id});
 }
@@ -81,13 +108,6 @@
   const TimeMs now = LoopNow();
   const TimeMs retained_until =
       returned_at ? *returned_at + this->missing_retention_ms : now;
-  if (retained_until > now && this->endpoints_known) {
-    // The source may have been unreachable from this process only. Peers that
-    // followed it without interruption have applied the removals that this
-    // process has missed, so pulls start from the revision before the outage.
-    this->missing_retained_until = retained_until;
-    this->revision_before_outage = this->table.Revision();
-  }
   const std::vector<std::string> gone =
       this->table.Replace(endpoints, revision, retained_until, now);
   this->endpoints_known = true;
@@ -164,9 +184,11 @@
     this->ahead_peer.clear();
     return;
   }
-  const bool retaining_missing = now < this->missing_retained_until;
+  // The source may have been unreachable from this process only. Peers that
+  // followed it without interruption have applied the removals that this
+  // process has missed.
   const bool needs_peer =
-      !this->reachable || !this->Complete() || retaining_missing;
+      !this->reachable || !this->Complete() || this->table.Retaining();
   if (!needs_peer || this->pulling || now < this->next_pull_at) return;
   std::vector<std::string> peers = this->gossip.Members().UsableAddresses();
   std::erase(peers, this->gossip.Members().Self().address);
@@ -206,6 +228,12 @@
   this->listener.OnConfig(this->config);
 }
 
+void PublishedState::AdvanceTo(std::uint64_t revision) {
+  const std::uint64_t before = this->table.Revision();
+  this->table.AdvanceTo(revision);
+  if (this->table.Revision() != before) this->listener.OnEndpoints();
+}
+
 void PublishedState::NotifyGone(const std::vector<std::string>& ids) {
   if (ids.empty()) return;
   std::ranges::for_each(ids, [this](const std::string& id) {
@@ -230,7 +258,8 @@
   }
   json answer = {{"version", this->config->version},
                  {"digest", this->config->digest},
-                 {"known", this->endpoints_known}};
+                 {"known", this->endpoints_known},
+                 {"revision", this->table.Revision()}};
   if (this->config->version > request["version"].get<std::uint64_t>()) {
     answer["entities"] = EncodeEntityList(EncodeEntities(*this->config));
   }
@@ -248,12 +277,8 @@
 }
 
 Task<> PublishedState::Pull(std::string peer) {
-  const bool retaining_missing = LoopNow() < this->missing_retained_until;
-  const json request = {
-      {"version", this->config->version},
-      {"revision", retaining_missing ? std::min(this->revision_before_outage,
-                                                this->table.Revision())
-                                     : this->table.Revision()}};
+  const json request = {{"version", this->config->version},
+                        {"revision", this->table.Revision()}};
   const Result<std::string> answer =
       co_await this->link.Call(peer, std::string(kStatePath), request.dump(),
                                LoopNow() + kPullTimeoutMs);
@@ -294,17 +319,18 @@
                           " cannot be decoded or does not match its digest"));
       }
     }
-    using Announced = std::vector<std::pair<EndpointRecord, std::uint64_t>>;
-    using Gone = std::vector<std::pair<std::string, std::uint64_t>>;
-    const auto announced = answer.at("announced").get<Announced>();
-    const auto gone = answer.at("gone").get<Gone>();
+    const auto announced = answer.at("announced").get<AnnouncedRows>();
+    const auto gone = answer.at("gone").get<GoneRows>();
     if (answer.at("known").get<bool>()) this->endpoints_known = true;
     std::ranges::for_each(announced, [this](const auto& row) {
-      this->OnEndpoint(row.first, row.second);
+      this->Announce(row.first, row.second);
     });
     std::ranges::for_each(gone, [this](const auto& row) {
-      this->OnEndpointGone(row.first, row.second);
+      this->Withdraw(row.first, row.second);
     });
+    this->AdvanceTo(answer.contains("revision")
+                        ? answer.at("revision").get<std::uint64_t>()
+                        : HighestRevision(announced, gone));
   } catch (const json::exception& fault) {
     this->OnUnreadable("state from peer " + from,
                        Error::Of(ErrorKind::kConfigInvalid, fault.what()));
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -85,6 +85,13 @@
 
  private:
   void Adopt(const Configuration& next, const std::string& from);
+  /// Applies an announcement, of the source or a peer.
+  void Announce(const EndpointRecord& endpoint, std::uint64_t revision);
+  /// Applies a removal, of the source or a peer.
+  void Withdraw(const std::string& id, std::uint64_t revision);
+  /// Records that all updates up to a revision were applied, and notifies the
+  /// listener of it.
+  void AdvanceTo(std::uint64_t revision);
   /// Logs the removal of endpoints and notifies the listener.
   void NotifyGone(const std::vector<std::string>& ids);
   Task<Result<std::string>> AnswerState(PeerCall& call);
@@ -112,10 +119,6 @@
   TimeMs ahead_since = 0;  ///< When a peer first reported a newer revision.
   DurationMs missing_retention_ms;
   DurationMs watch_staleness_ms;
-  /// Time until which endpoints missing from the source's list are retained.
-  TimeMs missing_retained_until = 0;
-  /// Endpoints revision before the source's incomplete list was applied.
-  std::uint64_t revision_before_outage = 0;
 };
 
 }  // namespace limpethaven
--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -24,10 +24,11 @@
 /// A process with its published state. The test takes the place of its source.
 class Process final : public GossipListener, public StateListener {
  public:
-  Process(Loop& loop, const PeerIdentity& identity)
+  Process(Loop& loop, const PeerIdentity& identity,
+          DurationMs retention_ms = kRetentionMs)
       : gossip(loop, identity, MembershipSettings{}, *this),
         link(loop, identity),
-        state(link, gossip, table, *this, kRetentionMs) {
+        state(link, gossip, table, *this, retention_ms) {
     REQUIRE(this->link.Start());
     REQUIRE(this->gossip.Start({"127.91.0.1", "127.91.0.2"}));
     this->gossip.SetServing(true);
@@ -147,5 +148,50 @@
   loop.poll();
 }
 
+TEST_CASE(
+    "published state keeps an endpoint for ever that a peer removed after "
+    "retaining it") {
+  Loop loop(1);
+  std::vector<std::unique_ptr<Process>> processes;
+  for (int index = 1; index <= 2; ++index) {
+    PeerIdentity identity;
+    identity.self = VmId{"127.91.0." + std::to_string(index),
+                         static_cast<std::uint64_t>(index) + 300};
+    identity.data_centre = "a";
+    identity.port = kPort;
+    processes.push_back(std::make_unique<Process>(loop, identity, 1000));
+  }
+  Configuration config;
+  config.version = 1;
+  for (const auto& process : processes) {
+    process->state.OnSourceReachable(true);
+    process->state.OnConfiguration(config);
+    process->state.OnAllEndpoints(
+        {EndpointOf("e1", false), EndpointOf("e2", false)}, 5, std::nullopt);
+  }
+  // Both miss the removal of e1 in an outage. The source then answers the first
+  // process only, which retains e1 for a time.
+  processes[1]->state.OnSourceReachable(false);
+  processes[0]->state.OnAllEndpoints({EndpointOf("e2", false)}, 7, LoopNow());
+  const auto removed_everywhere = [&] {
+    return std::ranges::all_of(processes, [](const auto& process) {
+      return process->table.Find("e1") == nullptr;
+    });
+  };
+  const TimeMs deadline = LoopNow() + kTimeoutMs;
+  while (!removed_everywhere() && LoopNow() < deadline) {
+    loop.run_for(std::chrono::milliseconds(20));
+    for (const auto& process : processes) process->state.Tick();
+  }
+  CHECK(removed_everywhere());
+  CHECK(processes[1]->table.Find("e2") != nullptr);
+  for (const auto& process : processes) {
+    process->link.Stop();
+    process->gossip.Stop();
+  }
+  CloseAllConnections(loop);
+  loop.poll();
+}
+
 }  // namespace
 }  // namespace limpethaven
