Look an engine up again before it is asked once more

What callers would see: a request at a decode engine seconds after it said that it leaves. Cause: a decode engine that refuses a prompt, as it cannot fetch the KV cache, is asked once more to prefill it itself. The refusal may come after seconds; only pauses were looked up again, not whether the engine leaves. Class of fault: a decision that is used after a wait without being checked again. Change: FindUsable looks the engine up before every send of a generation (gone, leaving or paused); the KV cache is kept for the next engine. Looked for elsewhere: plain calls choose at each send; prefills look up at each send; reconnections are of the product's own engines, whose runs go on while they leave.

--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -151,10 +151,8 @@
   const CellPlacement& placed = placement_result.value();
   const Placement& placement = placed.placement;
   const EndpointTable& table = this->core.parts.table;
-  const EndpointRecord* decode = table.Find(placement.decode);
-  const bool decode_usable =
-      decode != nullptr && !decode->leaving && !this->IsPaused(decode->id);
-  if (!decode_usable || this->Cancelled()) {
+  const EndpointRecord* decode = this->FindUsable(placement.decode);
+  if (decode == nullptr || this->Cancelled()) {
     this->NotifyOwner(placed, CellNoticeKind::kWithdrawn, "", 0, 0);
     // Recorded as a send, which the outcome `kNotSent` takes back.
     this->record.OnSend();
@@ -189,9 +187,8 @@
   }
   std::optional<KvHandle> kv_handle = this->TakeUnusedKv(placement);
   bool prefill_sent = false;
-  const EndpointRecord* prefill = table.Find(placement.prefill);
-  const bool prefills =
-      prefill != nullptr && !prefill->leaving && !this->IsPaused(prefill->id);
+  const EndpointRecord* prefill = this->FindUsable(placement.prefill);
+  const bool prefills = prefill != nullptr;
   const bool may_prefill = prefills && this->TryPrefillRetry();
   if (prefills && !may_prefill && !this->core.settings.allow_local_prefill) {
     this->core.parts.cells.Release(placement.reservation);
@@ -218,9 +215,7 @@
       this->core.CheckQuarantine(this->parts);
   SendOutcome outcome = SendOutcome::kNotSent;
   // The engine may have started to drain during the prefill.
-  const EndpointRecord* current = table.Find(engine.id);
-  const bool unusable =
-      current == nullptr || current->leaving || this->IsPaused(engine.id);
+  const bool unusable = this->FindUsable(engine.id) == nullptr;
   if (unusable) this->KeepKv(kv_handle);
   if (unusable || (!kv_handle && !this->core.settings.allow_local_prefill)) {
     // A prefill call that may have run the request counts as a send. Where
@@ -272,14 +267,16 @@
   // down; if it has fetched the KV cache, the next one prefills the prompt.
   const bool broke_unanswered = outcome == SendOutcome::kBroken &&
                                 !this->ResponseBegun() && !this->Progressed();
+  // The engine may have started to leave before it refused.
   if (outcome == SendOutcome::kNotSent || broke_unanswered ||
       (refused && (this->LastAnswer().overloaded ||
-                   this->LastAnswer().address_reassigned))) {
+                   this->LastAnswer().address_reassigned ||
+                   this->FindUsable(engine.id) == nullptr))) {
     // The engine has not fetched the KV cache, so that another one can.
     this->KeepKv(kv_handle);
   } else if (refused && !this->Cancelled() &&
              this->core.settings.allow_local_prefill &&
-             !this->IsLimited(engine.id) && !this->IsPaused(engine.id)) {
+             !this->IsLimited(engine.id)) {
     // The engine either could not fetch the KV cache or has no room. It is
     // asked once more, to prefill the prompt itself; if it has no room, it
     // refuses again. Both calls count as one send, since no further endpoint is
@@ -612,8 +609,12 @@
   return this->core.limits.Find(engine).has_value();
 }
 
-bool GenerationSession::IsPaused(const std::string& engine) const {
-  return this->core.pauses.WaitMs(engine, LoopNow()) > 0;
+const EndpointRecord* GenerationSession::FindUsable(
+    const std::string& engine) const {
+  const EndpointRecord* found = this->core.parts.table.Find(engine);
+  const bool usable = found != nullptr && !found->leaving &&
+                      this->core.pauses.WaitMs(engine, LoopNow()) <= 0;
+  return usable ? found : nullptr;
 }
 
 void GenerationSession::NotifyLimit(const CellPlacement& placed,
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -243,8 +243,11 @@
                                       DurationMs measured_ms) const;
   /// Whether an engine names a limit on requests.
   [[nodiscard]] bool IsLimited(const std::string& engine) const;
-  /// Whether an engine wants no request from this process at present.
-  [[nodiscard]] bool IsPaused(const std::string& engine) const;
+  /// An engine that may be sent a request now; null when it is gone or leaving,
+  /// or wants no request from this process at present. It is looked up again
+  /// before each send, since the engine may leave while the request waits.
+  [[nodiscard]] const EndpointRecord* FindUsable(
+      const std::string& engine) const;
   /// Keeps a KV cache that no engine has fetched for the next placement.
   void KeepKv(const std::optional<KvHandle>& kv_handle);
   /// The KV cache that was kept, if the placement was made for it and the
--- a/tests/reported_faults_test.cc
+++ b/tests/reported_faults_test.cc
@@ -272,5 +272,30 @@
   CHECK(response.body == "id: 1\ndata: a\n\n");
 }
 
+TEST_CASE(
+    "a decode engine that left while it refused a prompt is asked once more") {
+  PlatformFleetSettings settings = OneEntry();
+  settings.prefill_engines = 1;
+  PlatformFleet fleet(settings, [](const RequestHead& call) {
+    EngineAnswer answer;
+    if (!call.headers.Get("X-Stage").empty()) {
+      answer.bytes = testing::PrefillAnswer(call);
+    } else if (call.headers.Has("X-Kv-From")) {
+      answer.late = Refusal(call, true);
+      answer.late_ms = 300;
+    } else {
+      answer.bytes = testing::WholeStream(call, 3);
+    }
+    return answer;
+  });
+  ScriptedEngine& decode = *fleet.engines.front();
+  fleet.Start(0, "aa:60,bb:60");
+  REQUIRE(fleet.RunUntil([&] { return decode.calls.size() == 1; }, 2000));
+  fleet.RemoveEngines(1);
+  REQUIRE(fleet.RunUntil([&] { return fleet.responses.size() == 1; }, 4000));
+  CHECK(decode.calls.size() == 1);
+  CHECK(SaysNotRun(fleet.responses.front()));
+}
+
 }  // namespace
 }  // namespace limpethaven
