Order what the store reports by its era, and read all of it again after a restore

Cause: a store that is restored from an older copy gives revisions out again. Updates were ordered by revision alone, so that changes after a restore counted as old; a watch from a revision that was given out anew missed what lay below it. Class of fault: a logical clock that is taken for monotonic across a restore of its owner. Change: SourceRevision has the era (header Store-Era) before the number, in the table, in gossip (a fourth element of the versions) and in pulls.

--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -13,6 +13,7 @@
 #include "limpethaven/clock.h"
 #include "limpethaven/config_model.h"
 #include "limpethaven/leaving_endpoints.h"
+#include "limpethaven/source_revision.h"
 
 namespace limpethaven {
 
@@ -54,30 +55,47 @@
 /// older announcement that arrives afterwards adds the endpoint.
 class EndpointTable {
  public:
-  /// Adds or replaces an endpoint that was announced at `revision`.
+  static constexpr DurationMs kRestoredGraceMs = 5000;
+
+  /// How an announcement was received.
+  enum class Origin {
+    kChange,  ///< The source reported that it was written.
+    kState,   ///< Part of the state of the source, or of a peer.
+  };
+
+  /// @param grace_ms For this time after the source was restored, what is known
+  /// holds against its state, which may be as old as the copy: endpoints that
+  /// were removed, and later starts of endpoints. It must be longer than the
+  /// source keeps the announcement of a dead endpoint.
+  explicit EndpointTable(DurationMs grace_ms = kRestoredGraceMs)
+      : restored_grace_ms(grace_ms) {}
+
+  /// Adds or replaces an endpoint that was announced at `revision`. That an
+  /// endpoint is leaving holds for its incarnation across eras.
   /// @returns true when the endpoint is new or differs from the earlier one.
-  bool Put(const EndpointRecord& endpoint, std::uint64_t revision);
+  bool Put(const EndpointRecord& endpoint, const SourceRevision& revision,
+           TimeMs now, Origin origin);
   /// Marks an endpoint as leaving by its own word, which holds for this
   /// incarnation whatever is announced. The endpoint need not be known.
   /// @returns whether this is news.
   bool MarkLeaving(const LeavingEndpoint& endpoint, TimeMs now);
   /// Removes an endpoint as of `revision`.
   /// @returns true when the endpoint was present and had no newer update.
-  bool Remove(std::string_view id, std::uint64_t revision);
+  bool Remove(std::string_view id, const SourceRevision& revision);
   /// Applies the source's full list as of `revision`. Endpoints that are not in
   /// the list, and that have no newer update, are removed at
   /// `retain_missing_until`, or at once when that is not after `now`. Until
   /// then `Revision()` does not rise, since a peer would miss the removals.
   /// @returns ids of the endpoints removed by this call.
   std::vector<std::string> Replace(const std::vector<EndpointRecord>& endpoints,
-                                   std::uint64_t revision,
+                                   const SourceRevision& revision,
                                    TimeMs retain_missing_until, TimeMs now);
   /// Removes the endpoints whose time of removal, set by `Replace`, has come.
   /// @returns ids of the endpoints removed.
   std::vector<std::string> Expire(TimeMs now);
 
   /// Records that all updates up to `revision` have been applied.
-  void AdvanceTo(std::uint64_t revision) noexcept;
+  void AdvanceTo(const SourceRevision& revision, TimeMs now) noexcept;
   /// Whether endpoints that are missing from the source's list are retained.
   [[nodiscard]] bool Retaining() const;
 
@@ -94,33 +112,47 @@
   /// Endpoints that are leaving by their own word.
   [[nodiscard]] LeavingEndpoints& SaidLeaving() noexcept;
   /// Revision up to which all updates have been applied.
-  [[nodiscard]] std::uint64_t Revision() const;
+  [[nodiscard]] SourceRevision Revision() const;
   /// Endpoints that were announced and ids of endpoints that were removed, each
   /// with the revision of its last update.
   struct Changes {
-    std::vector<std::pair<EndpointRecord, std::uint64_t>> announced;
-    std::vector<std::pair<std::string, std::uint64_t>> gone;
+    std::vector<std::pair<EndpointRecord, SourceRevision>> announced;
+    std::vector<std::pair<std::string, SourceRevision>> gone;
   };
   /// Endpoints and tombstones whose last update is after `revision`.
-  [[nodiscard]] Changes ChangesAfter(std::uint64_t revision) const;
+  [[nodiscard]] Changes ChangesAfter(const SourceRevision& revision) const;
 
  private:
   struct Row {
     EndpointRecord endpoint;
-    std::uint64_t revision = 0;
+    SourceRevision revision;
+    bool known = false;    ///< Whether the endpoint was ever announced.
     bool removed = false;  ///< Whether the row is a tombstone.
     /// Time at which the endpoint is removed, because the source's full list
     /// did not include it; 0 when no removal is scheduled.
     TimeMs remove_at = 0;
     /// Revision of that list.
-    std::uint64_t missing_as_of = 0;
+    SourceRevision missing_as_of;
   };
 
+  /// Whether what is known of an endpoint holds against the state of a restored
+  /// source that lists it.
+  [[nodiscard]] bool HoldsAgainst(const Row& row, const EndpointRecord& listed,
+                                  const SourceRevision& revision,
+                                  TimeMs now) const;
+
+  /// Records the start of a new era.
+  void NoteEra(const SourceRevision& revision, TimeMs now) noexcept;
+
+  DurationMs restored_grace_ms;
+  std::uint64_t era = 0;  ///< Highest one seen.
+  /// End of the time in which earlier knowledge holds, after a new era.
+  TimeMs settled_at = 0;
   LeavingEndpoints said_leaving;
   NamedTable<Row> rows;  ///< Keyed by endpoint id; includes tombstones.
-  std::uint64_t applied_revision = 0;
+  SourceRevision applied_revision;
   /// `Revision()` while endpoints are retained.
-  std::uint64_t revision_before_retention = 0;
+  SourceRevision revision_before_retention;
 };
 
 }  // namespace limpethaven
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -23,6 +23,7 @@
   kConfigRejected = 203,
   kConfigSourceRegained = 204,
   kSourceWatchLost = 205,
+  kSourceRestored = 206,
   kEndpointAnnounced = 210,
   kEndpointLeaving = 211,
   kEndpointGone = 212,
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -26,6 +26,7 @@
 #include "limpethaven/interfaces.h"
 #include "limpethaven/leaving_endpoints.h"
 #include "limpethaven/prompt_quarantine.h"
+#include "limpethaven/source_revision.h"
 #include "limpethaven/vm_id.h"
 
 namespace limpethaven {
@@ -133,7 +134,7 @@
   std::string config_digest;
   /// Latest revision of the endpoints at the configuration source that the
   /// sender has received.
-  std::uint64_t endpoints_revision = 0;
+  SourceRevision endpoints_revision;
   std::vector<MemberUpdate> updates;
   /// Evidence against parts of prompts; `Membership` neither reads nor sets it.
   std::vector<PartEvidence> evidence;
@@ -178,7 +179,7 @@
   /// Sets the configuration version and digest that messages carry.
   void SetConfig(std::uint64_t version, std::string_view digest);
   /// Sets the revision of the endpoints that messages carry.
-  void SetEndpointsRevision(std::uint64_t revision);
+  void SetEndpointsRevision(const SourceRevision& revision);
   /// Sets the processor share of this process that messages carry, in
   /// thousandths of a core.
   void SetCpuMillicores(std::int64_t millicores);
@@ -300,7 +301,7 @@
   bool ticked = false;
   std::uint64_t config_version = 0;
   std::string config_digest;
-  std::uint64_t endpoints_revision = 0;
+  SourceRevision endpoints_revision;
 };
 
 }  // namespace limpethaven
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -20,20 +20,45 @@
 }
 
 bool EndpointTable::Put(const EndpointRecord& endpoint,
-                        std::uint64_t revision) {
+                        const SourceRevision& revision, TimeMs now,
+                        Origin origin) {
+  this->NoteEra(revision, now);
   Row& row = this->rows[endpoint.id];
   if (revision < row.revision) return false;
+  if (origin == Origin::kState &&
+      this->HoldsAgainst(row, endpoint, revision, now)) {
+    return false;
+  }
+  const bool restored = revision.era > row.revision.era;
+  if (restored && row.endpoint.leaving && row.endpoint.born == endpoint.born) {
+    static_cast<void>(
+        this->said_leaving.Add({endpoint.id, endpoint.born}, now));
+  }
   EndpointRecord next = endpoint;
   next.leaving =
       next.leaving || this->said_leaving.Contains(endpoint.id, endpoint.born);
-  const bool unchanged =
-      row.revision != 0 && !row.removed && row.endpoint == next;
-  // A row that was just inserted has revision 0, so a stored row has at
-  // least 1.
-  row = Row{std::move(next), std::max<std::uint64_t>(1, revision), false};
+  const bool unchanged = row.known && !row.removed && row.endpoint == next;
+  row = Row{std::move(next), revision};
+  row.known = true;
   return !unchanged;
 }
 
+bool EndpointTable::HoldsAgainst(const Row& row, const EndpointRecord& listed,
+                                 const SourceRevision& revision,
+                                 TimeMs now) const {
+  if (!row.known || revision.era <= row.revision.era) return false;
+  if (now >= this->settled_at) return false;
+  return row.removed ? listed.born <= row.endpoint.born
+                     : listed.born < row.endpoint.born;
+}
+
+void EndpointTable::NoteEra(const SourceRevision& revision,
+                            TimeMs now) noexcept {
+  if (revision.era <= this->era) return;
+  this->era = revision.era;
+  this->settled_at = now + this->restored_grace_ms;
+}
+
 bool EndpointTable::MarkLeaving(const LeavingEndpoint& endpoint, TimeMs now) {
   if (!this->said_leaving.Add(endpoint, now)) return false;
   const auto row = this->rows.find(endpoint.id);
@@ -47,7 +72,8 @@
   return this->said_leaving;
 }
 
-bool EndpointTable::Remove(std::string_view id, std::uint64_t revision) {
+bool EndpointTable::Remove(std::string_view id,
+                           const SourceRevision& revision) {
   const auto row = this->rows.find(id);
   if (row == this->rows.end() || row->second.removed ||
       revision < row->second.revision) {
@@ -68,13 +94,19 @@
 }
 
 std::vector<std::string> EndpointTable::Replace(
-    const std::vector<EndpointRecord>& endpoints, std::uint64_t revision,
-    TimeMs retain_missing_until, TimeMs now) {
-  const std::uint64_t revision_before = this->Revision();
+    const std::vector<EndpointRecord>& endpoints,
+    const SourceRevision& revision, TimeMs retain_missing_until, TimeMs now) {
+  const SourceRevision revision_before = this->Revision();
+  this->NoteEra(revision, now);
   std::set<std::string_view> listed;
   std::ranges::for_each(endpoints, [&](const EndpointRecord& endpoint) {
+    const auto row = this->rows.find(endpoint.id);
+    const bool outdated =
+        row != this->rows.end() &&
+        this->HoldsAgainst(row->second, endpoint, revision, now);
+    if (outdated) return;
     listed.insert(endpoint.id);
-    this->Put(endpoint, revision);
+    this->Put(endpoint, revision, now, Origin::kState);
   });
   std::ranges::for_each(this->rows, [&](auto& entry) {
     Row& row = entry.second;
@@ -86,7 +118,7 @@
   });
   std::vector<std::string> expired = this->Expire(now);
   this->revision_before_retention = revision_before;
-  this->AdvanceTo(revision);
+  this->AdvanceTo(revision, now);
   return expired;
 }
 
@@ -115,7 +147,7 @@
 }
 
 EndpointTable::Changes EndpointTable::ChangesAfter(
-    std::uint64_t revision) const {
+    const SourceRevision& revision) const {
   Changes changes;
   std::ranges::for_each(this->rows, [&](const auto& entry) {
     const Row& row = entry.second;
@@ -155,7 +187,9 @@
   return all;
 }
 
-void EndpointTable::AdvanceTo(std::uint64_t revision) noexcept {
+void EndpointTable::AdvanceTo(const SourceRevision& revision,
+                              TimeMs now) noexcept {
+  this->NoteEra(revision, now);
   this->applied_revision = std::max(this->applied_revision, revision);
 }
 
@@ -165,7 +199,7 @@
   });
 }
 
-std::uint64_t EndpointTable::Revision() const {
+SourceRevision EndpointTable::Revision() const {
   return this->Retaining() ? this->revision_before_retention
                            : this->applied_revision;
 }
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -20,6 +20,7 @@
     EventRow{EventId::kConfigRejected, "config_rejected"},
     EventRow{EventId::kConfigSourceRegained, "config_source_regained"},
     EventRow{EventId::kSourceWatchLost, "source_watch_lost"},
+    EventRow{EventId::kSourceRestored, "source_restored"},
     EventRow{EventId::kEndpointAnnounced, "endpoint_announced"},
     EventRow{EventId::kEndpointLeaving, "endpoint_leaving"},
     EventRow{EventId::kEndpointGone, "endpoint_gone"},
--- a/src/core/gossip_codec.cc
+++ b/src/core/gossip_codec.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kMessageFieldCount = 13;
 constexpr std::size_t kEvidenceIndex = kMessageFieldCount;
 constexpr std::size_t kLeavingIndex = kMessageFieldCount + 1;
+/// Place of the era in the array of versions, which earlier versions leave out.
+constexpr std::size_t kEraIndex = 3;
 /// Elements of the CBOR array of a leaving endpoint.
 constexpr std::size_t kLeavingFieldCount = 2;
 /// Elements of the CBOR array of an update.
@@ -102,7 +104,12 @@
   message.target = in.at(8).get<std::string>();
   message.config_version = in.at(9).at(0).get<std::uint64_t>();
   message.config_digest = in.at(9).at(1).get<std::string>();
-  message.endpoints_revision = in.at(9).at(2).get<std::uint64_t>();
+  const json& versions = in.at(9);
+  message.endpoints_revision.number = versions.at(2).get<std::uint64_t>();
+  if (versions.size() > kEraIndex) {
+    message.endpoints_revision.era =
+        versions.at(kEraIndex).get<std::uint64_t>();
+  }
   message.from_serving = in.at(11).get<bool>();
   message.from_cpu_millicores = in.at(12).get<std::int64_t>();
   std::ranges::transform(in.at(10), std::back_inserter(message.updates),
@@ -133,7 +140,8 @@
                    message.from_refutation, message.from_leaving,
                    message.to_incarnation, message.sequence, message.target,
                    json::array({message.config_version, message.config_digest,
-                                message.endpoints_revision}),
+                                message.endpoints_revision.number,
+                                message.endpoints_revision.era}),
                    updates, message.from_serving, message.from_cpu_millicores});
   // Left out when empty, so that processes of an earlier version can read the
   // message.
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -104,7 +104,7 @@
   this->config_digest = std::string(digest.substr(0, 16));
 }
 
-void Membership::SetEndpointsRevision(std::uint64_t revision) {
+void Membership::SetEndpointsRevision(const SourceRevision& revision) {
   this->endpoints_revision = revision;
 }
 
--- a/src/entry/native_source.cc
+++ b/src/entry/native_source.cc
@@ -165,7 +165,7 @@
 void NativeSource::NotifyListener() {
   const Configuration& config = *this->follower.Snapshot();
   this->listener->OnConfiguration(config);
-  this->listener->OnAllEndpoints(EndpointsOf(config), config.version,
+  this->listener->OnAllEndpoints(EndpointsOf(config), {0, config.version},
                                  std::nullopt);
 }
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -53,6 +53,7 @@
       dialects(std::move(node_dialects)),
       identity(IdentityOf(this->settings)),
       pool(event_loop, kMaxIdleConnectionsPerEndpoint),
+      table(this->settings.restored_grace_ms),
       gossip(event_loop, this->identity, MembershipSettings{}, *this),
       link(event_loop, this->identity),
       shares(this->link, this->gossip, this->settings.data_centre,
@@ -179,7 +180,7 @@
 
 void EntryNode::OnPeerVersions(const std::string& address,
                                std::uint64_t version,
-                               std::uint64_t endpoints_revision) {
+                               const SourceRevision& endpoints_revision) {
   this->state.OnPeerVersions(address, version, endpoints_revision);
 }
 
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -62,6 +62,8 @@
   /// Endpoints are pulled from a peer that has had a newer revision of them for
   /// this time.
   DurationMs peer_staleness_ms = 700;
+  /// See `EndpointTable`.
+  DurationMs restored_grace_ms = EndpointTable::kRestoredGraceMs;
   /// Longest time that a request waits for its team's tokens before it is
   /// refused.
   DurationMs token_wait_ms = 0;
@@ -148,7 +150,7 @@
   void ApplyConfiguration(const Configuration& next);
 
   void OnPeerVersions(const std::string& address, std::uint64_t version,
-                      std::uint64_t endpoints_revision) override;
+                      const SourceRevision& endpoints_revision) override;
   void OnMemberChange(const MemberChange& change) override;
   void OnLeavingEndpoints(
       const std::string& peer,
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -18,6 +18,23 @@
                                                 address, data_centre, pool,
                                                 role, slots, leaving)
 
+/// Eras are left out where there are none, so that processes of an earlier
+/// version can read the revision.
+void to_json(nlohmann::json& out, const SourceRevision& revision) {
+  if (revision.era == 0) {
+    out = revision.number;
+  } else {
+    out = nlohmann::json::array({revision.era, revision.number});
+  }
+}
+
+void from_json(const nlohmann::json& in, SourceRevision& revision) {
+  const bool has_era = in.is_array();
+  revision.era = has_era ? in.at(0).get<std::uint64_t>() : 0;
+  revision.number =
+      has_era ? in.at(1).get<std::uint64_t>() : in.get<std::uint64_t>();
+}
+
 namespace {
 
 using nlohmann::json;
@@ -27,14 +44,14 @@
 /// Shortest time between two pulls that `Tick` starts.
 constexpr DurationMs kPullPeriodMs = 300;
 
-using AnnouncedRows = std::vector<std::pair<EndpointRecord, std::uint64_t>>;
-using GoneRows = std::vector<std::pair<std::string, std::uint64_t>>;
+using AnnouncedRows = std::vector<std::pair<EndpointRecord, SourceRevision>>;
+using GoneRows = std::vector<std::pair<std::string, SourceRevision>>;
 
 /// Revision to which the answer of a peer of an earlier version reaches, which
 /// does not say it.
-std::uint64_t HighestRevision(const AnnouncedRows& announced,
-                              const GoneRows& gone) {
-  std::uint64_t highest = 0;
+SourceRevision HighestRevision(const AnnouncedRows& announced,
+                               const GoneRows& gone) {
+  SourceRevision highest;
   const auto raise = [&highest](const auto& row) {
     highest = std::max(highest, row.second);
   };
@@ -65,17 +82,18 @@
 }
 
 void PublishedState::OnEndpoint(const EndpointRecord& endpoint,
-                                std::uint64_t revision) {
-  this->table.AdvanceTo(revision);
-  this->Announce(endpoint, revision);
+                                const SourceRevision& revision) {
+  this->table.AdvanceTo(revision, LoopNow());
+  this->Announce(endpoint, revision, EndpointTable::Origin::kChange);
 }
 
 void PublishedState::Announce(const EndpointRecord& endpoint,
-                              std::uint64_t revision) {
+                              const SourceRevision& revision,
+                              EndpointTable::Origin origin) {
   const EndpointRecord* known = this->table.Find(endpoint.id);
   const bool was_leaving = known != nullptr && known->leaving;
   const bool was_known = known != nullptr;
-  if (!this->table.Put(endpoint, revision)) return;
+  if (!this->table.Put(endpoint, revision, LoopNow(), origin)) return;
   if (endpoint.leaving && !was_leaving) {
     LogEvent(EventId::kEndpointLeaving, {{"endpoint", endpoint.id},
                                          {"from", "source"},
@@ -92,19 +110,20 @@
 }
 
 void PublishedState::OnEndpointGone(const std::string& id,
-                                    std::uint64_t revision) {
-  this->table.AdvanceTo(revision);
+                                    const SourceRevision& revision) {
+  this->table.AdvanceTo(revision, LoopNow());
   this->Withdraw(id, revision);
 }
 
-void PublishedState::Withdraw(const std::string& id, std::uint64_t revision) {
+void PublishedState::Withdraw(const std::string& id,
+                              const SourceRevision& revision) {
   if (!this->table.Remove(id, revision)) return;
   this->NotifyGone({id});
 }
 
 void PublishedState::OnAllEndpoints(
-    const std::vector<EndpointRecord>& endpoints, std::uint64_t revision,
-    std::optional<TimeMs> returned_at) {
+    const std::vector<EndpointRecord>& endpoints,
+    const SourceRevision& revision, std::optional<TimeMs> returned_at) {
   const TimeMs now = LoopNow();
   const TimeMs retained_until =
       returned_at ? *returned_at + this->missing_retention_ms : now;
@@ -144,7 +163,7 @@
 
 void PublishedState::OnPeerVersions(const std::string& peer,
                                     std::uint64_t version,
-                                    std::uint64_t endpoints_revision) {
+                                    const SourceRevision& endpoints_revision) {
   if (endpoints_revision > this->table.Revision()) {
     if (this->ahead_peer.empty()) this->ahead_since = LoopNow();
     if (endpoints_revision >= this->ahead_revision) this->ahead_peer = peer;
@@ -228,9 +247,9 @@
   this->listener.OnConfig(this->config);
 }
 
-void PublishedState::AdvanceTo(std::uint64_t revision) {
-  const std::uint64_t before = this->table.Revision();
-  this->table.AdvanceTo(revision);
+void PublishedState::AdvanceTo(const SourceRevision& revision) {
+  const SourceRevision before = this->table.Revision();
+  this->table.AdvanceTo(revision, LoopNow());
   if (this->table.Revision() != before) this->listener.OnEndpoints();
 }
 
@@ -246,25 +265,25 @@
 
 Task<Result<std::string>> PublishedState::AnswerState(PeerCall& call) {
   const json request = json::parse(call.body, nullptr, false);
-  const bool valid = request.is_object() && request.contains("version") &&
-                     request["version"].is_number_unsigned() &&
-                     request.contains("revision") &&
-                     request["revision"].is_number_unsigned();
-  if (!valid) {
+  std::uint64_t version = 0;
+  SourceRevision revision;
+  try {
+    version = request.at("version").get<std::uint64_t>();
+    revision = request.at("revision").get<SourceRevision>();
+  } catch (const json::exception&) {
     co_return Error::Of(
         ErrorKind::kBadRequest,
-        "malformed state request: expected unsigned integers in version and "
-        "revision");
+        "malformed state request: expected an unsigned integer in version and "
+        "a revision");
   }
   json answer = {{"version", this->config->version},
                  {"digest", this->config->digest},
                  {"known", this->endpoints_known},
                  {"revision", this->table.Revision()}};
-  if (this->config->version > request["version"].get<std::uint64_t>()) {
+  if (this->config->version > version) {
     answer["entities"] = EncodeEntityList(EncodeEntities(*this->config));
   }
-  const EndpointTable::Changes changes =
-      this->table.ChangesAfter(request["revision"].get<std::uint64_t>());
+  const EndpointTable::Changes changes = this->table.ChangesAfter(revision);
   answer["announced"] = changes.announced;
   answer["gone"] = changes.gone;
   co_return answer.dump();
@@ -323,13 +342,13 @@
     const auto gone = answer.at("gone").get<GoneRows>();
     if (answer.at("known").get<bool>()) this->endpoints_known = true;
     std::ranges::for_each(announced, [this](const auto& row) {
-      this->Announce(row.first, row.second);
+      this->Announce(row.first, row.second, EndpointTable::Origin::kState);
     });
     std::ranges::for_each(gone, [this](const auto& row) {
       this->Withdraw(row.first, row.second);
     });
     this->AdvanceTo(answer.contains("revision")
-                        ? answer.at("revision").get<std::uint64_t>()
+                        ? answer.at("revision").get<SourceRevision>()
                         : HighestRevision(announced, gone));
   } catch (const json::exception& fault) {
     this->OnUnreadable("state from peer " + from,
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -51,10 +51,11 @@
 
   void OnConfiguration(const Configuration& next) override;
   void OnEndpoint(const EndpointRecord& endpoint,
-                  std::uint64_t revision) override;
-  void OnEndpointGone(const std::string& id, std::uint64_t revision) override;
+                  const SourceRevision& revision) override;
+  void OnEndpointGone(const std::string& id,
+                      const SourceRevision& revision) override;
   void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
-                      std::uint64_t revision,
+                      const SourceRevision& revision,
                       std::optional<TimeMs> returned_at) override;
   void OnVms(const std::vector<ListedVm>& vms) override;
   void OnSourceReachable(bool reachable) override;
@@ -64,7 +65,7 @@
   /// revision. A newer configuration is pulled from the peer at once. Newer
   /// endpoints are pulled by `Tick` if the source does not report them in time.
   void OnPeerVersions(const std::string& peer, std::uint64_t version,
-                      std::uint64_t endpoints_revision);
+                      const SourceRevision& endpoints_revision);
   /// Marks endpoints that are leaving by their own word.
   /// @param from `endpoint`, or the address of the peer that reports them.
   /// @returns whether any of them is news.
@@ -86,12 +87,13 @@
  private:
   void Adopt(const Configuration& next, const std::string& from);
   /// Applies an announcement, of the source or a peer.
-  void Announce(const EndpointRecord& endpoint, std::uint64_t revision);
+  void Announce(const EndpointRecord& endpoint, const SourceRevision& revision,
+                EndpointTable::Origin origin);
   /// Applies a removal, of the source or a peer.
-  void Withdraw(const std::string& id, std::uint64_t revision);
+  void Withdraw(const std::string& id, const SourceRevision& revision);
   /// Records that all updates up to a revision were applied, and notifies the
   /// listener of it.
-  void AdvanceTo(std::uint64_t revision);
+  void AdvanceTo(const SourceRevision& revision);
   /// Logs the removal of endpoints and notifies the listener.
   void NotifyGone(const std::vector<std::string>& ids);
   Task<Result<std::string>> AnswerState(PeerCall& call);
@@ -115,7 +117,7 @@
   /// Peer that reported a newer endpoints revision; empty: none.
   std::string ahead_peer;
   /// Highest endpoints revision that a peer reported.
-  std::uint64_t ahead_revision = 0;
+  SourceRevision ahead_revision;
   TimeMs ahead_since = 0;  ///< When a peer first reported a newer revision.
   DurationMs missing_retention_ms;
   DurationMs watch_staleness_ms;
--- a/src/node/source.h
+++ b/src/node/source.h
@@ -22,16 +22,16 @@
   virtual void OnConfiguration(const Configuration& config) = 0;
   /// Called when an endpoint was announced or its announcement has changed.
   virtual void OnEndpoint(const EndpointRecord& endpoint,
-                          std::uint64_t revision) = 0;
+                          const SourceRevision& revision) = 0;
   /// Called when the announcement of an endpoint was removed.
   virtual void OnEndpointGone(const std::string& id,
-                              std::uint64_t revision) = 0;
+                              const SourceRevision& revision) = 0;
   /// Called with all endpoints that the source lists.
   /// @param returned_at Set after an outage, in which the source may have lost
   /// announcements of live endpoints, so that they are missing from its list:
   /// the time since which it is known to answer again.
   virtual void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
-                              std::uint64_t revision,
+                              const SourceRevision& revision,
                               std::optional<TimeMs> returned_at) = 0;
   /// Called with the list of VMs, if the source has one.
   virtual void OnVms(const std::vector<ListedVm>& vms) = 0;
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -68,7 +68,7 @@
   this->Send(this->membership.Announce(kConfigFanout));
 }
 
-void Gossip::SetEndpointsRevision(std::uint64_t revision) {
+void Gossip::SetEndpointsRevision(const SourceRevision& revision) {
   this->membership.SetEndpointsRevision(revision);
 }
 
--- a/src/peer/gossip.h
+++ b/src/peer/gossip.h
@@ -31,7 +31,7 @@
   /// Called for each accepted gossip message with the sender's configuration
   /// version and endpoints revision.
   virtual void OnPeerVersions(const std::string& address, std::uint64_t version,
-                              std::uint64_t endpoints_revision) = 0;
+                              const SourceRevision& endpoints_revision) = 0;
   virtual void OnMemberChange(const MemberChange& change) = 0;
   /// Called with the endpoints that, by a peer's message, are leaving by their
   /// own word; most of them are known already.
@@ -64,7 +64,7 @@
   /// announces them to some members at once.
   void SetConfig(std::uint64_t version, std::string_view digest);
   /// Sets the endpoints' revision that messages carry from now on.
-  void SetEndpointsRevision(std::uint64_t revision);
+  void SetEndpointsRevision(const SourceRevision& revision);
   /// Sets whether this process is ready to serve callers, and announces it at
   /// once.
   void SetServing(bool serving);
--- a/src/placement/main.cc
+++ b/src/placement/main.cc
@@ -91,7 +91,7 @@
   }
 
   void OnPeerVersions(const std::string& address, std::uint64_t version,
-                      std::uint64_t endpoints_revision) override {
+                      const SourceRevision& endpoints_revision) override {
     this->state.OnPeerVersions(address, version, endpoints_revision);
   }
   void OnMemberChange(const MemberChange&) override {}
--- a/tests/endpoint_signals_test.cc
+++ b/tests/endpoint_signals_test.cc
@@ -36,19 +36,19 @@
 
 TEST_CASE("an endpoint's own word that it leaves holds for its incarnation") {
   EndpointTable table;
-  table.Put(EndpointOf("a", 10), 1);
-  table.Put(EndpointOf("b", 10), 1);
+  table.Put(EndpointOf("a", 10), {0, 1}, 0, EndpointTable::Origin::kChange);
+  table.Put(EndpointOf("b", 10), {0, 1}, 0, EndpointTable::Origin::kChange);
   REQUIRE(table.MarkLeaving({"a", 10}, 0));
   REQUIRE_FALSE(table.MarkLeaving({"a", 10}, 0));
   REQUIRE(table.Usable("p").size() == 1);
   // The source lags behind, or announces the endpoint as ready again.
-  table.Put(EndpointOf("a", 10), 5);
+  table.Put(EndpointOf("a", 10), {0, 5}, 0, EndpointTable::Origin::kChange);
   REQUIRE(table.Find("a")->leaving);
-  table.Remove("a", 6);
-  table.Put(EndpointOf("a", 10), 7);
+  table.Remove("a", {0, 6});
+  table.Put(EndpointOf("a", 10), {0, 7}, 0, EndpointTable::Origin::kChange);
   REQUIRE(table.Find("a")->leaving);
   // A later incarnation has not said so.
-  table.Put(EndpointOf("a", 11), 8);
+  table.Put(EndpointOf("a", 11), {0, 8}, 0, EndpointTable::Origin::kChange);
   REQUIRE_FALSE(table.Find("a")->leaving);
   // News of the earlier one that arrives late does not concern it.
   table.MarkLeaving({"a", 10}, 0);
@@ -59,7 +59,7 @@
   EndpointTable table;
   REQUIRE(table.MarkLeaving({"a", 10}, 0));
   REQUIRE(table.Find("a") == nullptr);
-  table.Put(EndpointOf("a", 10), 1);
+  table.Put(EndpointOf("a", 10), {0, 1}, 0, EndpointTable::Origin::kChange);
   REQUIRE(table.Find("a")->leaving);
 }
 
--- a/tests/gossip_test.cc
+++ b/tests/gossip_test.cc
@@ -16,7 +16,7 @@
 class NoListener final : public GossipListener {
  public:
   void OnPeerVersions(const std::string&, std::uint64_t,
-                      std::uint64_t) override {}
+                      const SourceRevision&) override {}
   void OnMemberChange(const MemberChange&) override {}
   void OnPause() override {}
 };
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -84,7 +84,7 @@
     this->listeners.push_back(&listener);
     listener.OnSourceReachable(true);
     listener.OnConfiguration(this->config);
-    listener.OnAllEndpoints(this->endpoints, this->revision, std::nullopt);
+    listener.OnAllEndpoints(this->endpoints, {0, this->revision}, std::nullopt);
   }
   /// Removes the first `count` endpoints.
   void Remove(std::size_t count) {
@@ -93,7 +93,8 @@
         this->endpoints.begin(),
         this->endpoints.begin() + static_cast<std::ptrdiff_t>(count));
     std::ranges::for_each(this->listeners, [this](SourceListener* listener) {
-      listener->OnAllEndpoints(this->endpoints, this->revision, std::nullopt);
+      listener->OnAllEndpoints(this->endpoints, {0, this->revision},
+                               std::nullopt);
     });
   }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -158,7 +158,7 @@
     {"key": "servers/d", "rev": "soon", "value": "aGk="},
     {"key": "servers/e", "rev": -4, "value": "aGk="}]})");
   REQUIRE(answer);
-  REQUIRE(answer.value().as_of == 9);
+  REQUIRE(answer.value().as_of.number == 9);
   REQUIRE(answer.value().events.size() == 3);
   REQUIRE(answer.value().events[0].value == "hi");
   REQUIRE_FALSE(answer.value().events[1].value);
--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -35,7 +35,7 @@
   }
 
   void OnPeerVersions(const std::string& address, std::uint64_t version,
-                      std::uint64_t endpoints_revision) override {
+                      const SourceRevision& endpoints_revision) override {
     this->state.OnPeerVersions(address, version, endpoints_revision);
   }
   void OnMemberChange(const MemberChange&) override {}
@@ -81,12 +81,13 @@
   for (const auto& process : processes) {
     process->state.OnSourceReachable(true);
     process->state.OnConfiguration(config);
-    process->state.OnAllEndpoints({EndpointOf("e1", false)}, 5, std::nullopt);
+    process->state.OnAllEndpoints({EndpointOf("e1", false)}, {0, 5},
+                                  std::nullopt);
   }
   // Only the first process's watch reports that the endpoint leaves. The
   // watches of the others hang on connections that stay open, so that their
   // source still counts as reachable.
-  processes[0]->state.OnEndpoint(EndpointOf("e1", true), 6);
+  processes[0]->state.OnEndpoint(EndpointOf("e1", true), {0, 6});
   const auto all_leaving = [&] {
     return std::ranges::all_of(processes, [](const auto& process) {
       const EndpointRecord* known = process->table.Find("e1");
@@ -126,12 +127,14 @@
     process->state.OnSourceReachable(true);
     process->state.OnConfiguration(config);
     process->state.OnAllEndpoints(
-        {EndpointOf("e1", false), EndpointOf("e2", false)}, 5, std::nullopt);
+        {EndpointOf("e1", false), EndpointOf("e2", false)}, {0, 5},
+        std::nullopt);
   }
   // The first process follows the source without interruption. The second could
   // not reach it while e1 was removed, and reads an incomplete list afterwards.
-  processes[0]->state.OnEndpointGone("e1", 6);
-  processes[1]->state.OnAllEndpoints({EndpointOf("e2", false)}, 7, LoopNow());
+  processes[0]->state.OnEndpointGone("e1", {0, 6});
+  processes[1]->state.OnAllEndpoints({EndpointOf("e2", false)}, {0, 7},
+                                     LoopNow());
   REQUIRE(processes[1]->table.Find("e1") != nullptr);
   const TimeMs deadline = LoopNow() + kTimeoutMs;
   while (processes[1]->table.Find("e1") != nullptr && LoopNow() < deadline) {
@@ -167,12 +170,14 @@
     process->state.OnSourceReachable(true);
     process->state.OnConfiguration(config);
     process->state.OnAllEndpoints(
-        {EndpointOf("e1", false), EndpointOf("e2", false)}, 5, std::nullopt);
+        {EndpointOf("e1", false), EndpointOf("e2", false)}, {0, 5},
+        std::nullopt);
   }
   // Both miss the removal of e1 in an outage. The source then answers the first
   // process only, which retains e1 for a time.
   processes[1]->state.OnSourceReachable(false);
-  processes[0]->state.OnAllEndpoints({EndpointOf("e2", false)}, 7, LoopNow());
+  processes[0]->state.OnAllEndpoints({EndpointOf("e2", false)}, {0, 7},
+                                     LoopNow());
   const auto removed_everywhere = [&] {
     return std::ranges::all_of(processes, [](const auto& process) {
       return process->table.Find("e1") == nullptr;
--- a/tests/share_exchange_test.cc
+++ b/tests/share_exchange_test.cc
@@ -21,7 +21,7 @@
 class IgnoringListener final : public GossipListener {
  public:
   void OnPeerVersions(const std::string&, std::uint64_t,
-                      std::uint64_t) override {}
+                      const SourceRevision&) override {}
   void OnMemberChange(const MemberChange&) override {}
   void OnPause() override {}
 };
--- a/tests/store_silence_test.cc
+++ b/tests/store_silence_test.cc
@@ -18,9 +18,9 @@
 class CountingListener final : public SourceListener {
  public:
   void OnConfiguration(const Configuration&) override {}
-  void OnEndpoint(const EndpointRecord&, std::uint64_t) override {}
-  void OnEndpointGone(const std::string&, std::uint64_t) override {}
-  void OnAllEndpoints(const std::vector<EndpointRecord>&, std::uint64_t,
+  void OnEndpoint(const EndpointRecord&, const SourceRevision&) override {}
+  void OnEndpointGone(const std::string&, const SourceRevision&) override {}
+  void OnAllEndpoints(const std::vector<EndpointRecord>&, const SourceRevision&,
                       std::optional<TimeMs>) override {
     ++this->lists;
   }
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -25,15 +25,16 @@
   void OnConfiguration(const Configuration& config) override {
     this->version = config.version;
   }
-  void OnEndpoint(const EndpointRecord& endpoint, std::uint64_t) override {
+  void OnEndpoint(const EndpointRecord& endpoint,
+                  const SourceRevision&) override {
     this->usable.insert(endpoint.id);
     if (endpoint.leaving) this->usable.erase(endpoint.id);
   }
-  void OnEndpointGone(const std::string& id, std::uint64_t) override {
+  void OnEndpointGone(const std::string& id, const SourceRevision&) override {
     this->usable.erase(id);
   }
   void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
-                      std::uint64_t,
+                      const SourceRevision&,
                       std::optional<TimeMs> source_returned_at) override {
     ++this->lists;
     this->returned_at = source_returned_at;
