Refuse requests in a planned stop that would be cut at its end

Cause: while a process stops, callers with kept connections or cached addresses go on sending requests, and all were taken, however little time was left. Class of fault: work is accepted without looking at the time left for it. Change: StopAdmission, a decision without I/O, answers 503 (not run) to a request whose pool has recently needed longer, with a quarter on top, than the process has left; a request that has to end before the process does by its own deadline is taken. Considered: refusing all streams from the signal on, which would serve nobody while all processes stop together. Evidence: 'reported: a planned stop cuts requests that come late in it' fails in a trial without the decision (both late requests are passed on) and passes; requests at the begin of the stop are answered as before.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -159,6 +159,8 @@
        LogField::Of("connections", this->caller_server.OpenConnections())});
   this->leaving = true;
   this->drain_started_at = LoopNow();
+  this->router.Core().stop_admission.StopAt(this->drain_started_at +
+                                            this->settings.shutdown_timeout_ms);
   this->gossip.Leave();
   this->caller_server.Drain(false);
 }
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -218,6 +218,14 @@
     co_await this->Refuse(exchange, "", admitted.error());
     co_return;
   }
+  if (!this->core.stop_admission.Admits(admitted.value().pool->name,
+                                        admitted.value().deadline, LoopNow())) {
+    co_await this->Refuse(
+        exchange, admitted.value().request.attempt_id,
+        Error::Of(ErrorKind::kLeaving,
+                  "the process is stopping, and would end before the answer"));
+    co_return;
+  }
   if (const auto quarantined = this->core.CheckQuarantine(
           ShareableParts(admitted.value().request))) {
     co_await this->Refuse(exchange, admitted.value().request.attempt_id,
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -15,6 +15,7 @@
 #include "limpethaven/endpoint_table.h"
 #include "limpethaven/prompt_quarantine.h"
 #include "limpethaven/retry_budget.h"
+#include "limpethaven/stop_admission.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "peer/cell_exchange.h"
@@ -118,6 +119,7 @@
   ActiveRequests active;
   EndpointLimits limits;
   EndpointPauses pauses;
+  StopAdmission stop_admission;
   /// Bytes of endpoints' answers that are held until they are complete.
   std::size_t buffered_bytes = 0;
 
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -207,6 +207,11 @@
     error = Error::Of(*this->abort_reason,
                       std::string(RowOf(*this->abort_reason).name));
   }
+  if (!error && !this->Cancelled()) {
+    const TimeMs now = LoopNow();
+    this->core.stop_admission.OnAnswered(
+        this->admitted.pool->name, now - this->exchange.ReceivedAt(), now);
+  }
   this->LogEnd(error);
   this->CountOutcome(error);
   if (this->Cancelled() && !this->abort_reason) {
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -368,6 +368,7 @@
   node.seeds = {this->addresses.front(), this->addresses.back()};
   node.router.retries = this->settings.retries;
   node.address_ttl_ms = this->settings.address_ttl_ms;
+  node.shutdown_timeout_ms = this->settings.shutdown_timeout_ms;
   node.router.allow_local_prefill = true;
   node.cells.allow_local_prefill = true;
   node.cells.reserve_maximum = false;
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -83,6 +83,7 @@
   std::int64_t max_sends = RouteSpec{}.max_sends;
   /// Time for which callers use an address answer.
   DurationMs address_ttl_ms = NodeSettings{}.address_ttl_ms;
+  DurationMs shutdown_timeout_ms = NodeSettings{}.shutdown_timeout_ms;
   RetrySettings retries{0.2, 50, 10'000};
   std::int64_t slots = 16;  ///< Requests that an engine runs at once.
   /// Engines in one cell, and the time for which a cell sends nothing to an
--- a/tests/reported_faults_test.cc
+++ b/tests/reported_faults_test.cc
@@ -4,12 +4,14 @@
 /// guards against.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "limpethaven/stall_rule.h"
+#include "limpethaven/stop_admission.h"
 #include "platform_fleet.h"
 
 namespace limpethaven {
@@ -121,6 +123,56 @@
   CHECK(cut == 0);
 }
 
+TEST_CASE("reported: a planned stop cuts requests that come late in it") {
+  constexpr DurationMs kStopMs = 1500;
+  constexpr DurationMs kRunMs = 400;
+  PlatformFleetSettings settings = OneEntry();
+  settings.shutdown_timeout_ms = kStopMs;
+  settings.address_ttl_ms = kStopMs;
+  PlatformFleet fleet(settings, [](const RequestHead& call) {
+    const std::string whole = testing::WholeStream(call, 1);
+    EngineAnswer answer{whole.substr(0, whole.size() - 5)};
+    answer.late = whole.substr(whole.size() - 5);
+    answer.late_ms = kRunMs;
+    return answer;
+  });
+  REQUIRE(fleet.Call(0, "aa:60,bb:60").head.status == 200);
+  REQUIRE(fleet.CallService(0).head.status == 200);
+  fleet.DrainEntry(0);
+  // There is time enough for the first request of each kind after the stop
+  // began, but not for a later one.
+  fleet.Start(0, "aa:60,cc:60");
+  fleet.StartService(0);
+  fleet.RunFor(kStopMs - kRunMs - 50);
+  REQUIRE(fleet.responses.size() == 4);
+  CHECK(fleet.responses[2].head.status == 200);
+  CHECK(fleet.responses[3].head.status == 200);
+  fleet.Start(0, "aa:60,dd:60");
+  fleet.StartService(0);
+  fleet.RunFor(100);
+  REQUIRE(fleet.responses.size() == 6);
+  CHECK(SaysNotRun(fleet.responses[4]));
+  CHECK(SaysNotRun(fleet.responses[5]));
+  CHECK(fleet.CallsWith("dd:60") == 0);
+}
+
+TEST_CASE("a process that stops takes the requests that it can still answer") {
+  StopAdmission admission;
+  CHECK(admission.Admits("p", 1'000'000, 0));
+  admission.StopAt(8000);
+  CHECK(admission.Admits("p", 8000, 7999));
+  CHECK_FALSE(admission.Admits("p", 8001, 0));
+  admission.OnAnswered("p", 2000, 0);
+  admission.OnAnswered("p", 100, 10);
+  CHECK(admission.Admits("p", 20'000, 5500));
+  CHECK_FALSE(admission.Admits("p", 20'000, 5501));
+  // The longest request is forgotten after two periods.
+  admission.OnAnswered("p", 100, 40'000);
+  admission.OnAnswered("p", 100, 80'000);
+  admission.StopAt(90'000);
+  CHECK(admission.Admits("p", 120'000, 89'800));
+}
+
 TEST_CASE("reported: slow but sound streams are cut") {
   // The engine makes an event every 1.2 s, then pauses once for 2.2 s.
   StallRule stall(3600);
@@ -297,5 +349,37 @@
   CHECK(SaysNotRun(fleet.responses.front()));
 }
 
+TEST_CASE("reported: an answer that ends inside its head is framed as whole") {
+  const auto cut_at = std::make_shared<std::size_t>(0);
+  const auto script = [cut_at](const RequestHead& call) {
+    const bool stream = !call.headers.Get("X-Token-Count").empty();
+    const std::string whole =
+        stream ? testing::WholeStream(call, 1) : Plain(call, "body");
+    EngineAnswer answer{whole.substr(0, *cut_at)};
+    answer.close = true;
+    return answer;
+  };
+  PlatformFleetSettings settings = OneEntry();
+  settings.retries = RetrySettings{1, 1000, 10'000};
+  PlatformFleet fleet(settings, script);
+  RequestHead call;
+  call.headers.Add("X-Attempt-Id", "request-00");
+  call.headers.Add("X-Token-Count", "1,1");
+  const std::string whole = testing::WholeStream(call, 1);
+  const std::size_t head_size = whole.find("\r\n\r\n") + 4;
+  for (*cut_at = 1; *cut_at < head_size; *cut_at += 3) {
+    INFO(*cut_at);
+    const HttpResponse plain = fleet.CallService(0);
+    CHECK_FALSE((plain.fault == CallFault::kNone && plain.head.status == 200 &&
+                 plain.body != "body"));
+    // The engine is left alone for a while after each failure.
+    if (*cut_at % 40 != 1) continue;
+    const HttpResponse stream =
+        fleet.Call(0, "aa:60,x" + std::to_string(*cut_at) + ":60");
+    CHECK_FALSE(
+        (stream.fault == CallFault::kNone && stream.head.status == 200));
+  }
+}
+
 }  // namespace
 }  // namespace limpethaven
