--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "platform/store_source.h"
 #include "store_standin.h"
@@ -142,5 +144,62 @@
   CHECK(*followed.listener.returned_at <= returned_by);
 }
 
+TEST_CASE("reported: an odd item among the endpoints ends or stops a process") {
+  const std::string ready = EndpointItem("127.0.0.1:9", "ready", 1);
+  const auto with = [&ready](std::string_view field, std::string_view text) {
+    std::string item = ready;
+    const std::size_t name = item.find("\"" + std::string(field) + "\":");
+    const std::size_t begin = item.find(':', name) + 1;
+    const std::size_t end = item.find_first_of(",}", begin);
+    return item.replace(begin, end - begin, text);
+  };
+  constexpr std::size_t kDepth = 50'000;
+  const std::string deep(kDepth, '[');
+  const std::vector<std::string> odd = {
+      deep,
+      deep + std::string(kDepth, ']'),
+      with("cold_left_ms", deep + std::string(kDepth, ']')),
+      with("cold_left_ms", "1e999"),
+      with("slots", "9223372036854775807"),
+      with("slots", "18446744073709551616"),
+      with("slots", "1e30"),
+      with("slots", "-1"),
+      with("born", "18446744073709551615"),
+      with("born", "-1e400"),
+      with("addr", "\"127.0.0.1:65536\""),
+      with("addr", "\"127.0.0.1:0\""),
+      with("addr", "\"127.0.0.1:99999999999999999999\""),
+      with("addr", "\"127.0.0.1\\r\\nX: 1:9\""),
+      std::string("\0\xff\xfe", 3),
+      "null",
+      ""};
+  FollowedStore followed(
+      "127.93.0.3:18194",
+      platform::StoreSettings{.batch_ms = 10, .max_silence_ms = 1500});
+  const std::set<std::string> sound = {"e1", "e2"};
+  const auto follows = [&](std::string_view status) {
+    followed.store.Put("servers/e2", EndpointItem("127.0.0.1:8", status, 1));
+    const bool leaving = status == "draining";
+    return followed.RunUntil(
+        [&] { return followed.listener.usable.contains("e2") != leaving; },
+        1000);
+  };
+  for (std::size_t index = 0; index < odd.size(); ++index) {
+    INFO(index);
+    followed.store.Put("servers/odd" + std::to_string(index), odd[index]);
+    CHECK(follows("draining"));
+    CHECK(follows("ready"));
+    CHECK(followed.listener.usable == sound);
+  }
+  // The same items in a list, after the watches that wait now are lost.
+  followed.loop.run_for(std::chrono::milliseconds(100));
+  followed.store.SetWatchesSilent(true);
+  followed.store.SetWatchesSilent(false);
+  REQUIRE(
+      followed.RunUntil([&] { return followed.listener.lists == 2; }, 3000));
+  CHECK(followed.listener.usable == sound);
+  CHECK(follows("draining"));
+}
+
 }  // namespace
 }  // namespace limpethaven
