--- a/tests/store_silence_test.cc
+++ b/tests/store_silence_test.cc
@@ -32,7 +32,7 @@
 };
 
 TEST_CASE("platform: a watch that the store never answers is given up") {
-  // Time after a disturbance until changes must come into force in time again.
+  // Time after an outage until changes must come into force in time again.
   constexpr DurationMs kBoundMs = 3000;
   Loop loop(1);
   const std::string address = "127.93.0.1:18194";
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -18,7 +18,7 @@
 using testing::EndpointItem;
 using testing::StoreStandin;
 
-/// Time after a disturbance until changes must come into force in time again.
+/// Time after an outage until changes must come into force in time again.
 constexpr DurationMs kContactMs = 3000;
 
 /// Keeps what the source reports.
