--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -125,8 +125,11 @@
         self.addr = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
         self.rev += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        text = base64.b64encode(value).decode()
         created = self.items.get(key, {}).get("create_rev", self.rev)
         item = {"key": key, "value": text, "rev": self.rev, "create_rev": created, "lease": 0}
         self.items[key] = item
@@ -144,6 +147,17 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    @staticmethod
+    def _page(items):
+        """At most 500 items, and one item beyond 1 MB."""
+        page, size = [], 0
+        for item in items:
+            if len(page) == 500 or size > 1_000_000:
+                break
+            page.append(item)
+            size += len(item.get("value", ""))
+        return page
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -167,9 +181,10 @@
         prefix = query.get("prefix", "")
         if parts.path.endswith("/kv-range"):
             after = query.get("after", "")
-            items = [self.items[key] for key in sorted(self.items)
-                     if key.startswith(prefix) and key > after]
-            return 200, {"items": items, "has_more": False, "as_of": self.rev}
+            rest = [self.items[key] for key in sorted(self.items)
+                    if key.startswith(prefix) and key > after]
+            page = self._page(rest)
+            return 200, {"items": page, "has_more": len(page) < len(rest), "as_of": self.rev}
         if parts.path.endswith("/kv-watch"):
             after = int(query["after"])
             end = now_ms() + min(30000, int(query.get("wait_ms", "0")))
@@ -178,7 +193,9 @@
                           if event["rev"] > after and event["key"].startswith(prefix)]
                 left = end - now_ms()
                 if events or left <= 0:
-                    return 200, {"events": events, "as_of": self.rev}
+                    page = self._page(events)
+                    as_of = self.rev if len(page) == len(events) else page[-1]["rev"]
+                    return 200, {"events": page, "as_of": as_of}
                 changed = self.changed
                 try:
                     await asyncio.wait_for(changed.wait(), left / 1000.0)
