--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -555,6 +555,14 @@
             entry.stop()
 
 
+async def _play_to_end(play, record, folder):
+    """Ends what `play` started also when this process is told to stop."""
+    task = asyncio.ensure_future(play(record, folder))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, 110)
+
+
 def main(play, folder):
     """Runs `play(record, temporary folder)`, which returns the exit code."""
     record = Record(folder)
@@ -562,7 +570,10 @@
     try:
         with tempfile.TemporaryDirectory() as scratch:
             keep = os.environ.get("KEEP_LOGS", "")
-            code = asyncio.run(asyncio.wait_for(play(record, keep or scratch), 115))
+            code = asyncio.run(_play_to_end(play, record, keep or scratch))
+    except asyncio.CancelledError:
+        record.line("cannot-run", why="terminated")
+        print("the case was terminated")
     except Exception as fault:  # No fault of the stand-ins may look like a broken rule.
         code = NO_RUN
         record.line("cannot-run", why=repr(fault))
