Refuse what may outlast a planned stop, close its connections, cut nothing unanswered

Cause: StopAdmission compared the time left with the longest recent request of the pool, which bounds nothing. An answer whose request came before the signal did not say that its connection closes, and connections that went idle after the third second stayed open. The same on related paths: queued requests were cut at the end though they had not run, requests forwarded by peers were not waited for, and a request without an answer was cut instead of answered with an error.

Change: a request that no endpoint has been sent is sent only if its deadline is not after the end of the process; else it is refused, also if it waits in a queue when the stop begins. Answers whose head is sent in the stop close their connection, idle connections are closed after 200 ms, and at the end requests without an answer get an error that says whether they may have run.

--- a/include/limpethaven/stop_admission.h
+++ b/include/limpethaven/stop_admission.h
@@ -3,41 +3,29 @@
 #pragma once
 
 #include <optional>
-#include <string>
-#include <string_view>
 
 #include "limpethaven/clock.h"
-#include "limpethaven/config_model.h"
 
 namespace limpethaven {
 
-/// Refuses the requests that would be cut by the end of a planned stop.
+/// Refuses the requests that the end of a planned stop could cut.
 ///
 /// Callers with kept connections or cached addresses go on sending requests
 /// after the stop has begun. A request that is sent to an endpoint and cut
 /// cannot be repeated safely, one that is refused can be sent to another
-/// process at once. Not thread safe; reads no clock.
+/// process at once. How long earlier requests took bounds nothing, so only the
+/// deadline counts. Not thread safe; reads no clock.
 class StopAdmission {
  public:
-  /// Records how long an answered request of a pool took.
-  void OnAnswered(const std::string& pool, DurationMs duration_ms, TimeMs now);
   /// Sets the time at which the process ends and cuts what is open.
   void StopAt(TimeMs end) noexcept { this->ends_at = end; }
-  /// Whether a request of a pool is expected to be answered before the end. It
-  /// is taken to need a quarter more than the longest recent one, at most until
-  /// its deadline, and until its deadline if there was none.
-  [[nodiscard]] bool Admits(std::string_view pool, TimeMs deadline,
-                            TimeMs now) const;
+  /// Whether a request that no endpoint has been sent may be sent to one: its
+  /// deadline must not be later than the end of the process.
+  [[nodiscard]] bool Admits(TimeMs deadline) const noexcept {
+    return !this->ends_at || deadline <= *this->ends_at;
+  }
 
  private:
-  /// Longest requests of the present and of the previous period.
-  struct Longest {
-    TimeMs period_started_at = 0;
-    DurationMs present_ms = 0;
-    DurationMs previous_ms = 0;
-  };
-
-  NamedTable<Longest> pools;
   std::optional<TimeMs> ends_at;
 };
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -84,7 +84,9 @@
   this->connection->Reset();
 }
 
-void ServerExchange::CloseAfterResponse() { this->keep_alive = false; }
+void ServerExchange::CloseAfterResponse() {
+  if (!this->begun) this->keep_alive = false;
+}
 
 bool ServerExchange::CallerDisconnected() const noexcept {
   return this->connection->State() != InputState::kOpen;
@@ -135,14 +137,23 @@
 
 void HttpServer::SetLimits(const ServerLimits& next) { this->limits = next; }
 
-void HttpServer::Drain(bool close_idle) {
+void HttpServer::Drain() {
   this->draining = true;
-  if (!close_idle) return;
+  std::ranges::for_each(this->connections,
+                        [](const ServerConnectionPtr& accepted) {
+                          if (accepted->exchange)
+                            accepted->exchange->CloseAfterResponse();
+                        });
+}
+
+void HttpServer::CloseIdle(DurationMs min_idle_ms) {
+  const TimeMs now = LoopNow();
   const auto open_connections = this->connections;
   std::ranges::for_each(
-      open_connections, [](const ServerConnectionPtr& accepted) {
-        const bool idle =
-            !accepted->busy && accepted->connection->Input().empty();
+      open_connections, [&](const ServerConnectionPtr& accepted) {
+        const bool idle = !accepted->busy &&
+                          accepted->connection->Input().empty() &&
+                          now - accepted->idle_since >= min_idle_ms;
         if (idle) accepted->connection->Close();
       });
 }
@@ -197,6 +208,7 @@
   Connection& connection = *accepted.connection;
   HttpParser parser(HttpParser::Kind::kRequest, this->limits.message);
   const DurationMs idle_ms = this->limits.idle_timeout_ms;
+  accepted.idle_since = LoopNow();
   co_await connection.WaitInput(0, LoopNow() + idle_ms);
   if (connection.Input().empty()) co_return false;
   accepted.busy = true;
@@ -236,6 +248,7 @@
   ServerExchange exchange(accepted.connection, parser.Request(),
                           parser.TakeBody(), LoopNow());
   if (this->draining) exchange.CloseAfterResponse();
+  accepted.exchange = &exchange;
   std::exception_ptr handler_fault;
   try {
     co_await this->handler(exchange);
@@ -245,6 +258,7 @@
   LogTaskFault(handler_fault);
   exchange.OnDisconnect(nullptr);
   if (!exchange.Ended()) exchange.Abort();
+  accepted.exchange = nullptr;
   --this->open_requests;
   accepted.busy = false;
   co_return exchange.KeepAlive() && !connection.Closed();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -77,7 +77,8 @@
   void OnDisconnect(std::function<void()> callback) override;
   [[nodiscard]] bool ResponseStarted() const noexcept override;
 
-  /// Closes the connection after the response.
+  /// Announces in the response that the connection closes after it. Does
+  /// nothing once the head of the response has been sent.
   void CloseAfterResponse();
   /// Whether the whole response has been passed on for sending or `Abort` was
   /// called.
@@ -122,10 +123,13 @@
   /// Replaces the limits. A connection that already waits for a request may
   /// apply the old ones to it.
   void SetLimits(const ServerLimits& next);
-  /// From now on, closes each connection after the response to the next request
-  /// that is read from it. With `close_idle`, idle connections are closed at
-  /// once.
-  void Drain(bool close_idle);
+  /// From now on, every response whose head has not been sent announces that
+  /// its connection closes after it.
+  void Drain();
+  /// Closes the connections that have been idle for at least `min_idle_ms`. A
+  /// caller may send the next request right after a response, and could not
+  /// tell whether it was read if its connection closed at that moment.
+  void CloseIdle(DurationMs min_idle_ms);
   /// Stops accepting connections; open ones go on.
   void StopAccepting();
   [[nodiscard]] std::size_t OpenConnections() const noexcept;
@@ -137,6 +141,9 @@
   struct ServerConnection {
     ConnectionPtr connection;
     bool busy = false;
+    TimeMs idle_since = 0;
+    /// The request that is being answered; null while there is none.
+    ServerExchange* exchange = nullptr;
   };
   using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -14,6 +14,9 @@
 /// Most connections that each HTTP server serves at once.
 constexpr std::size_t kMaxConnectionsPerServer = 3000;
 constexpr DurationMs kTickMs = 100;
+/// While the process stops, connections are closed that have been idle for this
+/// long.
+constexpr DurationMs kMinIdleMs = 200;
 /// Most addresses in one address answer.
 constexpr std::size_t kMaxAddressesPerAnswer = 64;
 
@@ -162,7 +165,8 @@
   this->router.Core().stop_admission.StopAt(this->drain_started_at +
                                             this->settings.shutdown_timeout_ms);
   this->gossip.Leave();
-  this->caller_server.Drain(false);
+  this->router.Core().active.AbortWaiting(this->router.Core().stop_admission);
+  this->caller_server.Drain();
 }
 
 void EntryNode::CloseSockets() {
@@ -336,17 +340,25 @@
       this->settings.address_ttl_ms * this->settings.max_answer_age_ttls;
   const bool answers_expired =
       now - this->drain_started_at >= answers_expire_after_ms;
-  if (answers_expired && !this->idle_closed) {
-    this->idle_closed = true;
+  if (answers_expired && !this->accepting_stopped) {
+    this->accepting_stopped = true;
     this->caller_server.StopAccepting();
     this->discovery_server.StopAccepting();
-    this->caller_server.Drain(true);
   }
-  const bool drained =
-      answers_expired && this->caller_server.OpenRequests() == 0;
+  this->caller_server.CloseIdle(kMinIdleMs);
+  // Peers' requests are served too, and are not among those of the server.
+  const bool drained = answers_expired &&
+                       this->caller_server.OpenRequests() == 0 &&
+                       this->router.Core().active.Size() == 0;
   const bool timed_out =
       now - this->drain_started_at >= this->settings.shutdown_timeout_ms;
   if (!drained && !timed_out && !this->stop_requested) return;
+  // What has no answer yet gets an error, which needs a tick to be sent.
+  if (!drained && !this->unanswered_aborted) {
+    this->unanswered_aborted = true;
+    this->router.Core().active.AbortUnanswered();
+    return;
+  }
   LogEvent(EventId::kProcessStopped,
            {LogField::Of("requests", this->caller_server.OpenRequests())});
   this->loop.stop();
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -214,7 +214,8 @@
   /// Whether `Drain` was called again: the loop stops at the next tick.
   bool stop_requested = false;
   /// Whether the shutdown has closed idle connections and stopped accepting.
-  bool idle_closed = false;
+  bool accepting_stopped = false;
+  bool unanswered_aborted = false;
   TimeMs drain_started_at = 0;
 };
 
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -49,6 +49,8 @@
   SendOutcome last = SendOutcome::kNotSent;
   bool resumes = this->admitted.request.resumed_attempt.has_value();
   while (this->record.MaySend() && !this->Cancelled()) {
+    refused = this->CheckStop();
+    if (refused) break;
     if (resumes) {
       resumes = false;
       last = co_await this->ResumeRun();
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -8,6 +8,7 @@
 Task<std::optional<Error>> PlainSession::Run() {
   SendOutcome last = SendOutcome::kNotSent;
   while (this->record.MaySend() && !this->Cancelled()) {
+    if (auto refused = this->CheckStop()) co_return refused;
     const EndpointRecord* chosen =
         this->core.ChooseEndpoint(*this->admitted.pool, this->tried_endpoints);
     if (chosen == nullptr) break;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -218,12 +218,12 @@
     co_await this->Refuse(exchange, "", admitted.error());
     co_return;
   }
-  if (!this->core.stop_admission.Admits(admitted.value().pool->name,
-                                        admitted.value().deadline, LoopNow())) {
+  // Checked here too, so that a request that is refused charges no tokens.
+  if (!this->core.stop_admission.Admits(admitted.value().deadline)) {
     co_await this->Refuse(
         exchange, admitted.value().request.attempt_id,
         Error::Of(ErrorKind::kLeaving,
-                  "the process is stopping, and would end before the answer"));
+                  "the process is stopping, and may end before the answer"));
     co_return;
   }
   if (const auto quarantined = this->core.CheckQuarantine(
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -175,13 +175,9 @@
 
 Task<> Session::Serve() {
   const std::string id = this->admitted.request.attempt_id;
-  const Result<std::uint64_t> row =
-      this->core.active.Add(id, this->admitted.team, this->admitted.key_digest,
-                            this->admitted.request.resumed_attempt.has_value(),
-                            [this](ErrorKind reason) {
-                              this->abort_reason = reason;
-                              this->cancel.Request();
-                            });
+  const Result<std::uint64_t> row = this->core.active.Add(
+      id, this->admitted.team, this->admitted.key_digest,
+      this->admitted.request.resumed_attempt.has_value(), *this);
   if (!row) {
     co_await this->AnswerError(row.error());
     co_return;
@@ -205,12 +201,8 @@
   this->core.active.Remove(id, row.value());
   if (this->abort_reason) {
     error = Error::Of(*this->abort_reason,
-                      std::string(RowOf(*this->abort_reason).name));
-  }
-  if (!error && !this->Cancelled()) {
-    const TimeMs now = LoopNow();
-    this->core.stop_admission.OnAnswered(
-        this->admitted.pool->name, now - this->exchange.ReceivedAt(), now);
+                      std::string(RowOf(*this->abort_reason).name))
+                .WithRan(this->record.MayHaveRun());
   }
   this->LogEnd(error);
   this->CountOutcome(error);
@@ -225,6 +217,31 @@
 
 Ran Session::MayHaveRun() const noexcept { return this->record.MayHaveRun(); }
 
+void Session::Abort(ErrorKind reason) {
+  this->abort_reason = reason;
+  this->cancel.Request();
+}
+
+bool Session::Waits() const {
+  const RequestPhase phase = this->record.Phase();
+  return this->record.MayHaveRun() == Ran::kNo &&
+         (phase == RequestPhase::kAdmitted || phase == RequestPhase::kQueued);
+}
+
+bool Session::AnswerBegun() const { return this->exchange.ResponseStarted(); }
+
+TimeMs Session::Deadline() const { return this->admitted.deadline; }
+
+std::optional<Error> Session::CheckStop() const {
+  if (this->record.MayHaveRun() != Ran::kNo ||
+      this->exchange.ResponseStarted() ||
+      this->core.stop_admission.Admits(this->admitted.deadline)) {
+    return std::nullopt;
+  }
+  return Error::Of(ErrorKind::kLeaving,
+                   "the process is stopping, and may end before the answer");
+}
+
 Task<SendOutcome> Session::Send(Dispatch dispatch) {
   dispatch.stream = this->stream.get();
   const std::string endpoint = dispatch.endpoint.id;
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -67,11 +67,11 @@
 };
 
 /// Serves one request. Subclasses implement `Run` for each kind of request.
-class Session {
+class Session : private ActiveRequest {
  public:
   Session(RouterCore& router_core, Exchange& caller_exchange,
           AdmittedRequest admitted_request, Charge team_charge);
-  virtual ~Session() = default;
+  ~Session() override = default;
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
@@ -93,6 +93,9 @@
   /// Decides what follows a send; takes a retry from the budget when the
   /// request is sent again.
   [[nodiscard]] NextStep DecideNextStep(SendOutcome outcome);
+  /// Refusal of a request that no endpoint has been sent and that the end of a
+  /// planned stop could cut; empty when it may be sent.
+  [[nodiscard]] std::optional<Error> CheckStop() const;
   [[nodiscard]] Dispatch MakeDispatch(const EndpointRecord& endpoint) const;
   /// Makes the error for a request that failed. It states whether the request
   /// may have run.
@@ -136,6 +139,10 @@
   std::function<void()> on_progress;
 
  private:
+  void Abort(ErrorKind reason) override;
+  [[nodiscard]] bool Waits() const override;
+  [[nodiscard]] bool AnswerBegun() const override;
+  [[nodiscard]] TimeMs Deadline() const override;
   /// Forwards an endpoint's stream of events to the caller. An answer that the
   /// caller wants as one body is sent when it is complete. After an incomplete
   /// stream, another call can continue where it broke off.
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -308,6 +308,27 @@
         });
 }
 
+ConnectionPtr PlatformFleet::Connect(std::size_t entry) {
+  ConnectionPtr connection;
+  bool ended = false;
+  Spawn(this->loop, [&]() -> Task<> {
+    connection = co_await Connection::Dial(
+        this->loop, this->addresses[entry] + ":" + std::to_string(kCallerPort),
+        LoopNow() + kCallTimeoutMs);
+    ended = true;
+  });
+  static_cast<void>(this->RunUntil([&] { return ended; }, 2 * kCallTimeoutMs));
+  return connection;
+}
+
+void PlatformFleet::Write(Connection& connection, std::string_view prefix) {
+  Spawn(this->loop,
+        [self = connection.shared_from_this(),
+         text = this->RequestBytes("/generate/1", prefix)]() mutable -> Task<> {
+          co_await self->Write(std::move(text), LoopNow() + kCallTimeoutMs);
+        });
+}
+
 HttpResponse PlatformFleet::AwaitResponse() {
   const bool all_ended = this->RunUntil(
       [this] { return this->responses.size() == this->started_calls; },
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -114,6 +114,10 @@
   void StartService(std::size_t entry);
   /// Calls the plain service and reads the whole response.
   [[nodiscard]] HttpResponse CallService(std::size_t entry);
+  /// Opens a connection to an entry; null when it is refused.
+  [[nodiscard]] ConnectionPtr Connect(std::size_t entry);
+  /// Writes a generation to such a connection.
+  void Write(Connection& connection, std::string_view prefix);
   /// Ends an entry without a drain and starts a new one at its address.
   void RestartEntry(std::size_t entry);
   /// Runs the loop until the condition holds. @returns false when it does not
