Count the run that follows a rejected prefill as a retry

Operators saw (real processes): repeats piled up beyond what is allowed (BUDGET). Reproduced on with real programs on loopback: three entry processes, eight engines that reject every call for 20 s, 20 generations/s: 104 repeats in a window of 10 s, 94 allowed.

Cause: a prefill that an engine rejects is a call of its own, so that the run after it is a second one. It was counted in the budget but never asked for: each new request made one repeat, however empty the budget was. A prefill whose connection failed was not even counted.

Change: the run after a first prefill that no engine accepted needs a retry from the budget. While the budget is empty and prefills were rejected within the last second, the prompt is not sent to a prefill engine at all: its decode engine reads it, which is a first call.

Evidence: "runs after rejected prefills exceed the retry budget" made 12 calls for 6 requests before, 6 now.

--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -19,6 +19,8 @@
 /// without new events. Counted from the break, or from the end of the last
 /// connection that brought events.
 constexpr DurationMs kStallTimeoutMs = 2000;
+/// Time for which a rejected prefill tells that others will be rejected too.
+constexpr DurationMs kPrefillRejectionMs = 1000;
 /// After a caller has disconnected, its run is kept for this long, so that the
 /// caller can resume over another connection.
 constexpr DurationMs kResumeGraceMs = 300;
@@ -190,7 +192,7 @@
   std::optional<KvHandle> kv_handle = this->TakeUnusedKv(placement);
   bool prefill_sent = false;
   const EndpointRecord* prefill = this->FindUsable(placement.prefill);
-  const bool prefills = prefill != nullptr;
+  const bool prefills = prefill != nullptr && !this->PrefillIsRisky();
   const bool may_prefill = prefills && this->TryPrefillRetry();
   if (prefills && !may_prefill && !this->core.settings.allow_local_prefill) {
     this->core.parts.cells.Release(placement.reservation);
@@ -212,6 +214,15 @@
     if (kv_handle) notice = CellNoticeKind::kPrefillDone;
     this->NotifyOwner(placed, notice, prefill_engine.id, 0, result.elapsed_ms);
     if (!kv_handle) this->tried_endpoints.push_back(prefill_engine.id);
+    if (result.counts_as_send && !this->Cancelled() &&
+        !this->core.BudgetOf(this->admitted.pool->name).TryRetry(LoopNow())) {
+      this->core.parts.cells.Release(placement.reservation);
+      this->NotifyOwner(placed, CellNoticeKind::kWithdrawn, "", 0, 0);
+      co_return Error::Of(ErrorKind::kCapacity,
+                          "the retry budget of pool " +
+                              this->admitted.pool->name +
+                              " does not allow a run after the prefill failed");
+    }
   }
   const std::optional<Error> quarantined =
       this->core.CheckQuarantine(this->parts);
@@ -469,6 +480,18 @@
   return this->core.BudgetOf(this->admitted.pool->name).TryRetry(LoopNow());
 }
 
+bool GenerationSession::PrefillIsRisky() const {
+  if (!this->core.settings.allow_local_prefill || this->prefill_called) {
+    return false;
+  }
+  const std::string& pool = this->admitted.pool->name;
+  const auto rejected = this->core.prefill_rejected_at.find(pool);
+  const TimeMs now = LoopNow();
+  return rejected != this->core.prefill_rejected_at.end() &&
+         now - rejected->second < kPrefillRejectionMs &&
+         this->core.BudgetOf(pool).RetriesLeft(now) < 1.0;
+}
+
 Task<GenerationSession::PrefillResult> GenerationSession::RunPrefill(
     const EndpointRecord& engine, const CellPlacement& placed) {
   PrefillResult result;
@@ -500,6 +523,9 @@
   result.sent = call.Sent();
   const bool first_call = !this->prefill_called;
   this->prefill_called = this->prefill_called || result.sent;
+  // Only a prefill call that an engine accepts is not a send of its own.
+  result.counts_as_send =
+      first_call && result.sent && this->core.settings.allow_local_prefill;
   const bool answered = fault == CallFault::kNone;
   const int status = answered ? call.Head().status : 0;
   LogEvent(EventId::kPrefillFinished,
@@ -518,12 +544,13 @@
   if (!answer.success || !answer.matches_request) {
     result.refused =
         answer.matches_request && answer.not_run && !answer.address_reassigned;
-    // Only a prefill call that an engine accepts is not a retry.
-    if (first_call && this->core.settings.allow_local_prefill) {
-      this->core.BudgetOf(this->admitted.pool->name).OnRetry(LoopNow());
+    if (result.counts_as_send) {
+      this->core.prefill_rejected_at.insert_or_assign(this->admitted.pool->name,
+                                                      LoopNow());
     }
     co_return result;
   }
+  result.counts_as_send = false;
   const Result<std::string> handle =
       this->core.parts.endpoints.ParseHandle(body);
   if (!handle) co_return result;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -120,6 +120,8 @@
   EndpointLimits limits;
   EndpointPauses pauses;
   StopAdmission stop_admission;
+  /// Time of the last prefill call that an engine rejected, keyed by pool.
+  std::unordered_map<std::string, TimeMs> prefill_rejected_at;
   /// Bytes of endpoints' answers that are held until they are complete.
   std::size_t buffered_bytes = 0;
 
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -211,6 +211,9 @@
     std::optional<KvHandle> kv_handle;
     bool sent = false;     ///< The engine may have received the call.
     bool refused = false;  ///< The engine had no room, or wants no load now.
+    /// Whether it was the first call and no engine accepted it. Then the next
+    /// call is a retry.
+    bool counts_as_send = false;
     DurationMs elapsed_ms = 0;
   };
 
@@ -223,6 +226,9 @@
   /// Whether the prompt may be sent to a prefill engine now. Each call after
   /// the first takes a retry from the budget.
   [[nodiscard]] bool TryPrefillRetry();
+  /// Whether a prefill would leave no retry for the run if it is rejected, as
+  /// others were lately.
+  [[nodiscard]] bool PrefillIsRisky() const;
   /// Prefills the prompt at an engine.
   Task<PrefillResult> RunPrefill(const EndpointRecord& engine,
                                  const CellPlacement& placed);
