Count retries while they wait and while the endpoint before is silent

Operators saw (real processes): repeats piled up beyond what is allowed (BUDGET).

Cause: a retry was counted in the window in which it was decided. A request that an endpoint has not read arrives when the endpoint goes on; then it is a repeat, and those of many windows come at once. In the same way a retry that waits in the queue of a cell was counted when it was decided, not when it was sent.

Change: a retry is reserved when it is decided and enters the window when it is sent. A retry after the silence of an endpoint counts until that endpoint answers any request or is gone, and then for a window.

Unit tests of both cases in tests/parts_test.cc use the new functions; with retries counted at the decision, each of the six windows would make the budget's retries anew.

--- a/include/limpethaven/retry_budget.h
+++ b/include/limpethaven/retry_budget.h
@@ -4,6 +4,10 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
 
 #include "limpethaven/clock.h"
 
@@ -37,6 +41,22 @@
   /// Counts a retry that the caller makes in any case, or for which it has
   /// already checked `RetriesLeft`.
   void OnRetry(TimeMs now) noexcept;
+  /// Reserves a retry that is made later, for which the caller has checked
+  /// `RetriesLeft`. It counts until `Release` and is not yet in any window.
+  void Reserve() noexcept;
+  /// Ends a reservation. `OnRetry` or `OnRetryAfterSilence` counts the retry if
+  /// it is made.
+  void Release() noexcept;
+  /// Counts a retry of a request that `endpoint` has been sent and has not
+  /// answered in time. An endpoint that stands still may read that request at
+  /// any later time, so the retry counts as long as the endpoint is silent, and
+  /// then for a window.
+  void OnRetryAfterSilence(std::string_view endpoint);
+  /// Records that an endpoint has answered a request.
+  void OnAnswer(std::string_view endpoint, TimeMs now);
+  /// Ends the silence of the endpoints that are gone.
+  void EndSilence(const std::function<bool(const std::string&)>& gone,
+                  TimeMs now);
   /// Retries that the budget still allows at `now`; negative when more were
   /// counted than it allows.
   [[nodiscard]] double RetriesLeft(TimeMs now) noexcept;
@@ -49,6 +69,7 @@
   };
 
   void Advance(TimeMs now) noexcept;
+  [[nodiscard]] Slot& CurrentSlot(TimeMs now) noexcept;
 
   RetrySettings settings;
   std::int64_t processes = 1;  ///< Processes that share the extra retries.
@@ -57,6 +78,10 @@
   std::array<Slot, kSlotCount + 1> slots{};
   std::int64_t current = 0;  ///< Number of the slot that `now` falls in.
   bool started = false;      ///< Whether `current` has been set.
+  std::int64_t reserved = 0;
+  /// Retries after the silence of an endpoint, keyed by its id.
+  std::map<std::string, std::int64_t, std::less<>> silent;
+  std::int64_t silent_sum = 0;
 };
 
 }  // namespace limpethaven
--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -26,9 +26,7 @@
 }
 
 void RetryBudget::OnRequest(TimeMs now) noexcept {
-  this->Advance(now);
-  ++this->slots[static_cast<std::size_t>(this->current) % this->slots.size()]
-        .requests;
+  ++this->CurrentSlot(now).requests;
 }
 
 bool RetryBudget::TryRetry(TimeMs now) noexcept {
@@ -38,9 +36,34 @@
 }
 
 void RetryBudget::OnRetry(TimeMs now) noexcept {
-  this->Advance(now);
-  ++this->slots[static_cast<std::size_t>(this->current) % this->slots.size()]
-        .retries;
+  ++this->CurrentSlot(now).retries;
+}
+
+void RetryBudget::Reserve() noexcept { ++this->reserved; }
+
+void RetryBudget::Release() noexcept { --this->reserved; }
+
+void RetryBudget::OnRetryAfterSilence(std::string_view endpoint) {
+  ++this->silent.try_emplace(std::string(endpoint), 0).first->second;
+  ++this->silent_sum;
+}
+
+void RetryBudget::OnAnswer(std::string_view endpoint, TimeMs now) {
+  const auto row = this->silent.find(endpoint);
+  if (row == this->silent.end()) return;
+  this->CurrentSlot(now).retries += row->second;
+  this->silent_sum -= row->second;
+  this->silent.erase(row);
+}
+
+void RetryBudget::EndSilence(
+    const std::function<bool(const std::string&)>& gone, TimeMs now) {
+  std::erase_if(this->silent, [&](const auto& row) {
+    if (!gone(row.first)) return false;
+    this->CurrentSlot(now).retries += row.second;
+    this->silent_sum -= row.second;
+    return true;
+  });
 }
 
 double RetryBudget::RetriesLeft(TimeMs now) noexcept {
@@ -60,7 +83,14 @@
   const double allowed =
       this->settings.ratio * requests +
       this->settings.extra_retries / static_cast<double>(this->processes);
-  return kUsableRatio * allowed - static_cast<double>(sum.retries);
+  return kUsableRatio * allowed -
+         static_cast<double>(sum.retries + this->reserved + this->silent_sum);
+}
+
+RetryBudget::Slot& RetryBudget::CurrentSlot(TimeMs now) noexcept {
+  this->Advance(now);
+  return this
+      ->slots[static_cast<std::size_t>(this->current) % this->slots.size()];
 }
 
 void RetryBudget::Advance(TimeMs now) noexcept {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -144,6 +144,7 @@
 
 void RouterCore::NoteAnswer(const EndpointRecord& endpoint,
                             const AnswerClass& answer) {
+  this->BudgetOf(endpoint.pool).OnAnswer(endpoint.id, LoopNow());
   this->NoteLimit(endpoint.id, answer);
   if (answer.leaving) {
     this->parts.endpoint_listener.OnEndpointLeaving(
@@ -170,6 +171,13 @@
       this->pauses.Expire(now), [](const std::string& endpoint) {
         LogEvent(EventId::kEndpointPauseEnded, {{"endpoint", endpoint}});
       });
+  std::ranges::for_each(this->budgets, [&](auto& row) {
+    row.second.EndSilence(
+        [this](const std::string& endpoint) {
+          return this->parts.table.Find(endpoint) == nullptr;
+        },
+        now);
+  });
 }
 
 std::optional<Error> RouterCore::CheckQuarantine(
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -100,11 +100,11 @@
   /// @param prompt_parts Result of `ShareableParts`.
   [[nodiscard]] std::optional<Error> CheckQuarantine(
       const std::vector<std::string>& prompt_parts) const;
-  /// Records what an endpoint says about itself in an answer: its limit on
+  /// Records an answer of an endpoint: that it is not silent, its limit on
   /// requests, a pause, that it is leaving.
   void NoteAnswer(const EndpointRecord& endpoint, const AnswerClass& answer);
-  /// Removes the limits of endpoints that no longer answer, and the pauses that
-  /// are over.
+  /// Removes the limits of endpoints that no longer answer, the pauses that are
+  /// over, and the silence of endpoints that are gone.
   void Expire(TimeMs now);
   /// Smallest number of retries left in any pool's budget; 0 when there is no
   /// budget yet.
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -173,6 +173,12 @@
   this->record.OnAdmitted();
 }
 
+Session::~Session() {
+  if (this->reserved_retry) {
+    this->core.BudgetOf(this->admitted.pool->name).Release();
+  }
+}
+
 Task<> Session::Serve() {
   const std::string id = this->admitted.request.attempt_id;
   const Result<std::uint64_t> row = this->core.active.Add(
@@ -243,6 +249,7 @@
 }
 
 Task<SendOutcome> Session::Send(Dispatch dispatch) {
+  this->SpendRetry();
   dispatch.stream = this->stream.get();
   const std::string endpoint = dispatch.endpoint.id;
   const OutgoingCall outgoing = this->core.parts.endpoints.Run(dispatch);
@@ -321,8 +328,14 @@
   const bool in_time = now < this->admitted.deadline;
   const NextStep step = this->record.OnOutcome(
       outcome, in_time && !this->Cancelled() && budget.RetriesLeft(now) >= 1.0);
+  const bool silent = outcome == SendOutcome::kSilent;
+  const std::string endpoint = silent && !this->tried_endpoints.empty()
+                                   ? this->tried_endpoints.back()
+                                   : std::string();
   if (step == NextStep::kSendAgain && this->record.NextIsRetry()) {
-    budget.OnRetry(now);
+    // The request may wait for a free endpoint before it is sent again.
+    budget.Reserve();
+    this->reserved_retry = ReservedRetry{endpoint};
     this->core.parts.metrics.OnRetry();
     LogEvent(EventId::kRetry,
              {{"request", this->admitted.request.attempt_id},
@@ -330,10 +343,26 @@
               LogField::Of("sends", this->record.Sends()),
               LogField::Of("budget_left", static_cast<std::int64_t>(
                                               budget.RetriesLeft(now)))});
+  } else if (!endpoint.empty() && this->record.Sends() > 1) {
+    // The endpoint may read this retry later than the request was sent first.
+    budget.OnRetryAfterSilence(endpoint);
   }
   return step;
 }
 
+void Session::SpendRetry() {
+  if (!this->reserved_retry) return;
+  RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
+  const std::string endpoint =
+      std::exchange(this->reserved_retry, std::nullopt)->silent_endpoint;
+  budget.Release();
+  if (endpoint.empty()) {
+    budget.OnRetry(LoopNow());
+  } else {
+    budget.OnRetryAfterSilence(endpoint);
+  }
+}
+
 Dispatch Session::MakeDispatch(const EndpointRecord& endpoint) const {
   Dispatch dispatch{this->exchange.Head(), this->exchange.Body(),
                     this->admitted.request, endpoint};
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -71,7 +71,7 @@
  public:
   Session(RouterCore& router_core, Exchange& caller_exchange,
           AdmittedRequest admitted_request, Charge team_charge);
-  ~Session() override = default;
+  ~Session() override;
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
@@ -90,8 +90,8 @@
 
   /// Sends the request to one endpoint and forwards the response.
   Task<SendOutcome> Send(Dispatch dispatch);
-  /// Decides what follows a send; takes a retry from the budget when the
-  /// request is sent again.
+  /// Decides what follows a send; reserves a retry when the request is sent
+  /// again.
   [[nodiscard]] NextStep DecideNextStep(SendOutcome outcome);
   /// Refusal of a request that no endpoint has been sent and that the end of a
   /// planned stop could cut; empty when it may be sent.
@@ -139,6 +139,15 @@
   std::function<void()> on_progress;
 
  private:
+  /// A retry that is reserved in the budget until the request is sent.
+  struct ReservedRetry {
+    /// The endpoint of the send before, if it has not answered in time; empty
+    /// otherwise.
+    std::string silent_endpoint;
+  };
+
+  /// Counts the reserved retry, if there is one, as made now.
+  void SpendRetry();
   void Abort(ErrorKind reason) override;
   [[nodiscard]] bool Waits() const override;
   [[nodiscard]] bool AnswerBegun() const override;
@@ -176,6 +185,7 @@
   /// response to an earlier one could not be told from the present one.
   std::vector<std::string> called_addresses;
   AnswerClass last_answer;
+  std::optional<ReservedRetry> reserved_retry;
   /// Reason why the last send brought no complete response.
   CallFault last_fault = CallFault::kNone;
   bool progressed = false;
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -186,6 +186,41 @@
   }
 }
 
+TEST_CASE("retries of requests that a silent endpoint holds pile up") {
+  // The endpoint stands still for several windows, then reads all of them.
+  RetryBudget budget(RetrySettings{0, 20, 10'000});
+  int retries = 0;
+  for (TimeMs now = 0; now < 60'000; now += 100) {
+    if (budget.RetriesLeft(now) < 1.0) continue;
+    budget.OnRetryAfterSilence("endpoint");
+    ++retries;
+  }
+  CHECK(retries <= 20);
+  CHECK(retries >= 15);
+  budget.OnAnswer("other", 60'000);
+  CHECK(budget.RetriesLeft(60'000) < 1.0);
+  budget.OnAnswer("endpoint", 60'000);
+  CHECK(budget.RetriesLeft(69'000) < 1.0);
+  CHECK(budget.RetriesLeft(71'000) >= 15.0);
+}
+
+TEST_CASE("retries that wait for an endpoint are made all at once") {
+  RetryBudget budget(RetrySettings{0, 20, 10'000});
+  int reserved = 0;
+  for (TimeMs now = 0; now < 60'000; now += 100) {
+    if (budget.RetriesLeft(now) < 1.0) continue;
+    budget.Reserve();
+    ++reserved;
+  }
+  CHECK(reserved <= 20);
+  for (; reserved > 0; --reserved) {
+    budget.Release();
+    budget.OnRetry(60'000);
+  }
+  CHECK(budget.RetriesLeft(69'000) < 1.0);
+  CHECK(budget.RetriesLeft(71'000) >= 15.0);
+}
+
 TEST_CASE("retry budget limits retries in every window") {
   RetryBudget budget(RetrySettings{0.1, 50.0, 10'000});
   budget.SetProcessCount(10);
