Ignore a repeated SIGTERM instead of cutting open requests

Operators saw (real processes): streams that were passed on ended without an answer around a SIGTERM (LOST). That the operators' processes got a second signal is suspected, not known.

Cause: EntryNode::Drain took a second call for the order to end at the next tick.

Change: further calls do nothing. A second SIGINT still ends the process early. The soak repeats SIGTERM.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -53,6 +53,8 @@
        sleep "$pause"; start_entry "$entry" ;;
     1) record_fault "entry $entry stops and starts again"
        kill -TERM "${entry_pid[$entry]}" 2>/dev/null || true
+       # Supervisors may repeat the signal.
+       sleep 0.2; kill -TERM "${entry_pid[$entry]}" 2>/dev/null || true
        wait "${entry_pid[$entry]}" 2>/dev/null || true
        start_entry "$entry" ;;
     2) record_fault "entry $entry paused for $pause s"
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -152,10 +152,7 @@
 }
 
 void EntryNode::Drain() {
-  if (this->leaving) {
-    this->stop_requested = true;
-    return;
-  }
+  if (this->leaving) return;
   LogEvent(
       EventId::kProcessStopping,
       {LogField::Of("requests", this->caller_server.OpenRequests()),
@@ -169,6 +166,8 @@
   this->caller_server.Drain();
 }
 
+void EntryNode::StopSoon() { this->stop_requested = true; }
+
 void EntryNode::CloseSockets() {
   this->caller_server.StopAccepting();
   this->readiness_server.StopAccepting();
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -119,9 +119,11 @@
   /// @returns an error when the TLS files cannot be used or an address cannot
   /// be bound.
   [[nodiscard]] Result<void> Start(Source& source);
-  /// Starts a graceful shutdown, at the end of which the loop is stopped. A
-  /// second call stops the loop at the next tick.
+  /// Starts a graceful shutdown, at the end of which the loop is stopped.
+  /// Further calls do nothing.
   void Drain();
+  /// Ends a shutdown that has started without waiting for open requests.
+  void StopSoon();
   /// Closes all sockets at once, as the end of the process would.
   void CloseSockets();
   /// Applies the settings that may change at run time: the seeds.
@@ -211,7 +213,7 @@
   std::vector<std::string> quarantined_parts;  ///< As of the last tick.
   bool was_ready = false;  ///< Readiness as of the last `UpdateReadiness`.
   bool leaving = false;
-  /// Whether `Drain` was called again: the loop stops at the next tick.
+  /// Whether the loop stops as soon as unanswered requests have got an error.
   bool stop_requested = false;
   /// Whether the shutdown has closed idle connections and stopped accepting.
   bool accepting_stopped = false;
--- a/src/node/run.cc
+++ b/src/node/run.cc
@@ -46,9 +46,11 @@
     if (fault) co_return;
     if (signal == SIGHUP) {
       ReloadSettings(node, settings, "signal");
-    } else {
-      node.Drain();
+      continue;
     }
+    // A supervisor may repeat SIGTERM; only SIGINT, typed twice, is impatient.
+    if (signal == SIGINT && node.Leaving()) node.StopSoon();
+    node.Drain();
   }
 }
 
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -139,6 +139,24 @@
   CHECK(fleet.responses[0].head.status == 502);
 }
 
+TEST_CASE("planned stop: a repeated signal cuts open requests") {
+  PlatformFleetSettings settings = OneEntry();
+  settings.address_ttl_ms = 100;
+  PlatformFleet fleet(settings, SlowStream);
+  fleet.Start(0, "aa:60,bb:60");
+  fleet.StartService(0);
+  fleet.RunFor(100);
+  fleet.DrainEntry(0);
+  fleet.RunFor(50);
+  fleet.DrainEntry(0);
+  fleet.RunFor(2 * kRunMs);
+  REQUIRE(fleet.responses.size() == 2);
+  for (const HttpResponse& response : fleet.responses) {
+    CHECK(response.fault == CallFault::kNone);
+    CHECK(response.head.status == 200);
+  }
+}
+
 TEST_CASE("planned stop: a kept connection that idles stays open") {
   PlatformFleetSettings settings = OneEntry();
   settings.timeout_ms = 2 * kStopMs;
