Close the other idle connections of an address when one has fallen silent

Callers saw: after open connections fall silent for good, each kept one costs one more call: a loan, a placement, a pull from a peer, or a request that may run only once.

Cause: a time-out closed its own connection only.

Change: when a reused connection brings nothing until the time-out, the pool closes the connections to that address that have been idle since the call.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -85,6 +85,16 @@
   this->idle.erase(found);
 }
 
+void ConnectionPool::CloseIdleSince(const std::string& address, TimeMs time) {
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end()) return;
+  std::erase_if(found->second, [time](const IdleConnection& entry) {
+    if (entry.idle_since > time) return false;
+    entry.connection->Close();
+    return true;
+  });
+}
+
 void ConnectionPool::CloseExpired(TimeMs now) {
   std::ranges::for_each(this->idle, [now](auto& per_address) {
     std::erase_if(per_address.second, [now](const IdleConnection& entry) {
@@ -125,6 +135,7 @@
   this->parser = std::make_unique<HttpParser>(HttpParser::Kind::kResponse,
                                               kResponseLimits);
   this->sent = true;
+  this->sent_at = LoopNow();
   this->send_state = std::make_shared<SendState>();
   this->send_state->done = false;
   Spawn(this->loop,
@@ -156,6 +167,11 @@
     co_await this->connection->WaitInput(buffered_bytes, deadline);
     if (this->connection->Input().size() > buffered_bytes) continue;
     const CallFault fault = this->WaitFault(deadline);
+    if (fault == CallFault::kTimeout && this->reused &&
+        !this->parser->Started()) {
+      // The connection may have fallen silent, and the other idle ones with it.
+      this->pool.CloseIdleSince(this->address, this->sent_at);
+    }
     if (fault != CallFault::kNone) co_return fault;
   }
   co_return CallFault::kNone;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -51,6 +51,9 @@
   void Release(ConnectionPtr connection, DurationMs keep_alive_ms);
   /// Closes every idle connection to an address.
   void CloseIdle(const std::string& address);
+  /// Closes the idle connections to an address that have been idle since
+  /// `time`. Others have worked later.
+  void CloseIdleSince(const std::string& address, TimeMs time);
   /// Closes the idle connections that have expired or that the peer has closed.
   void CloseExpired(TimeMs now);
   /// Number of connection attempts since the start.
@@ -131,6 +134,7 @@
   ConnectionPtr connection;
   std::unique_ptr<HttpParser> parser;
   std::shared_ptr<SendState> send_state;
+  TimeMs sent_at = 0;
   bool sent = false;
   bool reused = false;
   bool cancelled = false;
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -144,6 +144,22 @@
   CHECK(*followed.listener.returned_at <= returned_by);
 }
 
+TEST_CASE("platform: calls made late in a silent outage hide a change") {
+  FollowedStore followed("127.93.0.5:18194");
+  // No call that the store receives during the outage is ever answered.
+  followed.store.SetSilent(true);
+  followed.loop.run_for(std::chrono::milliseconds(3300));
+  followed.store.SetSilent(false);
+  followed.store.Put("op/config", ConfigItem(2));
+  followed.store.Put("servers/e1", EndpointItem("127.0.0.1:9", "draining", 1));
+  CHECK(followed.RunUntil(
+      [&] {
+        return followed.listener.version == 2 &&
+               followed.listener.usable == std::set<std::string>{"e2"};
+      },
+      kContactMs));
+}
+
 TEST_CASE("reported: an odd item among the endpoints ends or stops a process") {
   const std::string ready = EndpointItem("127.0.0.1:9", "ready", 1);
   const auto with = [&ready](std::string_view field, std::string_view text) {
