Count the retries of processes that have ended

Operators saw (real processes): repeats piled up beyond what is allowed (BUDGET).

Cause: a restarted process knew nothing of the retries that the one before it had made in the same window, and took a whole part of the extra retries at once. When a process left, the others shared its part at once.

Change: for the first window after its start a process has only the retries that its own requests earn. The largest number of processes in the window shares the extra ones.

--- a/include/limpethaven/retry_budget.h
+++ b/include/limpethaven/retry_budget.h
@@ -20,6 +20,9 @@
   double extra_retries = 20.0;
   /// The limits hold in every window of this length.
   DurationMs window_ms = 10'000;
+  /// Time after the start of a process in which it has no part of the extra
+  /// retries: a process that ended shortly before may have made them.
+  DurationMs initial_ms = 0;
   friend auto operator<=>(const RetrySettings&, const RetrySettings&) = default;
 };
 
@@ -29,10 +32,14 @@
 /// messages about retries. Not thread safe.
 class RetryBudget {
  public:
-  explicit RetryBudget(RetrySettings retry_settings = {}) noexcept;
+  /// @param process_started_at Start of the process.
+  explicit RetryBudget(RetrySettings retry_settings = {},
+                       TimeMs process_started_at = 0) noexcept;
 
   void Configure(const RetrySettings& next) noexcept;
-  /// Sets the number of processes that share the extra retries.
+  /// Sets the number of processes that share the extra retries. The largest
+  /// number in the window counts, since processes that have left it made
+  /// retries too.
   void SetProcessCount(std::int64_t count) noexcept;
   /// Counts a request to the pool, but not its retries.
   void OnRequest(TimeMs now) noexcept;
@@ -66,12 +73,14 @@
   struct Slot {
     std::int64_t requests = 0;
     std::int64_t retries = 0;
+    std::int64_t processes = 1;  ///< Largest number during the slot.
   };
 
   void Advance(TimeMs now) noexcept;
   [[nodiscard]] Slot& CurrentSlot(TimeMs now) noexcept;
 
   RetrySettings settings;
+  TimeMs started_at;
   std::int64_t processes = 1;  ///< Processes that share the extra retries.
   /// Ring of slots, each `window_ms / kSlotCount` long. The oldest one lies
   /// only partly inside the window.
--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-RetryBudget::RetryBudget(RetrySettings retry_settings) noexcept
-    : settings(retry_settings) {}
+RetryBudget::RetryBudget(RetrySettings retry_settings,
+                         TimeMs process_started_at) noexcept
+    : settings(retry_settings), started_at(process_started_at) {}
 
 void RetryBudget::Configure(const RetrySettings& next) noexcept {
   this->settings = next;
@@ -67,12 +68,14 @@
 }
 
 double RetryBudget::RetriesLeft(TimeMs now) noexcept {
-  this->Advance(now);
+  Slot& present = this->CurrentSlot(now);
+  present.processes = std::max(present.processes, this->processes);
   const Slot sum =
       std::accumulate(this->slots.begin(), this->slots.end(), Slot{},
                       [](const Slot& left, const Slot& right) {
                         return Slot{left.requests + right.requests,
-                                    left.retries + right.retries};
+                                    left.retries + right.retries,
+                                    std::max(left.processes, right.processes)};
                       });
   // The oldest slot lies only partly inside the window. To stay below the
   // limit, its retries count and its requests do not.
@@ -80,9 +83,11 @@
       static_cast<std::size_t>(this->current + 1) % this->slots.size();
   const auto requests =
       static_cast<double>(sum.requests - this->slots[oldest].requests);
-  const double allowed =
-      this->settings.ratio * requests +
-      this->settings.extra_retries / static_cast<double>(this->processes);
+  const bool initial = now - this->started_at < this->settings.initial_ms;
+  const double extra = initial ? 0.0
+                               : this->settings.extra_retries /
+                                     static_cast<double>(sum.processes);
+  const double allowed = this->settings.ratio * requests + extra;
   return kUsableRatio * allowed -
          static_cast<double>(sum.retries + this->reserved + this->silent_sum);
 }
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -113,6 +113,7 @@
   node.token_wait_ms = settings.token_wait_ms;
   node.router.refund_unused_tokens = true;
   node.router.max_requests = settings.max_streams;
+  node.router.retries.initial_ms = node.router.retries.window_ms;
   node.cell_size = settings.cell_size;
   node.watcher.period_ms = kLoadReportPeriodMs;
   return node;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -28,7 +28,8 @@
       config(std::make_shared<const Configuration>()),
       active(router_settings.max_requests),
       limits(RandomBits()),
-      random(RandomBits()) {}
+      random(RandomBits()),
+      started_at(LoopNow()) {}
 
 const EndpointRecord* RouterCore::ChooseEndpoint(
     const PoolSpec& pool, const std::vector<std::string>& tried) {
@@ -98,9 +99,10 @@
 }
 
 RetryBudget& RouterCore::BudgetOf(const std::string& pool) {
-  const auto row =
-      this->budgets.try_emplace(pool, RetryBudget(this->settings.retries))
-          .first;
+  const auto row = this->budgets
+                       .try_emplace(pool, RetryBudget(this->settings.retries,
+                                                      this->started_at))
+                       .first;
   const auto members = this->parts.gossip.Members().Members().size();
   row->second.SetProcessCount(static_cast<std::int64_t>(members) + 1);
   return row->second;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -134,6 +134,7 @@
   std::unordered_map<std::string, RetryBudget> budgets;
   EndpointHealth health;
   std::mt19937_64 random;
+  TimeMs started_at;
 };
 
 /// Routes requests to endpoints.
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -186,6 +186,25 @@
   }
 }
 
+TEST_CASE("a restarted process makes the retries of the one before again") {
+  RetrySettings settings{0.2, 20, 10'000, 10'000};
+  RetryBudget budget(settings, 50'000);
+  CHECK_FALSE(budget.TryRetry(50'000));
+  for (int request = 0; request < 10; ++request) budget.OnRequest(51'000);
+  CHECK(budget.TryRetry(52'000));
+  CHECK_FALSE(budget.TryRetry(59'999));
+  CHECK(budget.RetriesLeft(60'001) >= 15.0);
+}
+
+TEST_CASE("processes share the retries of one that has just left once more") {
+  RetryBudget budget(RetrySettings{0, 20, 10'000});
+  budget.SetProcessCount(4);
+  CHECK(budget.RetriesLeft(0) < 5.0);
+  budget.SetProcessCount(2);
+  CHECK(budget.RetriesLeft(5000) < 5.0);
+  CHECK(budget.RetriesLeft(11'000) > 8.0);
+}
+
 TEST_CASE("retries of requests that a silent endpoint holds pile up") {
   // The endpoint stands still for several windows, then reads all of them.
   RetryBudget budget(RetrySettings{0, 20, 10'000});
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -41,7 +41,7 @@
   REQUIRE(node.address_ttl_ms == 500);
   REQUIRE(node.cpu_millicores == 500);
   REQUIRE(node.shutdown_timeout_ms == 7600);
-  REQUIRE(node.router.retries == RetrySettings{0.2, 7, 9000});
+  REQUIRE(node.router.retries == RetrySettings{0.2, 7, 9000, 9000});
   REQUIRE(read.value().store.address == "127.0.0.1:9000");
   REQUIRE(read.value().store.max_silence_ms == 3500);
 }
