Take no reset for the end of an answer without a length

Cause: the pending write of a long request took the reset; the read after it saw an orderly end of the connection, which ends an answer without a length.

Change: the call waits for the outcome of its write before the end of the connection may end the answer; after a failed write it is incomplete.

Evidence: "a reset answer without a length looks complete to a long request" failed before (no fault), passes now, also for an answer that is closed in order.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -136,14 +136,14 @@
                                               kResponseLimits);
   this->sent = true;
   this->sent_at = LoopNow();
-  this->send_state = std::make_shared<SendState>();
-  this->send_state->done = false;
+  this->send_state = std::make_shared<SendState>(this->loop);
   Spawn(this->loop,
         [connection = this->connection, request = std::move(bytes), deadline,
          state = this->send_state]() mutable -> Task<> {
           state->failed =
               !co_await connection->Write(std::move(request), deadline);
           state->done = true;
+          state->ended.Notify();
         });
   co_return CallFault::kNone;
 }
@@ -189,9 +189,9 @@
     if (this->connection->Input().size() > buffered_bytes) continue;
     if (this->cancelled) co_return CallFault::kCancelled;
     if (this->connection->State() == InputState::kEnded) {
-      this->parser->PutEof();
-      if (this->parser->Done()) break;
-      co_return CallFault::kTruncated;
+      const CallFault end = co_await this->ReadEnd(deadline);
+      if (end != CallFault::kNone) co_return end;
+      break;
     }
     const CallFault fault = this->WaitFault(deadline);
     if (fault != CallFault::kNone) co_return fault;
@@ -200,8 +200,23 @@
   co_return CallFault::kNone;
 }
 
+Task<CallFault> HttpCall::ReadEnd(TimeMs deadline) {
+  // A reset is reported to one operation only: when a pending write takes it,
+  // the next read sees the end of the input. So the outcome of the write tells
+  // whether the end of the connection ends a response without a length.
+  while (!this->send_state->done && !this->cancelled && LoopNow() < deadline) {
+    co_await this->send_state->ended.WaitUntil(deadline);
+  }
+  if (this->cancelled) co_return CallFault::kCancelled;
+  if (!this->send_state->done) co_return CallFault::kTimeout;
+  if (this->send_state->failed) co_return CallFault::kReset;
+  this->parser->PutEof();
+  co_return this->parser->Done() ? CallFault::kNone : CallFault::kTruncated;
+}
+
 void HttpCall::Cancel() {
   this->cancelled = true;
+  if (this->send_state) this->send_state->ended.Notify();
   if (this->connection && !this->finished) this->connection->Close();
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,6 +13,7 @@
 #include "net/connection.h"
 #include "net/http_message.h"
 #include "net/http_parser.h"
+#include "net/notifier.h"
 
 namespace limpethaven {
 
@@ -114,8 +115,10 @@
  private:
   /// State of the coroutine that sends the request.
   struct SendState {
-    bool done = true;
+    explicit SendState(Loop& loop) : ended(loop) {}
+    bool done = false;
     bool failed = false;
+    Notifier ended;  ///< Notified when `done` is set.
   };
 
   /// Parses the bytes that have been received.
@@ -125,6 +128,8 @@
   /// Reason why a wait for input brought no more bytes; `kNone` if the caller
   /// may wait again.
   [[nodiscard]] CallFault WaitFault(TimeMs deadline) const;
+  /// Decides whether the end of the connection is the end of the response.
+  Task<CallFault> ReadEnd(TimeMs deadline);
   /// Returns the connection to the pool if it is safe to reuse, else closes it.
   void Finish();
 
