Use no endpoint item that lacks a published field

Cause: version, cold_left_ms and seq were not required, since nothing reads them; an item of another writer without them was used.

Evidence: "platform: an invalid endpoint item is rejected" failed before with the new fields in its list.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -92,8 +92,8 @@
   REQUIRE_FALSE(accepts(""));
   REQUIRE_FALSE(accepts("\xff\xfe"));
   REQUIRE_FALSE(accepts("[]"));
-  for (const char* field :
-       {"service", "addr", "zone", "slots", "state", "born"}) {
+  for (const char* field : {"service", "addr", "zone", "version", "slots",
+                            "state", "cold_left_ms", "seq", "born"}) {
     json missing = GoodEndpoint();
     missing.erase(field);
     INFO(field);
