Forward a failure that is read after the deadline

Cause: whether a failure is replaced by another send was decided twice. The first decision ignored the deadline and kept the failure back, the second did not and forwarded nothing.

Change: the first decision looks at the deadline, the second follows it.

Evidence: "a failure read after the deadline leaves its caller unanswered" failed before (reset instead of 504).

--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -325,9 +325,13 @@
 NextStep Session::DecideNextStep(SendOutcome outcome) {
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
   const TimeMs now = LoopNow();
-  const bool in_time = now < this->admitted.deadline;
-  const NextStep step = this->record.OnOutcome(
-      outcome, in_time && !this->Cancelled() && budget.RetriesLeft(now) >= 1.0);
+  // A failure was not forwarded because it is to be replaced: whether there is
+  // time and a retry for that has been decided.
+  const bool may_retry =
+      outcome == SendOutcome::kFailed ||
+      (now < this->admitted.deadline && budget.RetriesLeft(now) >= 1.0);
+  const NextStep step =
+      this->record.OnOutcome(outcome, may_retry && !this->Cancelled());
   const bool silent = outcome == SendOutcome::kSilent;
   const std::string endpoint = silent && !this->tried_endpoints.empty()
                                    ? this->tried_endpoints.back()
@@ -411,9 +415,10 @@
 bool Session::MaySendAgain() const {
   const RouteSpec& route = *this->admitted.route;
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
+  const TimeMs now = LoopNow();
   return route.repeat != RepeatRule::kOnce &&
          this->record.Sends() < route.max_sends &&
-         budget.RetriesLeft(LoopNow()) >= 1.0;
+         now < this->admitted.deadline && budget.RetriesLeft(now) >= 1.0;
 }
 
 TimeMs Session::HeadDeadline() const {
