--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -141,8 +141,8 @@
   this->draining = true;
   std::ranges::for_each(this->connections,
                         [](const ServerConnectionPtr& accepted) {
-                          if (accepted->exchange)
-                            accepted->exchange->CloseAfterResponse();
+                          ServerExchange* const open = accepted->exchange;
+                          if (open != nullptr) open->CloseAfterResponse();
                         });
 }
 
