--- a/src/node/run.cc
+++ b/src/node/run.cc
@@ -48,7 +48,7 @@
       ReloadSettings(node, settings, "signal");
       continue;
     }
-    // A supervisor may repeat SIGTERM; only SIGINT, typed twice, is impatient.
+    // Supervisors may repeat SIGTERM. A second SIGINT is typed by an operator.
     if (signal == SIGINT && node.Leaving()) node.StopSoon();
     node.Drain();
   }
