Look up the retry budget of an answer without counting the members; say one refusal once

The refusal of a planned stop was written twice, the closing of idle connections and the end of an endpoint's silence as well; each has one place.

--- a/src/core/retry_budget.cc
+++ b/src/core/retry_budget.cc
@@ -50,11 +50,9 @@
 }
 
 void RetryBudget::OnAnswer(std::string_view endpoint, TimeMs now) {
-  const auto row = this->silent.find(endpoint);
-  if (row == this->silent.end()) return;
-  this->CurrentSlot(now).retries += row->second;
-  this->silent_sum -= row->second;
-  this->silent.erase(row);
+  if (this->silent.empty()) return;
+  this->EndSilence([endpoint](const std::string& id) { return id == endpoint; },
+                   now);
 }
 
 void RetryBudget::EndSilence(
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -77,12 +77,7 @@
 }
 
 void ConnectionPool::CloseIdle(const std::string& address) {
-  const auto found = this->idle.find(address);
-  if (found == this->idle.end()) return;
-  std::ranges::for_each(found->second, [](const IdleConnection& entry) {
-    entry.connection->Close();
-  });
-  this->idle.erase(found);
+  this->CloseIdleSince(address, LoopNow());
 }
 
 void ConnectionPool::CloseIdleSince(const std::string& address, TimeMs time) {
@@ -93,6 +88,7 @@
     entry.connection->Close();
     return true;
   });
+  if (found->second.empty()) this->idle.erase(found);
 }
 
 void ConnectionPool::CloseExpired(TimeMs now) {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -146,7 +146,10 @@
 
 void RouterCore::NoteAnswer(const EndpointRecord& endpoint,
                             const AnswerClass& answer) {
-  this->BudgetOf(endpoint.pool).OnAnswer(endpoint.id, LoopNow());
+  const auto budget = this->budgets.find(endpoint.pool);
+  if (budget != this->budgets.end()) {
+    budget->second.OnAnswer(endpoint.id, LoopNow());
+  }
   this->NoteLimit(endpoint.id, answer);
   if (answer.leaving) {
     this->parts.endpoint_listener.OnEndpointLeaving(
@@ -230,10 +233,8 @@
   }
   // Checked here too, so that a request that is refused charges no tokens.
   if (!this->core.stop_admission.Admits(admitted.value().deadline)) {
-    co_await this->Refuse(
-        exchange, admitted.value().request.attempt_id,
-        Error::Of(ErrorKind::kLeaving,
-                  "the process is stopping, and may end before the answer"));
+    co_await this->Refuse(exchange, admitted.value().request.attempt_id,
+                          MakeStopError());
     co_return;
   }
   if (const auto quarantined = this->core.CheckQuarantine(
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -129,6 +129,11 @@
   return team == admitted.config->teams.end() ? 0 : team->second.plain_tokens;
 }
 
+Error MakeStopError() {
+  return Error::Of(ErrorKind::kLeaving,
+                   "the process is stopping, and may end before the answer");
+}
+
 bool IsGeneration(const AdmittedRequest& admitted) {
   return admitted.pool->engine || !admitted.route->model.empty();
 }
@@ -244,8 +249,7 @@
       this->core.stop_admission.Admits(this->admitted.deadline)) {
     return std::nullopt;
   }
-  return Error::Of(ErrorKind::kLeaving,
-                   "the process is stopping, and may end before the answer");
+  return MakeStopError();
 }
 
 Task<SendOutcome> Session::Send(Dispatch dispatch) {
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -42,6 +42,8 @@
 /// Quota tokens that a request's team is charged in advance; 0 for a request
 /// that resumes another one, which was charged already.
 [[nodiscard]] Tokens ChargeOf(const AdmittedRequest& admitted);
+/// Refusal of a request that the end of a planned stop could cut.
+[[nodiscard]] Error MakeStopError();
 /// Whether a request is a generation.
 [[nodiscard]] bool IsGeneration(const AdmittedRequest& admitted);
 
