Believe a refusal without an id on new connections only, where a request may run once

Cause: a late refusal without an id was taken for the answer to the request that was sent last over the same connection. Sound endpoints refuse without an id too.

Change: on a used connection such a refusal proves nothing about a request that may run once. Generations of that kind get a new connection, plain requests while their endpoint sheds. A call for a new connection leaves the idle ones to others; it closed them before.

Evidence: "a late refusal without an id is taken for one of the next request" made 3 calls for 2 requests before, 2 now; "an endpoint that sheds costs each request that may run once" believed the first refusal before.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -47,7 +47,8 @@
 Task<ConnectionPtr> ConnectionPool::Acquire(std::string address,
                                             DurationMs max_idle_ms,
                                             TimeMs deadline) {
-  const auto found = this->idle.find(address);
+  const auto found =
+      max_idle_ms > 0 ? this->idle.find(address) : this->idle.end();
   while (found != this->idle.end() && !found->second.empty()) {
     // The connection used last is the least likely to have been closed.
     const IdleConnection candidate = std::move(found->second.back());
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -42,7 +42,8 @@
   ConnectionPool(Loop& event_loop, std::size_t max_idle);
 
   /// Returns a connection for exclusive use: the most recently used idle one
-  /// that has been idle for less than `max_idle_ms`, or else a new one.
+  /// that has been idle for less than `max_idle_ms`, or else a new one. With 0,
+  /// a new one; the idle ones are left to other calls.
   /// @returns null if no connection can be made before `deadline`.
   Task<ConnectionPtr> Acquire(std::string address, DurationMs max_idle_ms,
                               TimeMs deadline);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -18,6 +18,8 @@
 /// endpoints that are equal otherwise.
 constexpr double kMaxJitterCalls = 0.001;
 constexpr std::size_t kChargeIdBytes = 8;
+/// Time for which an endpoint is expected to go on refusing requests.
+constexpr DurationMs kAnonymousRefusalMs = 5000;
 
 }  // namespace
 
@@ -167,7 +169,18 @@
   }
 }
 
+void RouterCore::NoteAnonymousRefusal(const std::string& endpoint) {
+  this->anonymous_refusals.insert_or_assign(endpoint, LoopNow());
+}
+
+bool RouterCore::RefusesAnonymously(const std::string& endpoint) const {
+  return this->anonymous_refusals.contains(endpoint);
+}
+
 void RouterCore::Expire(TimeMs now) {
+  std::erase_if(this->anonymous_refusals, [now](const auto& row) {
+    return now - row.second >= kAnonymousRefusalMs;
+  });
   std::ranges::for_each(
       this->limits.Expire(now), [](const std::string& endpoint) {
         LogEvent(EventId::kEndpointLimitEnded, {{"endpoint", endpoint}});
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -103,6 +103,10 @@
   /// Records an answer of an endpoint: that it is not silent, its limit on
   /// requests, a pause, that it is leaving.
   void NoteAnswer(const EndpointRecord& endpoint, const AnswerClass& answer);
+  /// Records that an endpoint has refused a request without naming it.
+  void NoteAnonymousRefusal(const std::string& endpoint);
+  /// Whether an endpoint has refused a request lately without naming it.
+  [[nodiscard]] bool RefusesAnonymously(const std::string& endpoint) const;
   /// Removes the limits of endpoints that no longer answer, the pauses that are
   /// over, and the silence of endpoints that are gone.
   void Expire(TimeMs now);
@@ -133,6 +137,8 @@
   /// Retry budgets, keyed by pool name.
   std::unordered_map<std::string, RetryBudget> budgets;
   EndpointHealth health;
+  /// Times of the last refusals without a request id, keyed by endpoint id.
+  std::unordered_map<std::string, TimeMs> anonymous_refusals;
   std::mt19937_64 random;
   TimeMs started_at;
 };
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -260,8 +260,7 @@
   HttpCall call(this->core.parts.loop, this->core.parts.pool,
                 dispatch.endpoint.address);
   const CancelScope scope(this->cancel, [&call] { call.Cancel(); });
-  const bool once = this->admitted.route->repeat == RepeatRule::kOnce;
-  const DurationMs max_idle_ms = once ? kMaxIdleRunOnceMs : kMaxIdleMs;
+  const DurationMs max_idle_ms = this->MaxIdleMs(endpoint);
   this->progressed = false;
   this->response_begun = false;
   this->last_answer = AnswerClass{};
@@ -277,7 +276,14 @@
     outcome = OutcomeOf(call, fault);
   } else {
     status = call.Head().status;
-    const AnswerClass answer = this->ClassifyHead(call);
+    AnswerClass answer = this->ClassifyHead(call);
+    if (answer.not_run && !answer.identified) {
+      this->core.NoteAnonymousRefusal(endpoint);
+      // On a used connection it may be a late one of an earlier request, and
+      // does not prove that this one has not run.
+      const bool once = this->admitted.route->repeat == RepeatRule::kOnce;
+      answer.matches_request = !once || !call.Reused();
+    }
     if (answer.matches_request) {
       this->last_answer = answer;
       this->core.NoteAnswer(dispatch.endpoint, answer);
@@ -416,6 +422,14 @@
                                       : SendOutcome::kBroken;
 }
 
+DurationMs Session::MaxIdleMs(const std::string& endpoint) const {
+  if (this->admitted.route->repeat != RepeatRule::kOnce) return kMaxIdleMs;
+  // A refusal without an id is proof on a new connection only.
+  const bool needs_proof = IsGeneration(this->admitted) ||
+                           this->core.RefusesAnonymously(endpoint);
+  return needs_proof ? 0 : kMaxIdleRunOnceMs;
+}
+
 bool Session::MaySendAgain() const {
   const RouteSpec& route = *this->admitted.route;
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -171,6 +171,8 @@
   /// Outcome of a call that brought no complete response.
   [[nodiscard]] static SendOutcome OutcomeOf(const HttpCall& failed,
                                              CallFault fault);
+  /// Longest idle time of a connection that is reused for this request.
+  [[nodiscard]] DurationMs MaxIdleMs(const std::string& endpoint) const;
   /// Whether the request could be sent to another endpoint if the present one
   /// failed. Only then is an endpoint given up before the request's deadline.
   [[nodiscard]] bool MaySendAgain() const;
--- a/tests/reported_faults_test.cc
+++ b/tests/reported_faults_test.cc
@@ -124,6 +124,43 @@
   CHECK(cut == 0);
 }
 
+TEST_CASE("a late refusal without an id is taken for one of the next request") {
+  // It comes while the connection serves the second call, which is running.
+  PlatformFleetSettings settings = OneEntry();
+  settings.service_endpoints = 2;
+  settings.max_sends = 2;
+  PlatformFleet fleet(settings, [count = 0](const RequestHead& call) mutable {
+    EngineAnswer answer;
+    if (++count == 1) {
+      answer.bytes = Plain(call, "first");
+      answer.late = Refusal(call, false);
+      answer.late_ms = 50;
+      return answer;
+    }
+    answer.late = Plain(call, "second");
+    answer.late_ms = 200;
+    return answer;
+  });
+  REQUIRE(fleet.CallService(0).body == "first");
+  const HttpResponse second = fleet.CallService(0);
+  REQUIRE(second.fault == CallFault::kNone);
+  CHECK_FALSE(SaysNotRun(second));
+  std::size_t calls = 0;
+  for (const auto& engine : fleet.engines) calls += engine->calls.size();
+  CHECK(calls == 2);
+}
+
+TEST_CASE("an endpoint that sheds costs each request that may run once") {
+  // Its refusals have no id. Only the first one comes over a used connection.
+  PlatformFleet fleet(OneEntry(), [count = 0](const RequestHead& call) mutable {
+    return EngineAnswer{++count == 1 ? Plain(call, "first")
+                                     : Refusal(call, false)};
+  });
+  REQUIRE(fleet.CallService(0).body == "first");
+  CHECK(fleet.CallService(0).head.status == 502);
+  for (int call = 0; call < 3; ++call) CHECK(SaysNotRun(fleet.CallService(0)));
+}
+
 TEST_CASE("reported: slow but sound streams are cut") {
   // The engine makes an event every 1.2 s, then pauses once for 2.2 s.
   StallRule stall(3600);
