Wait for a silent stream when nothing else can go on with it

Cause: an engine was given up after 1.5 s without an event, though there was no other one.

Change: a stalled endpoint is given up only for another usable one that was not tried, or for a reconnection.

--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -425,12 +425,12 @@
 DurationMs Session::MaxIdleMs(const std::string& endpoint) const {
   if (this->admitted.route->repeat != RepeatRule::kOnce) return kMaxIdleMs;
   // A refusal without an id is proof on a new connection only.
-  const bool needs_proof = IsGeneration(this->admitted) ||
-                           this->core.RefusesAnonymously(endpoint);
+  const bool needs_proof =
+      IsGeneration(this->admitted) || this->core.RefusesAnonymously(endpoint);
   return needs_proof ? 0 : kMaxIdleRunOnceMs;
 }
 
-bool Session::MaySendAgain() const {
+bool Session::HasRetry() const {
   const RouteSpec& route = *this->admitted.route;
   RetryBudget& budget = this->core.BudgetOf(this->admitted.pool->name);
   const TimeMs now = LoopNow();
@@ -439,6 +439,21 @@
          now < this->admitted.deadline && budget.RetriesLeft(now) >= 1.0;
 }
 
+bool Session::CanGoOn() const {
+  if (this->core.parts.endpoints.MaxReattaches() > 0) return true;
+  return std::ranges::any_of(
+      this->core.parts.table.Usable(this->admitted.pool->name),
+      [this](const EndpointRecord* endpoint) {
+        return endpoint->role != PoolRole::kPrefill &&
+               std::ranges::find(this->tried_endpoints, endpoint->id) ==
+                   this->tried_endpoints.end();
+      });
+}
+
+bool Session::MaySendAgain() const {
+  return this->HasRetry() && this->CanGoOn();
+}
+
 TimeMs Session::HeadDeadline() const {
   if (!this->MaySendAgain()) return this->admitted.deadline;
   const RouteSpec& route = *this->admitted.route;
@@ -452,9 +467,8 @@
 }
 
 TimeMs Session::EventDeadline(const StallRule& stall) const {
-  return this->MaySendAgain()
-             ? std::min(this->admitted.deadline, stall.Deadline())
-             : this->admitted.deadline;
+  return this->HasRetry() ? std::min(this->admitted.deadline, stall.Deadline())
+                          : this->admitted.deadline;
 }
 
 Task<SendOutcome> Session::ForwardStream(HttpCall& call, CallFault& fault) {
@@ -467,19 +481,31 @@
     if (!begun) this->cancel.Request();
   }
   bool ended = false;
+  // Whether the stream has stalled while nothing else could go on with it.
+  bool waits_on = false;
   StallRule stall(this->admitted.route->patience_ms);
   stall.OnProgress(LoopNow());
   while (fault == CallFault::kNone && !this->Cancelled() && !ended &&
          this->stream->State() == StreamState::kOpen) {
     std::string chunk;
-    fault = co_await call.ReadBody(chunk, this->EventDeadline(stall));
+    const TimeMs deadline =
+        waits_on ? this->admitted.deadline : this->EventDeadline(stall);
+    fault = co_await call.ReadBody(chunk, deadline);
+    if (fault == CallFault::kTimeout && deadline < this->admitted.deadline &&
+        !this->MaySendAgain()) {
+      waits_on = true;
+      fault = CallFault::kNone;
+    }
     ended = fault == CallFault::kNone && call.Done() && chunk.empty();
     const std::optional<std::int64_t> last_event = this->stream->LastEvent();
     std::string events = this->stream->Feed(chunk);
     if (events.empty()) continue;
     // Keep-alives are not progress: a stalled engine may still send them.
     const bool progress = this->stream->LastEvent() != last_event;
-    if (progress) stall.OnProgress(LoopNow());
+    if (progress) {
+      stall.OnProgress(LoopNow());
+      waits_on = false;
+    }
     if (progress && !this->first_event_seen) {
       this->first_event_seen = true;
       this->core.parts.metrics.OnFirstEvent(LoopNow() -
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -173,6 +173,11 @@
                                              CallFault fault);
   /// Longest idle time of a connection that is reused for this request.
   [[nodiscard]] DurationMs MaxIdleMs(const std::string& endpoint) const;
+  /// Whether the route, the deadline and the retry budget allow another send.
+  [[nodiscard]] bool HasRetry() const;
+  /// Whether another endpoint, or a reconnection to the present one, could go
+  /// on with the request.
+  [[nodiscard]] bool CanGoOn() const;
   /// Whether the request could be sent to another endpoint if the present one
   /// failed. Only then is an endpoint given up before the request's deadline.
   [[nodiscard]] bool MaySendAgain() const;
--- a/tests/reported_faults_test.cc
+++ b/tests/reported_faults_test.cc
@@ -161,6 +161,25 @@
   for (int call = 0; call < 3; ++call) CHECK(SaysNotRun(fleet.CallService(0)));
 }
 
+TEST_CASE("a stream that pauses is cut though no other engine can go on") {
+  constexpr DurationMs kPauseMs = 2200;
+  PlatformFleetSettings settings = OneEntry();
+  settings.repeat = RepeatRule::kResumable;
+  settings.max_sends = 2;
+  settings.timeout_ms = 8000;
+  PlatformFleet fleet(settings, [](const RequestHead& call) {
+    const std::string whole = testing::WholeStream(call, 1);
+    EngineAnswer answer{whole.substr(0, whole.size() - 5)};
+    answer.late = whole.substr(whole.size() - 5);
+    answer.late_ms = kPauseMs;
+    return answer;
+  });
+  const HttpResponse response = fleet.Call(0, "first:80,own:9");
+  CHECK(response.fault == CallFault::kNone);
+  CHECK(response.head.status == 200);
+  CHECK(fleet.CallsWith("first:") == 1);
+}
+
 TEST_CASE("reported: slow but sound streams are cut") {
   // The engine makes an event every 1.2 s, then pauses once for 2.2 s.
   StallRule stall(3600);
