Core: move the files into folders by concept

src/core was a list of 38 files. They now lie in base, config, endpoints, requests, shares, scheduling and membership. Only paths, the build's file list and the pages that name the paths change.

--- a/src/core/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -1,4 +1,4 @@
-#include "core/cell_engines.h"
+#include "core/scheduling/cell_engines.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "core/cell_engines.h"
+#include "core/scheduling/cell_engines.h"
 #include "limpethaven/fair_queue.h"
 #include "limpethaven/output_forecast.h"
 
