Lint: refuse includes against the order of the core's folders

The folders of src/core are of use to a reader only while their arrows go one way. scripts/check-layers.py found no include against the order.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
-# Runs the formatter over all sources and headers and the linter over all sources except fuzz/, and
-# fails on any finding. The linter skips a file whose preprocessed content passed an earlier run.
+# Checks the includes between the folders of the core, and runs the formatter over all sources and
+# headers and the linter over all sources except fuzz/. Fails on any finding. The linter skips a file
+# whose preprocessed content passed an earlier run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
 tidy=clang-tidy-19
 mapfile -t sources < <(git ls-files '*.cc' ':!fuzz')
 mapfile -t formatted < <(git ls-files '*.cc' '*.h')
+scripts/check-layers.py
 clang-format --dry-run --Werror "${formatted[@]}"
 echo "formatter: ${#formatted[@]} files clean"
 export build tidy passed_dir="$build/lint-clean"
