--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "limpethaven/crypto.h"
 #include "log/event_log.h"
 
 namespace limpethaven {
@@ -15,8 +14,6 @@
 constexpr DurationMs kMaxIdleRunOnceMs = 500;
 /// Longest idle time of a connection that is reused for other requests.
 constexpr DurationMs kMaxIdleMs = 3000;
-/// Timeout of requests that name none.
-constexpr DurationMs kDefaultTimeoutMs = 60'000;
 /// A plain call that may be sent again times out when its response has not
 /// begun after this many times the route's `first_token_ms`.
 constexpr std::int64_t kHeadTimeoutTargetMultiple = 2;
@@ -24,36 +21,6 @@
 /// `first_token_ms`.
 constexpr DurationMs kHeadTimeoutMs = 10'000;
 
-/// Largest body of an answer that is not a stream.
-constexpr std::size_t kMaxBodyBytes = 4'194'304;
-/// Most bytes of such bodies that the process holds at once.
-constexpr std::size_t kMaxBufferedBytes = 25'165'824;
-
-/// Body of an answer that is read completely before it is forwarded.
-class BufferedBody {
- public:
-  /// @param process_bytes Bytes that all such bodies of the process hold.
-  explicit BufferedBody(std::size_t& process_bytes) : held(process_bytes) {}
-  ~BufferedBody() { this->held -= this->counted; }
-  BufferedBody(const BufferedBody&) = delete;
-  BufferedBody& operator=(const BufferedBody&) = delete;
-
-  /// @returns false when the body or all bodies together exceed their limit.
-  [[nodiscard]] bool Append(std::string_view bytes) {
-    this->text += bytes;
-    this->held += bytes.size();
-    this->counted += bytes.size();
-    return this->counted <= kMaxBodyBytes && this->held <= kMaxBufferedBytes;
-  }
-  [[nodiscard]] const std::string& Text() const noexcept { return this->text; }
-  [[nodiscard]] std::string Take() { return std::move(this->text); }
-
- private:
-  std::size_t& held;
-  std::size_t counted = 0;
-  std::string text;
-};
-
 /// Ids of the request's prompt parts, separated by commas.
 std::string PartIds(const CallerRequest& request) {
   std::string ids;
@@ -66,108 +33,6 @@
 
 }  // namespace
 
-Result<AdmittedRequest> Admit(RouterCore& core, const Exchange& exchange,
-                              const std::string* peer_team) {
-  const Configuration& config = *core.config;
-  if (config.version == 0) {
-    return Error::Of(ErrorKind::kNotReady, "no configuration received yet");
-  }
-  AdmittedRequest admitted;
-  admitted.config = core.config;
-  BOOST_OUTCOME_TRY(request,
-                    core.parts.callers.Read(exchange.Head(), exchange.Body()));
-  admitted.request = std::move(request);
-  const RouteSpec* route =
-      core.parts.callers.FindRoute(config, admitted.request);
-  if (route == nullptr) {
-    return Error::Of(
-        ErrorKind::kUnknownRoute,
-        "no route matches the request to " + admitted.request.path);
-  }
-  admitted.route = route;
-  admitted.priority = route->priority;
-  if (peer_team != nullptr) {
-    admitted.team = *peer_team;
-  } else if (!route->open && !config.teams.empty()) {
-    if (admitted.request.key.empty()) {
-      return Error::Of(ErrorKind::kKeyMissing, "the request has no API key");
-    }
-    admitted.key_digest = Sha256Hex(admitted.request.key);
-    const TeamSpec* team = config.FindTeamByKeyDigest(admitted.key_digest);
-    if (team == nullptr) {
-      return Error::Of(ErrorKind::kKeyRejected,
-                       "the API key belongs to no team");
-    }
-    admitted.team = team->name;
-    admitted.priority = team->priority.value_or(route->priority);
-  }
-  const std::string& claimed_team = admitted.request.team;
-  if (!claimed_team.empty() && claimed_team != admitted.team) {
-    return Error::Of(ErrorKind::kTeamMismatch,
-                     "the resume token belongs to another team");
-  }
-  admitted.request.team = admitted.team;
-  admitted.pool = core.DrawPool(*route);
-  if (admitted.pool == nullptr) {
-    return Error::Of(ErrorKind::kNoEndpoint, "the pool of the route for " +
-                                                 admitted.request.path +
-                                                 " is not configured");
-  }
-  DurationMs budget = admitted.request.budget_ms.value_or(kDefaultTimeoutMs);
-  if (route->timeout_ms > 0) budget = std::min(budget, route->timeout_ms);
-  admitted.deadline = exchange.ReceivedAt() + budget;
-  return admitted;
-}
-
-Tokens ChargeOf(const AdmittedRequest& admitted) {
-  const CallerRequest& request = admitted.request;
-  if (request.resumed_attempt) return 0;
-  if (request.has_token_counts) {
-    return request.prompt_tokens + request.max_output_tokens;
-  }
-  const auto team = admitted.config->teams.find(admitted.team);
-  return team == admitted.config->teams.end() ? 0 : team->second.plain_tokens;
-}
-
-Error MakeStopError() {
-  return Error::Of(ErrorKind::kLeaving,
-                   "the process is stopping, and may end before the answer");
-}
-
-bool IsGeneration(const AdmittedRequest& admitted) {
-  return admitted.pool->engine || !admitted.route->model.empty();
-}
-
-Charge::Charge(ShareExchange& share_exchange, std::string charge_id,
-               Tokens charged_tokens)
-    : shares(&share_exchange),
-      id(std::move(charge_id)),
-      tokens(charged_tokens) {}
-
-Charge::Charge(Charge&& other) noexcept
-    : shares(std::exchange(other.shares, nullptr)),
-      id(std::move(other.id)),
-      tokens(other.tokens) {}
-
-Charge& Charge::operator=(Charge&& other) noexcept {
-  if (this != &other) {
-    this->Settle(0);
-    this->shares = std::exchange(other.shares, nullptr);
-    this->id = std::move(other.id);
-    this->tokens = other.tokens;
-  }
-  return *this;
-}
-
-Charge::~Charge() { this->Settle(0); }
-
-void Charge::Settle(Tokens used) {
-  ShareExchange* const exchange = std::exchange(this->shares, nullptr);
-  if (exchange != nullptr) exchange->Settle(this->id, used);
-}
-
-Tokens Charge::Charged() const noexcept { return this->tokens; }
-
 Session::Session(RouterCore& router_core, Exchange& caller_exchange,
                  AdmittedRequest admitted_request, Charge team_charge)
     : core(router_core),
@@ -471,127 +336,6 @@
                           : this->admitted.deadline;
 }
 
-Task<SendOutcome> Session::ForwardStream(HttpCall& call, CallFault& fault) {
-  const bool buffered = this->admitted.request.buffered;
-  if (!this->exchange.ResponseStarted() && !buffered) {
-    ResponseHead head = this->core.parts.callers.AnswerHead(
-        call.Head(), this->admitted.request);
-    this->record.OnAnswerBegun();
-    const bool begun = co_await this->exchange.Begin(std::move(head));
-    if (!begun) this->cancel.Request();
-  }
-  bool ended = false;
-  // Whether the stream has stalled while nothing else could go on with it.
-  bool waits_on = false;
-  StallRule stall(this->admitted.route->patience_ms);
-  stall.OnProgress(LoopNow());
-  while (fault == CallFault::kNone && !this->Cancelled() && !ended &&
-         this->stream->State() == StreamState::kOpen) {
-    std::string chunk;
-    const TimeMs deadline =
-        waits_on ? this->admitted.deadline : this->EventDeadline(stall);
-    fault = co_await call.ReadBody(chunk, deadline);
-    if (fault == CallFault::kTimeout && deadline < this->admitted.deadline &&
-        !this->MaySendAgain()) {
-      waits_on = true;
-      fault = CallFault::kNone;
-    }
-    ended = fault == CallFault::kNone && call.Done() && chunk.empty();
-    const std::optional<std::int64_t> last_event = this->stream->LastEvent();
-    std::string events = this->stream->Feed(chunk);
-    if (events.empty()) continue;
-    // Keep-alives are not progress: a stalled engine may still send them.
-    const bool progress = this->stream->LastEvent() != last_event;
-    if (progress) {
-      stall.OnProgress(LoopNow());
-      waits_on = false;
-    }
-    if (progress && !this->first_event_seen) {
-      this->first_event_seen = true;
-      this->core.parts.metrics.OnFirstEvent(LoopNow() -
-                                            this->exchange.ReceivedAt());
-    }
-    this->progressed = this->progressed || progress;
-    if (progress && this->on_progress) this->on_progress();
-    if (buffered) continue;
-    const bool sent = co_await this->exchange.Send(std::move(events));
-    if (!sent) this->cancel.Request();
-  }
-  this->stream->OnEnd(ended);
-  if (this->stream->State() == StreamState::kInvalid) {
-    fault = CallFault::kMalformed;
-  }
-  if (this->stream->State() == StreamState::kSuperseded) {
-    this->abort_reason = ErrorKind::kSuperseded;
-    this->cancel.Request();
-  }
-  if (!this->stream->Complete() || this->Cancelled()) {
-    call.Cancel();
-    co_return OutcomeOf(call, fault);
-  }
-  std::string ending = this->stream->FinalBytes();
-  if (buffered) {
-    co_await this->exchange.Answer(this->core.parts.callers.AnswerHead(
-                                       call.Head(), this->admitted.request),
-                                   std::move(ending));
-  } else {
-    co_await this->exchange.Send(std::move(ending));
-    co_await this->exchange.End();
-  }
-  co_return SendOutcome::kAnswered;
-}
-
-Task<SendOutcome> Session::ForwardBody(HttpCall& call, CallFault& fault) {
-  BufferedBody body(this->core.buffered_bytes);
-  bool ended = false;
-  while (fault == CallFault::kNone && !ended) {
-    std::string chunk;
-    fault = co_await call.ReadBody(chunk, this->admitted.deadline);
-    ended = call.Done() && chunk.empty();
-    if (body.Append(chunk)) continue;
-    call.Cancel();
-    fault = CallFault::kTooLarge;
-  }
-  const AnswerClass answer = this->core.parts.endpoints.Classify(
-      call.Head(), body.Text(), this->admitted.request);
-  if (answer.not_run || answer.address_reassigned) {
-    co_return SendOutcome::kNotRun;
-  }
-  if (fault != CallFault::kNone) co_return OutcomeOf(call, fault);
-  if (answer.superseded) {
-    this->abort_reason = ErrorKind::kSuperseded;
-    this->cancel.Request();
-    co_return SendOutcome::kBroken;
-  }
-  // A caller that expects a stream gets no other response, except a final
-  // failure before the stream has begun.
-  if (this->exchange.ResponseStarted() ||
-      (this->stream && !answer.final_failure)) {
-    co_return SendOutcome::kBroken;
-  }
-  if (!answer.success && this->MaySendAgain()) co_return SendOutcome::kFailed;
-  co_await this->exchange.Answer(
-      this->core.parts.callers.AnswerHead(call.Head(), this->admitted.request),
-      body.Take());
-  co_return SendOutcome::kAnswered;
-}
-
-Task<> Session::AnswerError(const Error& error) {
-  if (!this->exchange.ResponseStarted()) {
-    co_await this->exchange.Answer(this->core.parts.callers.ErrorHead(error),
-                                   this->core.parts.callers.ErrorBody(error));
-    co_return;
-  }
-  std::optional<std::string> ending =
-      this->core.parts.callers.StreamErrorEvent(error);
-  if (!ending) {
-    this->exchange.Abort();
-    co_return;
-  }
-  co_await this->exchange.Send(std::move(*ending));
-  co_await this->exchange.End();
-}
-
 void Session::CountOutcome(const std::optional<Error>& error) const {
   std::string outcome = "answered";
   if (error) outcome = RowOf(error->kind).name;
