Peer: move owners, calls, loads and held reservations out of CellExchange

CellDirectory has the cells, their owners, the hold-downs and the home cell; HostedCell, HeldReservations, CellLoads, ReportedLimits and cell_call have the parts that they are named after.

--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -2,14 +2,11 @@
 /// Placement of requests over all VMs: hosts the schedulers of the cells that
 /// this process owns, and calls the owners of other cells.
 ///
-/// The owner of a cell is the first eligible serving member in rendezvous
-/// order. Eligible are the members in the cell's data centre, or all members if
-/// that has none, that have at least half of the largest CPU share among them
-/// and are not in a hold-down. An owner that does not answer is put in a
-/// hold-down and the next one is called. At most two owners are tried for a
-/// request; then this process schedules the cell itself. A cell that has two
-/// owners or none for a while loses goodput but not correctness, because
-/// engines refuse requests that exceed their memory.
+/// The owner of a cell is chosen by `CellDirectory`. An owner that does not
+/// answer is put in a hold-down and the next one is called. At most two owners
+/// are tried for a request; then this process schedules the cell itself. A cell
+/// that has two owners or none for a while loses goodput but not correctness,
+/// because engines refuse requests that exceed their memory.
 #pragma once
 
 #include <map>
@@ -21,10 +18,14 @@
 
 #include "limpethaven/cell_scheduler.h"
 #include "limpethaven/cells.h"
-#include "net/notifier.h"
+#include "peer/cell_directory.h"
+#include "peer/cell_loads.h"
 #include "peer/cell_messages.h"
 #include "peer/gossip.h"
+#include "peer/held_reservations.h"
+#include "peer/hosted_cell.h"
 #include "peer/peer_link.h"
+#include "peer/reported_limits.h"
 
 namespace limpethaven {
 
@@ -106,68 +107,6 @@
     std::string owner;
     CellPlacementAnswer cell_answer;
   };
-  /// Load of a cell that another process owns.
-  struct RemoteLoad {
-    CellLoad load;
-    TimeMs received_at = 0;
-  };
-  /// A request that was submitted to a hosted cell's scheduler.
-  struct PendingPlacement {
-    explicit PendingPlacement(Loop& loop) : decided(loop) {}
-    Notifier decided;
-    std::optional<Result<Placement>> decision;
-    /// Whether the cell is no longer among those of this process, so that the
-    /// request must be placed in another one.
-    bool cell_gone = false;
-  };
-  /// A cell whose scheduler runs in this process.
-  struct HostedCell {
-    /// @param owner_id Unique id of the scheduler, made of the address and
-    /// incarnation of this process and the cell's name.
-    HostedCell(const std::string& name, const std::string& owner_id,
-               const CellSettings& settings)
-        : scheduler(name, owner_id, settings) {}
-    CellScheduler scheduler;
-    /// Keyed by request id.
-    std::unordered_map<std::string, PendingPlacement*> pending;
-    bool ticking = false;
-  };
-  /// A reservation to renew with the present owner of its cell.
-  struct HeldReservation {
-    std::string cell;
-    std::string owner;
-    Renewal renewal;
-    /// When `Release` was called; the row stays until the owner is told of the
-    /// end.
-    std::optional<TimeMs> released_at;
-  };
-  /// Limits that this process has reported for the engines of a cell, keyed by
-  /// engine.
-  struct ReportedLimits {
-    std::string owner;  ///< Owner that they were reported to last.
-    struct Limit {
-      double max_per_s = 0;
-      TimeMs reported_at = 0;
-    };
-    std::map<std::string, Limit> engines;
-  };
-  /// Hold-down of an owner that did not answer.
-  struct OwnerState {
-    TimeMs hold_down_until = 0;
-  };
-
-  /// Addresses of the first two eligible owners of a cell, in rendezvous order.
-  /// They may include this process.
-  [[nodiscard]] std::vector<std::string> OwnersOf(const CellSpec& cell) const;
-  [[nodiscard]] const CellSpec* FindCell(std::string_view name) const;
-  /// Cell of a pool that this process sends its requests to first; empty when
-  /// the pool has no cell.
-  [[nodiscard]] std::string HomeCell(std::string_view pool) const;
-  /// The cell of the same pool with the most headroom, to redirect a request
-  /// to; empty when none has enough. Subtracts `tokens` from the headroom of
-  /// the cell that it returns.
-  [[nodiscard]] std::string RedirectCell(const CellSpec& cell, Tokens tokens,
-                                         TimeMs now);
   /// Moves held reservations to the cells that their engines belong to now.
   void MoveReservations();
   /// Ends the scheduling of a hosted cell that is no longer configured.
@@ -187,47 +126,31 @@
                                                  CellPlacementRequest message,
                                                  Cancellation& cancel,
                                                  PeerCall* call);
-  /// Calls an owner for a placement. The error is `kEndpointFailed` when it
-  /// does not answer in time or its answer is malformed; otherwise it is an
-  /// error of `PeerLink::CallLong`.
-  Task<Result<CellPlacementAnswer>> CallOwner(std::string owner,
-                                              CellPlacementRequest message,
-                                              Cancellation& cancel);
   Task<Result<std::string>> AnswerPlace(PeerCall& call);
   Task<Result<std::string>> AnswerReport(PeerCall& call);
   void ApplyReport(const CellReport& report);
-  void ApplyNotice(HostedCell& host, const CellNotice& notice, TimeMs now);
   /// Runs a cell's scheduler and carries out its commands.
   void RunScheduler(HostedCell& cell, TimeMs now);
   void CancelRun(HostedCell& cell, const CancelCommand& command);
   /// Sends the queued reports to their owners.
   /// @param renew Whether to add the renewals of all held reservations.
   void FlushOutbox(TimeMs now, bool renew);
-  /// Limits that the engines of a cell have named, if this owner has not had
-  /// them from this process yet: it may have taken over the cell without
-  /// knowing them.
-  [[nodiscard]] std::vector<EngineLimit> LimitsFor(const std::string& cell,
-                                                   const std::string& owner);
   /// Queues the loads of the owned cells for the owners of the other cells of
   /// the same pool.
   void QueueLoads(TimeMs now);
 
   PeerLink& link;
   const Gossip& gossip;
-  std::string data_centre;
+  CellDirectory directory;
   CellSettings settings;
   RunCanceller* canceller = nullptr;
-  std::vector<CellSpec> cells;
   std::map<std::string, std::unique_ptr<HostedCell>, std::less<>> hosted;
-  /// Keyed by reservation id.
-  std::unordered_map<std::string, HeldReservation> held;
+  limpethaven::HeldReservations held;
   /// Reports to send, keyed by the owner's address.
   std::unordered_map<std::string, CellReport> outbox;
-  /// Keyed by address.
-  std::unordered_map<std::string, OwnerState> owners;
-  /// Loads of cells that other processes own, keyed by cell name.
-  std::unordered_map<std::string, RemoteLoad> loads;
-  std::map<std::string, ReportedLimits> reported_limits;  ///< Keyed by cell.
+  /// Loads of the cells that other processes own.
+  CellLoads loads;
+  ReportedLimits reported_limits;
   /// Cell of each engine, keyed by engine id.
   std::unordered_map<std::string, std::string> cell_of_engine;
   TimeMs next_renewal = 0;
--- /dev/null
+++ b/src/peer/hosted_cell.cc
@@ -0,0 +1,88 @@
+#include "peer/hosted_cell.h"
+
+#include "log/event_log.h"
+
+namespace limpethaven {
+
+HostedCell::HostedCell(const std::string& name, const std::string& owner_id,
+                       const CellSettings& settings)
+    : scheduler(name, owner_id, settings) {}
+
+void HostedCell::Apply(const CellNotice& notice, TimeMs now) {
+  switch (notice.kind) {
+    case CellNoticeKind::kPrefillDone:
+      this->scheduler.PrefillDone(notice.reservation, notice.measured_ms, now);
+      break;
+    case CellNoticeKind::kFinished:
+      this->scheduler.Finish(notice.reservation, notice.tokens, now);
+      break;
+    case CellNoticeKind::kWithdrawn:
+      this->scheduler.Withdraw(notice.request_id, now);
+      break;
+    case CellNoticeKind::kEngineFailed:
+      this->scheduler.EngineFailed(notice.engine, now);
+      break;
+    case CellNoticeKind::kEngineServed:
+      this->scheduler.EngineServed(notice.engine, now);
+      break;
+    case CellNoticeKind::kEngineFull:
+      this->scheduler.EngineFull(notice.engine, now);
+      break;
+    case CellNoticeKind::kKvFetchFailed:
+      this->scheduler.KvFetchFailed(notice.engine, now);
+      break;
+    case CellNoticeKind::kKvFetchSucceeded:
+      this->scheduler.KvFetchSucceeded(notice.engine, now);
+      break;
+    case CellNoticeKind::kEngineLimit:
+      this->scheduler.LimitEngine(notice.engine, notice.max_per_s, now);
+      break;
+    case CellNoticeKind::kEngineUnreachable:
+      this->scheduler.EngineUnreachable(notice.engine, now);
+      break;
+    case CellNoticeKind::kMoved:
+      this->scheduler.Forget(notice.reservation, now);
+      break;
+  }
+}
+
+std::vector<CancelCommand> HostedCell::Run(TimeMs now) {
+  std::vector<CancelCommand> cancels;
+  const std::vector<CellCommand> commands = this->scheduler.Tick(now);
+  const auto answer = [this](const std::string& request,
+                             Result<Placement> decision) {
+    const auto waiting = this->pending.find(request);
+    if (waiting == this->pending.end()) return;
+    waiting->second->decision = std::move(decision);
+    waiting->second->decided.Notify();
+  };
+  for (const CellCommand& command : commands) {
+    if (const auto* place = std::get_if<PlaceCommand>(&command)) {
+      const Placement& placement = place->placement;
+      LogEvent(EventId::kPlacementDecision,
+               {{"request", place->request_id},
+                {"cell", this->scheduler.Name()},
+                {"reservation", placement.reservation},
+                {"prefill", placement.prefill},
+                {"decode", placement.decode},
+                {"runner_up", placement.runner_up},
+                LogField::Of("queued_ms", placement.queued_ms),
+                LogField::Of("waiting", this->scheduler.QueueLength()),
+                {"why", placement.reason}});
+      answer(place->request_id, placement);
+    } else if (const auto* refuse = std::get_if<RefuseCommand>(&command)) {
+      LogEvent(EventId::kPlacementRefused,
+               {{"request", refuse->request_id},
+                {"cell", this->scheduler.Name()},
+                {"kind", std::string(RowOf(refuse->error.kind).name)},
+                LogField::Of("waiting", this->scheduler.QueueLength()),
+                {"why", refuse->error.message}});
+      answer(refuse->request_id, refuse->error);
+    } else if (const auto* cancel = std::get_if<CancelCommand>(&command)) {
+      cancels.push_back(*cancel);
+    }
+  }
+  return cancels;
+}
+
+}  // namespace limpethaven
--- /dev/null
+++ b/src/peer/hosted_cell.h
@@ -0,0 +1,44 @@
+/// @file
+/// A cell whose scheduler runs in this process.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "limpethaven/cell_scheduler.h"
+#include "net/notifier.h"
+#include "peer/cell_messages.h"
+
+namespace limpethaven {
+
+/// A request that was submitted to a hosted cell's scheduler.
+struct PendingPlacement {
+  explicit PendingPlacement(Loop& loop) : decided(loop) {}
+  Notifier decided;
+  std::optional<Result<Placement>> decision;
+  /// Whether the cell is no longer among those of this process, so that the
+  /// request must be placed in another one.
+  bool cell_gone = false;
+};
+
+/// A cell whose scheduler runs in this process.
+struct HostedCell {
+  /// @param owner_id Unique id of the scheduler, made of the address and
+  /// incarnation of this process and the cell's name.
+  HostedCell(const std::string& name, const std::string& owner_id,
+             const CellSettings& settings);
+
+  /// Passes a notice to the scheduler.
+  void Apply(const CellNotice& notice, TimeMs now);
+  /// Runs the scheduler and answers the pending requests that it decided.
+  /// @returns the cancels that it commands.
+  [[nodiscard]] std::vector<CancelCommand> Run(TimeMs now);
+
+  CellScheduler scheduler;
+  /// Keyed by request id.
+  std::unordered_map<std::string, PendingPlacement*> pending;
+};
+
+}  // namespace limpethaven
