Core: RolePlanner decides the split of a cell's engines into prefill and decode

In deployments with few slots the published split leaves prefill engines idle while the decode engines are full. CellScheduler sums the demand over all submitted requests, and gives an engine under change no new work.

The prefill time per token is estimated apart from the regression of the scheduler: with prompts of equal length that cannot tell the fixed part from the other and drifts.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -33,6 +33,7 @@
 #include "limpethaven/config_model.h"
 #include "limpethaven/error.h"
 #include "limpethaven/interfaces.h"
+#include "limpethaven/role_planner.h"
 
 namespace limpethaven {
 
@@ -184,6 +185,7 @@
   std::int64_t generations = 0;
   DurationMs backlog_ms = 0;  ///< Duration of its queued prefill work.
   bool usable = false;
+  bool changing_role = false;  ///< See `CellScheduler::BeginRoleChange`.
 };
 
 /// Load of a cell, exchanged so that requests can move to a less loaded cell.
@@ -270,6 +272,9 @@
   /// together; empty when it names no limit any more.
   void LimitEngine(std::string_view engine, std::optional<double> max_per_s,
                    TimeMs now);
+  /// Gives an engine no new prefills and generations until another role of it
+  /// is configured, but at most until `until`. What it runs ends normally.
+  void BeginRoleChange(std::string_view engine, TimeMs until);
   /// Stops repeating a cancel, because the engine confirmed it or no longer has
   /// the request.
   void CancelDone(std::string_view reservation);
@@ -286,6 +291,11 @@
 
   [[nodiscard]] std::vector<EngineView> Engines(TimeMs now) const;
   [[nodiscard]] CellLoad Load(TimeMs now) const;
+  /// State of the configured engines for role planning.
+  [[nodiscard]] std::vector<RoleEngine> RoleEngines(TimeMs now) const;
+  /// Demand of all requests that were submitted in the window, whether they
+  /// were placed or refused.
+  [[nodiscard]] RoleDemand Demand(TimeMs now);
   [[nodiscard]] std::size_t QueueLength() const noexcept;
   [[nodiscard]] std::size_t Reservations() const noexcept;
   [[nodiscard]] const std::string& Name() const noexcept;
--- a/src/core/scheduling/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -99,6 +99,7 @@
                         [](EngineRow& row) { row.configured = false; });
   std::ranges::for_each(engines, [&](const CellEngine& spec) {
     if (EngineRow* existing = this->Find(spec.id)) {
+      if (existing->spec.role != spec.role) existing->changing_role_until = 0;
       existing->spec = spec;
       existing->configured = true;
       return;
@@ -136,6 +137,7 @@
   static_cast<void>(this->engine_limits.Expire(now));
   std::ranges::for_each(this->rows, [&](EngineRow& engine) {
     engine.usable = engine.configured && !engine.spec.leaving &&
+                    now >= engine.changing_role_until &&
                     this->engine_health.Usable(engine.spec.id, now);
     engine.kv_fetchable = this->kv_fetch_health.Usable(engine.spec.id, now);
   });
@@ -222,6 +224,19 @@
   });
 }
 
+double CellEngines::DecodeEngineShare(Tokens held) const {
+  // The engines of a cell are alike; the first one stands for all.
+  const auto engine = std::ranges::find_if(
+      this->rows,
+      [](const EngineRow& row) { return row.configured && row.CanDecode(); });
+  if (engine == this->rows.end()) return 0;
+  const auto memory =
+      static_cast<double>(std::max<Tokens>(1, engine->spec.memory));
+  const auto slots =
+      static_cast<double>(std::max<std::int64_t>(1, engine->spec.slots));
+  return std::max(static_cast<double>(held) / memory, 1.0 / slots);
+}
+
 Tokens CellEngines::LargestMemory() const {
   Tokens largest = 0;
   std::ranges::for_each(this->rows, [&largest](const EngineRow& engine) {
--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -51,8 +51,8 @@
 struct EngineRow {
   CellEngine spec;
   bool configured = true;
-  /// Whether it takes new work: configured, not leaving and healthy as of the
-  /// last `Refresh`.
+  /// Whether it takes new work: configured, not leaving, healthy and not
+  /// changing its role as of the last `Refresh`.
   bool usable = true;
   /// Whether KV memory that it prefilled can be fetched by decode engines, as
   /// of the last `Refresh`.
@@ -65,6 +65,8 @@
   /// what it runs already.
   TimeMs settles_at = 0;
   TimeMs refusing_until = 0;  ///< End of the cool-down after a refusal.
+  /// Until then, or until it has another role, it gets no new work.
+  TimeMs changing_role_until = 0;
   std::int64_t refusals = 0;  ///< Refusals since the last success.
   std::int64_t running_prefills = 0;
   /// Expected end of the prefill work that was placed on it.
@@ -133,6 +135,9 @@
   [[nodiscard]] Tokens UsableMemory(double request_token_ms) const;
   /// Whether any decode engine may take the request at some time.
   [[nodiscard]] bool AnyFor(const PlacementRequest& request) const;
+  /// Part of a decode engine that a generation occupies, by its memory or as
+  /// one of the engine's slots, whichever is more; 0 without decode engines.
+  [[nodiscard]] double DecodeEngineShare(Tokens held) const;
   /// Memory of the largest configured decode engine, usable or not; 0 if there
   /// is none.
   [[nodiscard]] Tokens LargestMemory() const;
--- a/src/core/scheduling/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -55,6 +55,7 @@
   /// Equal to `decode` if the decode engine prefills the prompt; empty for an
   /// adopted reservation.
   std::string prefill;
+  Tokens prompt_tokens = 0;  ///< 0 for an adopted reservation.
   Tokens uncached_tokens = 0;
   std::optional<Tokens> hint;
   /// Time to the first token that was expected at placement.
@@ -97,7 +98,8 @@
         owner(std::move(cell_owner)),
         settings(cell_settings),
         engines(cell_settings),
-        late_queue(kMaxBypassCount) {}
+        late_queue(kMaxBypassCount),
+        demand(cell_settings.prefill_ms_per_token) {}
 
   std::string name;
   std::string owner;
@@ -128,6 +130,7 @@
                       std::greater<>>
       expiries;
   std::vector<CellCommand> commands;
+  RoleDemandWindow demand;
 
   void Refuse(const std::string& request_id, ErrorKind kind,
               std::string message, DurationMs retry_after_ms) {
@@ -141,6 +144,20 @@
     this->commands.emplace_back(RefuseCommand{request_id, std::move(error)});
   }
 
+  /// Adds a request to the demand on the cell's engines.
+  void NoteDemand(const PlacementRequest& request, Tokens expected,
+                  TimeMs now) {
+    const double prefill_ms =
+        request.prefilled ? 0.0 : this->demand.PrefillMs(request.prompt_tokens);
+    // Decode memory is reserved from the start of the prefill on.
+    const double held_ms = prefill_ms + static_cast<double>(expected) /
+                                            this->engines.DecodeTokensPerMs();
+    this->demand.Add(prefill_ms,
+                     held_ms * this->engines.DecodeEngineShare(
+                                   request.prompt_tokens + expected / 2),
+                     now);
+  }
+
   [[nodiscard]] std::size_t QueueLength() const { return this->waiting.size(); }
 
   /// Expected time to serve the queued work, without `excluded_token_ms`. 0 if
@@ -303,6 +320,7 @@
     reservation.request_id = request_id;
     reservation.decode = decode_engine.spec.id;
     reservation.prefill = prefill_engine.spec.id;
+    reservation.prompt_tokens = request.prompt_tokens;
     reservation.uncached_tokens = request.prompt_tokens - choice.cached_tokens;
     reservation.hint = request.hint;
     reservation.expected_first_token_ms = choice.first_token_ms;
@@ -445,6 +463,7 @@
   row.expected = state.settings.reserve_maximum
                      ? request.max_tokens
                      : state.outputs.Predict(request.hint, request.max_tokens);
+  state.NoteDemand(request, row.expected, now);
   const Tokens tokens = request.prompt_tokens + row.expected;
   const Tokens largest = state.engines.LargestMemory();
   state.engines.Refresh(now);
@@ -553,6 +572,9 @@
     if (now >= engine->refusing_until) engine->refusals = 0;
     state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
                                row.expected_first_token_ms, measured_ms);
+    if (!row.queued_prefill) {
+      state.demand.LearnPrefill(row.prompt_tokens, measured_ms);
+    }
   }
   state.EndPrefill(row, now);
 }
@@ -609,6 +631,11 @@
   this->tables->engines.engine_limits.OnAnswer(engine, max_per_s, now);
 }
 
+void CellScheduler::BeginRoleChange(std::string_view engine, TimeMs until) {
+  EngineRow* row = this->tables->engines.Find(engine);
+  if (row != nullptr) row->changing_role_until = until;
+}
+
 void CellScheduler::CancelDone(std::string_view reservation) {
   const auto row = this->tables->cancels.find(reservation);
   if (row != this->tables->cancels.end()) this->tables->cancels.erase(row);
@@ -666,7 +693,8 @@
                           engines.PeakWith(engine, HeldGeneration{}, now),
                           static_cast<std::int64_t>(engine.generations.size()),
                           engine.PrefillBacklogMs(now),
-                          engine.usable};
+                          engine.usable,
+                          now < engine.changing_role_until};
       });
   return views;
 }
@@ -690,6 +718,23 @@
   return load;
 }
 
+std::vector<RoleEngine> CellScheduler::RoleEngines(TimeMs now) const {
+  std::vector<RoleEngine> engines;
+  this->tables->engines.Refresh(now);
+  std::ranges::for_each(
+      this->tables->engines.Rows(), [&engines](const EngineRow& row) {
+        if (!row.configured) return;
+        engines.push_back(RoleEngine{
+            row.spec.id, row.spec.role, row.running_prefills,
+            static_cast<std::int64_t>(row.generations.size()), row.usable});
+      });
+  return engines;
+}
+
+RoleDemand CellScheduler::Demand(TimeMs now) {
+  return this->tables->demand.Sum(now);
+}
+
 std::size_t CellScheduler::QueueLength() const noexcept {
   return this->tables->QueueLength();
 }
