OrderLease: one holder at a time may order the engines of a cell

A process holds the lease after it has been the first owner, unpaused and in contact with a majority of the members for 5 s. Terms of its fencing tokens are claimed while it waits and used only after the majority was told, so that a successor hears them even if the holder dies after its first order; marks with the terms travel with placement requests, answers and loads. Two processes that claim the same term are both stopped.

--- a/src/peer/cell_directory.cc
+++ b/src/peer/cell_directory.cc
@@ -40,6 +40,20 @@
     const auto row = this->hold_downs.find(member.address);
     return row != this->hold_downs.end() && now < row->second;
   });
+  return EligibleOwners(cell, std::move(candidates));
+}
+
+bool CellDirectory::IsFirstOwner(const CellSpec& cell) const {
+  const std::string& self = this->gossip.Members().Self().address;
+  const auto leads = [&self](const std::vector<std::string>& owners) {
+    return !owners.empty() && owners.front() == self;
+  };
+  return leads(this->OwnersOf(cell)) &&
+         leads(EligibleOwners(cell, this->gossip.Members().ServingMembers()));
+}
+
+std::vector<std::string> CellDirectory::EligibleOwners(
+    const CellSpec& cell, std::vector<MemberUpdate> candidates) {
   const bool any_in_data_centre =
       std::ranges::any_of(candidates, [&cell](const MemberUpdate& member) {
         return member.data_centre == cell.data_centre;
--- a/src/peer/cell_directory.h
+++ b/src/peer/cell_directory.h
@@ -31,6 +31,9 @@
   /// Addresses of the first two eligible owners of a cell, in rendezvous order.
   /// They may include this process.
   [[nodiscard]] std::vector<std::string> OwnersOf(const CellSpec& cell) const;
+  /// Whether this process is the first owner of a cell in any case: also when
+  /// the members in a hold-down are counted.
+  [[nodiscard]] bool IsFirstOwner(const CellSpec& cell) const;
   /// Starts the hold-down of an owner that did not answer.
   void HoldDown(const std::string& owner, TimeMs now);
   /// Cell of a pool that this process sends its requests to first; empty when
@@ -38,6 +41,10 @@
   [[nodiscard]] std::string HomeCell(std::string_view pool) const;
 
  private:
+  /// `OwnersOf`, for the eligible ones among these members.
+  [[nodiscard]] static std::vector<std::string> EligibleOwners(
+      const CellSpec& cell, std::vector<MemberUpdate> candidates);
+
   const Gossip& gossip;
   std::string data_centre;
   std::vector<CellSpec> cells;
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -10,11 +10,9 @@
 
 using nlohmann::json;
 
-constexpr std::string_view kReportPath = "/peer/v1/cell_news";
 /// Interval between renewals. A lease is several times as long, so that lost
 /// renewals do not end it.
 constexpr DurationMs kRenewalPeriodMs = 500;
-constexpr DurationMs kReportTimeoutMs = 500;
 /// Interval at which a cell's load is sent to the owners of the pool's other
 /// cells.
 constexpr DurationMs kLoadPeriodMs = 100;
@@ -35,7 +33,7 @@
   this->link.HandleLong(std::string(kCellPlacePath), [this](PeerCall& call) {
     return this->AnswerPlace(call);
   });
-  this->link.Handle(std::string(kReportPath), [this](PeerCall& call) {
+  this->link.Handle(std::string(kCellReportPath), [this](PeerCall& call) {
     return this->AnswerReport(call);
   });
 }
@@ -76,7 +74,7 @@
     const CellSpec* cell = this->directory.Find(row.cell);
     const std::vector<std::string> order = this->directory.OwnersOf(*cell);
     row.owner = order.empty() ? self : order.front();
-    this->outbox[row.owner].renewals.emplace_back(row.cell, row.renewal);
+    this->outbox.For(row.owner).renewals.emplace_back(row.cell, row.renewal);
   });
 }
 
@@ -131,11 +129,15 @@
     if (owner == self) break;
     CellPlacementRequest message{
         cell.name, request, may_redirect,
-        this->reported_limits.TakeFor(cell.name, owner, LoopNow())};
+        this->reported_limits.TakeFor(cell.name, owner, LoopNow()),
+        this->marks.Of(cell.name)};
     message.request.budget_ms -= LoopNow() - started_at;
     const Result<CellPlacementAnswer> answer =
         co_await CallCellOwner(this->link, owner, std::move(message), cancel);
-    if (answer) co_return OwnerAnswer{owner, answer.value()};
+    if (answer) {
+      this->marks.Note(cell.name, answer.value().mark);
+      co_return OwnerAnswer{owner, answer.value()};
+    }
     if (cancel.Requested()) co_return answer.error();
     // The scheduler's refusal is final. Only an owner that could not be reached
     // is skipped.
@@ -156,7 +158,8 @@
   }
   CellPlacementRequest message{
       cell.name, std::move(request), may_redirect,
-      this->reported_limits.TakeFor(cell.name, self, LoopNow())};
+      this->reported_limits.TakeFor(cell.name, self, LoopNow()),
+      this->marks.Of(cell.name)};
   message.request.budget_ms -= LoopNow() - started_at;
   const Result<CellPlacementAnswer> answer =
       co_await this->PlaceLocally(cell, std::move(message), cancel, nullptr);
@@ -189,7 +192,7 @@
   if (notice.kind == CellNoticeKind::kEngineLimit) {
     this->reported_limits.OnReport(receiver, notice, LoopNow());
   }
-  this->outbox[receiver].notices.push_back(std::move(notice));
+  this->outbox.For(receiver).notices.push_back(std::move(notice));
 }
 
 void CellExchange::Hold(const CellPlacement& placed, const Renewal& renewal) {
@@ -239,6 +242,17 @@
   return views;
 }
 
+const CellDirectory& CellExchange::Directory() const noexcept {
+  return this->directory;
+}
+
+CellScheduler* CellExchange::SchedulerOf(std::string_view cell) {
+  const auto host = this->hosted.find(cell);
+  return host == this->hosted.end() ? nullptr : &host->second->scheduler;
+}
+
+OrderMarks& CellExchange::Marks() noexcept { return this->marks; }
+
 std::size_t CellExchange::HeldReservations() const {
   return this->held.Count();
 }
@@ -365,13 +379,16 @@
         "cell " + message.cell + " is not configured in this process");
   }
   const CellSpec cell = *found;
+  this->marks.Note(cell.name, message.mark);
   Cancellation cancel;
   call.exchange.OnDisconnect([&cancel] { cancel.Request(); });
   const Result<CellPlacementAnswer> answer =
       co_await this->PlaceLocally(cell, std::move(message), cancel, &call);
   call.exchange.OnDisconnect(nullptr);
   if (!answer) co_return answer.error();
-  const json body = answer.value();
+  CellPlacementAnswer marked = answer.value();
+  marked.mark = this->marks.Of(cell.name);
+  const json body = marked;
   co_return body.dump();
 }
 
@@ -390,6 +407,10 @@
   std::ranges::for_each(report.loads, [&](const auto& row) {
     this->loads.OnLoad(row.first, row.second, now);
   });
+  std::ranges::for_each(report.marks, [this](const auto& row) {
+    if (this->directory.Find(row.first) == nullptr) return;
+    this->marks.Note(row.first, row.second);
+  });
   std::ranges::for_each(report.renewals, [&](const auto& row) {
     const CellSpec* cell = this->directory.Find(row.first);
     if (cell != nullptr) {
@@ -448,12 +469,15 @@
     const std::vector<std::string> order = this->directory.OwnersOf(*cell);
     if (order.empty() || order.front() != self) return;
     const CellLoad load = entry.second->scheduler.Load(now);
+    const OrderMark mark = this->marks.Of(cell->name);
     std::ranges::for_each(this->directory.Cells(), [&](const CellSpec& other) {
       if (other.model != cell->model || other.name == cell->name) return;
       const std::vector<std::string> other_owners =
           this->directory.OwnersOf(other);
       if (other_owners.empty()) return;
-      this->outbox[other_owners.front()].loads.emplace_back(cell->name, load);
+      CellReport& report = this->outbox.For(other_owners.front());
+      report.loads.emplace_back(cell->name, load);
+      if (mark.term > 0) report.marks.emplace_back(cell->name, mark);
     });
   });
 }
@@ -464,29 +488,12 @@
     std::ranges::for_each(this->held.Rows(), [this](const auto& entry) {
       const HeldReservation& row = entry.second;
       if (row.released_at) return;
-      this->outbox[row.owner].renewals.emplace_back(row.cell, row.renewal);
+      this->outbox.For(row.owner).renewals.emplace_back(row.cell, row.renewal);
     });
   }
-  const std::string& self = this->gossip.Members().Self().address;
-  auto batches = std::exchange(this->outbox, {});
-  std::ranges::for_each(batches, [&](auto& entry) {
-    if (entry.first == self) {
-      this->ApplyReport(entry.second);
-      return;
-    }
-    const json body = entry.second;
-    Spawn(this->link.GetLoop(),
-          [this, owner = entry.first, text = body.dump()]() -> Task<> {
-            const Result<std::string> ignored =
-                co_await this->link.Call(owner, std::string(kReportPath), text,
-                                         LoopNow() + kReportTimeoutMs);
-            // A lost report is not sent again. The next renewal or load takes
-            // the place of a lost one, and a reservation whose end was not
-            // reported ends with its lease. Other lost notices are not
-            // replaced.
-            static_cast<void>(ignored);
-          });
-  });
+  const auto own =
+      this->outbox.Flush(this->link, this->gossip.Members().Self().address);
+  if (own) this->ApplyReport(*own);
 }
 
 }  // namespace limpethaven
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -21,9 +21,11 @@
 #include "peer/cell_directory.h"
 #include "peer/cell_loads.h"
 #include "peer/cell_messages.h"
+#include "peer/cell_outbox.h"
 #include "peer/gossip.h"
 #include "peer/held_reservations.h"
 #include "peer/hosted_cell.h"
+#include "peer/order_marks.h"
 #include "peer/peer_link.h"
 #include "peer/reported_limits.h"
 
@@ -93,6 +95,12 @@
   /// Passes an engine's cache events to its cell's scheduler.
   void OnCacheEvents(const std::string& cell, const std::string& engine,
                      const std::vector<CacheEvent>& events);
+  /// The configured cells and their owners.
+  [[nodiscard]] const CellDirectory& Directory() const noexcept;
+  /// Scheduler of a cell that is hosted here; null when it is not.
+  [[nodiscard]] CellScheduler* SchedulerOf(std::string_view cell);
+  /// Order marks of the cells.
+  [[nodiscard]] OrderMarks& Marks() noexcept;
   /// Engines of each cell that is hosted here, for operators.
   [[nodiscard]] std::vector<std::pair<std::string, std::vector<EngineView>>>
   HostedCells(TimeMs now) const;
@@ -146,11 +154,11 @@
   RunCanceller* canceller = nullptr;
   std::map<std::string, std::unique_ptr<HostedCell>, std::less<>> hosted;
   limpethaven::HeldReservations held;
-  /// Reports to send, keyed by the owner's address.
-  std::unordered_map<std::string, CellReport> outbox;
+  CellOutbox outbox;
   /// Loads of the cells that other processes own.
   CellLoads loads;
   ReportedLimits reported_limits;
+  OrderMarks marks;
   /// Cell of each engine, keyed by engine id.
   std::unordered_map<std::string, std::string> cell_of_engine;
   TimeMs next_renewal = 0;
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -12,6 +12,12 @@
 constexpr std::size_t kLimitsIndex = 15;
 /// Index of the flag of a prefilled prompt in a placement request.
 constexpr std::size_t kPrefilledIndex = 16;
+/// Index of the order mark in a placement request.
+constexpr std::size_t kRequestMarkIndex = 17;
+/// Index of the order mark in a placement answer.
+constexpr std::size_t kAnswerMarkIndex = 10;
+/// Index of the order marks in a report.
+constexpr std::size_t kReportMarksIndex = 3;
 /// Index of the limit in a notice.
 constexpr std::size_t kNoticeLimitIndex = 7;
 /// Stands for a missing limit.
@@ -23,6 +29,15 @@
   return tokens ? json(*tokens) : json(nullptr);
 }
 
+json MarkToJson(const OrderMark& mark) {
+  return json::array({mark.term, mark.prefill_permille});
+}
+
+OrderMark MarkFromJson(const json& in) {
+  return OrderMark{in.at(0).get<std::uint32_t>(), in.at(1).get<std::uint32_t>(),
+                   in.at(2).get<std::int64_t>()};
+}
+
 }  // namespace
 
 // Messages are arrays without field names to keep them small: several are sent
@@ -40,7 +55,8 @@
        request.priority, request.data_centre, request.prompt_tokens,
        request.max_tokens, OptionalTokens(request.hint), request.prefix,
        request.budget_ms, request.patience_ms, request.force_local_prefill,
-       request.excluded, message.may_redirect, limits, request.prefilled});
+       request.excluded, message.may_redirect, limits, request.prefilled,
+       MarkToJson(message.mark)});
 }
 
 void from_json(const json& in, CellPlacementRequest& message) {
@@ -71,15 +87,18 @@
   if (in.size() > kPrefilledIndex) {
     in.at(kPrefilledIndex).get_to(request.prefilled);
   }
+  if (in.size() > kRequestMarkIndex) {
+    message.mark = MarkFromJson(in.at(kRequestMarkIndex));
+  }
 }
 
 void to_json(json& out, const CellPlacementAnswer& answer) {
   const Placement& placement = answer.placement;
-  out =
-      json::array({answer.redirect_to, placement.reservation, placement.prefill,
-                   placement.decode, placement.runner_up, placement.tokens,
-                   placement.cached_tokens, placement.queued_ms,
-                   placement.lease_ms, placement.reason});
+  out = json::array({answer.redirect_to, placement.reservation,
+                     placement.prefill, placement.decode, placement.runner_up,
+                     placement.tokens, placement.cached_tokens,
+                     placement.queued_ms, placement.lease_ms, placement.reason,
+                     MarkToJson(answer.mark)});
 }
 
 void from_json(const json& in, CellPlacementAnswer& answer) {
@@ -94,6 +113,9 @@
   in.at(7).get_to(placement.queued_ms);
   in.at(8).get_to(placement.lease_ms);
   in.at(9).get_to(placement.reason);
+  if (in.size() > kAnswerMarkIndex) {
+    answer.mark = MarkFromJson(in.at(kAnswerMarkIndex));
+  }
 }
 
 void to_json(json& out, const CellReport& report) {
@@ -118,8 +140,12 @@
         json::array({row.first, row.second.waiting, row.second.wait_ms,
                      row.second.headroom_tokens}));
   });
-  out =
-      json::array({std::move(notices), std::move(renewals), std::move(loads)});
+  json marks = json::array();
+  std::ranges::for_each(report.marks, [&marks](const auto& row) {
+    marks.push_back(json::array({row.first, MarkToJson(row.second)}));
+  });
+  out = json::array({std::move(notices), std::move(renewals), std::move(loads),
+                     std::move(marks)});
 }
 
 void from_json(const json& in, CellReport& report) {
@@ -158,6 +184,12 @@
         CellLoad{row.at(1).get<std::int64_t>(), row.at(2).get<DurationMs>(),
                  row.at(3).get<Tokens>()});
   });
+  // Processes of an earlier version send no marks.
+  if (in.size() <= kReportMarksIndex) return;
+  std::ranges::for_each(in.at(kReportMarksIndex), [&report](const json& row) {
+    report.marks.emplace_back(row.at(0).get<std::string>(),
+                              MarkFromJson(row.at(1)));
+  });
 }
 
 }  // namespace limpethaven
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -16,6 +16,19 @@
   double max_per_s = 0;
 };
 
+/// What processes pass on about the role orders to a cell's engines, so that a
+/// later owner of the cell knows it.
+struct OrderMark {
+  std::uint32_t term = 0;  ///< Highest term that was claimed; 0: none.
+  /// Hash of the process that claimed it, see `OrderHolderHash`; 0 when two
+  /// have claimed the term before.
+  std::uint32_t holder = 0;
+  /// Initial share of prefill engines, in thousandths, that the holder of this
+  /// term has seen; 0: not known.
+  std::int64_t prefill_permille = 0;
+  friend auto operator<=>(const OrderMark&, const OrderMark&) = default;
+};
+
 /// Body of a call that asks the owner of a cell to place a request.
 struct CellPlacementRequest {
   std::string cell;
@@ -24,6 +37,7 @@
   bool may_redirect = false;
   /// Limits that the caller knows; sent with its first call to an owner.
   std::vector<EngineLimit> engine_limits;
+  OrderMark mark;  ///< Of the cell, as the caller knows it.
 };
 
 /// Answer of a cell's owner to a `CellPlacementRequest`.
@@ -32,6 +46,7 @@
   /// was placed.
   std::string redirect_to;
   Placement placement;
+  OrderMark mark;  ///< Of the cell, as its owner knows it.
 };
 
 /// What an entry process reports to the owner of a cell. Sent as a number, so
@@ -76,12 +91,13 @@
   std::optional<double> max_per_s;  ///< Sent as -1 when empty.
 };
 
-/// Everything that one process sends to one owner in one call. Each renewal and
-/// each load comes with the name of its cell.
+/// Everything that one process sends to one owner in one call. Each renewal,
+/// load and mark comes with the name of its cell.
 struct CellReport {
   std::vector<CellNotice> notices;
   std::vector<std::pair<std::string, Renewal>> renewals;
   std::vector<std::pair<std::string, CellLoad>> loads;
+  std::vector<std::pair<std::string, OrderMark>> marks;
 };
 
 void to_json(nlohmann::json& out, const CellPlacementRequest& message);
