Order engines to change their roles from the process that schedules the cell

RoleBalancer feeds the planner from the cell's scheduler, holds the lease and sends orders over a connection of their own, checking the conditions again directly before the write.

Events 510 to 514, a counter of orders and gauges of the split.

--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -60,6 +60,12 @@
   /// How long an engine retains the KV cache of a finished prefill.
   DurationMs prefill_kept_ms = 0;
   Tokens tokens_per_event = 1;  ///< Tokens in one event of an answer's stream.
+  /// Time in which an engine changes between prefill and decode when ordered
+  /// to; 0: roles are fixed.
+  DurationMs role_change_ms = 0;
+  /// Whether the owner of a cell orders its engines to change their roles so
+  /// that the split follows the demand. Needs `role_change_ms`.
+  bool balance_roles = false;
   friend auto operator<=>(const EngineSpec&, const EngineSpec&) = default;
 };
 
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -70,6 +70,11 @@
   kOrderSent = 500,
   kOrderRefused = 501,
   kOrderConverged = 502,
+  kRoleOrderSent = 510,
+  kRoleOrderAnswered = 511,
+  kRoleChanged = 512,
+  kRoleChangeTimedOut = 513,
+  kRoleLeaseChanged = 514,
   kInternalError = 900,
 };
 
--- a/src/core/base/event.cc
+++ b/src/core/base/event.cc
@@ -67,6 +67,11 @@
     EventRow{EventId::kOrderSent, "order_sent"},
     EventRow{EventId::kOrderRefused, "order_refused"},
     EventRow{EventId::kOrderConverged, "order_converged"},
+    EventRow{EventId::kRoleOrderSent, "role_order_sent"},
+    EventRow{EventId::kRoleOrderAnswered, "role_order_answered"},
+    EventRow{EventId::kRoleChanged, "role_changed"},
+    EventRow{EventId::kRoleChangeTimedOut, "role_change_timed_out"},
+    EventRow{EventId::kRoleLeaseChanged, "role_lease_changed"},
     EventRow{EventId::kInternalError, "internal_error"},
 };
 
--- a/src/core/config/config_codec.cc
+++ b/src/core/config/config_codec.cc
@@ -57,7 +57,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EngineSpec, slots, kv_tokens,
                                                 kv_bytes_per_token, link_mbps,
                                                 prefill_kept_ms,
-                                                tokens_per_event)
+                                                tokens_per_event,
+                                                role_change_ms, balance_roles)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PoolSpec, name, role, model,
                                                 memory_pieces, checks_fencing,
                                                 endpoints, max_connections,
--- a/src/entry/native_endpoints.cc
+++ b/src/entry/native_endpoints.cc
@@ -99,6 +99,19 @@
   return OutgoingCall{RequestHead{"GET", "/load", {}}, {}};
 }
 
+std::optional<OutgoingCall> NativeEndpoints::ChangeRole(
+    const RoleChange&) const {
+  // The role is part of the placement service's orders. Its fencing tokens are
+  // ordered by configuration version: with tokens of two kinds at one engine,
+  // a current order could be refused, or an outdated one accepted.
+  return std::nullopt;
+}
+
+RoleOrderOutcome NativeEndpoints::ClassifyRoleChange(
+    const ResponseHead&) const {
+  return RoleOrderOutcome::kUnknown;
+}
+
 std::optional<OutgoingCall> NativeEndpoints::FetchCacheEvents(
     std::int64_t after) const {
   return OutgoingCall{
--- a/src/entry/native_endpoints.h
+++ b/src/entry/native_endpoints.h
@@ -23,6 +23,10 @@
   [[nodiscard]] std::optional<OutgoingCall> CancelRun(
       const CancelCommand& command) const override;
   [[nodiscard]] OutgoingCall FetchLoad() const override;
+  [[nodiscard]] std::optional<OutgoingCall> ChangeRole(
+      const RoleChange& change) const override;
+  [[nodiscard]] RoleOrderOutcome ClassifyRoleChange(
+      const ResponseHead& head) const override;
   [[nodiscard]] std::optional<OutgoingCall> FetchCacheEvents(
       std::int64_t after) const override;
   [[nodiscard]] AnswerClass Classify(
--- a/src/node/admin_api.cc
+++ b/src/node/admin_api.cc
@@ -112,7 +112,8 @@
                                  {"peak", engine.peak},
                                  {"generations", engine.generations},
                                  {"backlog_ms", engine.backlog_ms},
-                                 {"usable", engine.usable}});
+                                 {"usable", engine.usable},
+                                 {"changing_role", engine.changing_role}});
             });
         rows.push_back({{"cell", cell.first}, {"engines", engines}});
       });
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -74,6 +74,9 @@
           this->settings.router),
       watcher(event_loop, *this->dialects.endpoints, this->pool, this->table,
               this->cells, this->settings.watcher),
+      roles(RoleBalancerParts{event_loop, *this->dialects.endpoints,
+                              this->table, this->link, this->gossip,
+                              this->cells, this->state, this->metrics}),
       admin_api(*this),
       caller_handler(
           [this](Exchange& exchange) { return this->router.Serve(exchange); }),
@@ -173,6 +176,7 @@
   this->readiness_server.StopAccepting();
   this->discovery_server.StopAccepting();
   this->admin_server.StopAccepting();
+  this->roles.Stop();
   this->link.Stop();
   this->gossip.Stop();
   CloseAllConnections(this->loop);
@@ -207,7 +211,10 @@
   }
 }
 
-void EntryNode::OnPause() { LogEvent(EventId::kPauseDetected, {}); }
+void EntryNode::OnPause() {
+  LogEvent(EventId::kPauseDetected, {});
+  this->roles.OnPause();
+}
 
 void EntryNode::OnListedVms(const std::vector<ListedVm>& vms) {
   this->gossip.SetListed(vms);
@@ -289,6 +296,7 @@
     this->state.Tick();
     this->shares.Tick();
     this->cells.Tick(now);
+    this->roles.Tick(now);
     this->UpdateReadiness();
     this->LogQuarantine(now);
     this->router.Core().Expire(now);
@@ -403,6 +411,8 @@
   snapshot.said_leaving = this->table.SaidLeaving().Size();
   snapshot.quarantined_parts = this->quarantine.Quarantined(now).size();
   snapshot.members = this->gossip.Members().ServingMembers().size();
+  snapshot.roles = this->roles.Split();
+  snapshot.role_leases = this->roles.HeldLeases(now);
   snapshot.connections_made = this->pool.DialCount();
   snapshot.dropped_log_lines = DroppedLogLines();
   this->metrics.SetGauges(snapshot);
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -13,6 +13,7 @@
 #include "node/admin_api.h"
 #include "node/engine_watcher.h"
 #include "node/published_state.h"
+#include "node/role_balancer.h"
 #include "peer/cell_exchange.h"
 #include "peer/gossip.h"
 #include "peer/peer_link.h"
@@ -198,6 +199,7 @@
   PublishedState state;
   Router router;
   EngineWatcher watcher;
+  RoleBalancer roles;
   AdminApi admin_api;
   ExchangeHandler caller_handler;
   std::function<void(TimeMs)> on_tick;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -156,6 +156,16 @@
             LogField::Of("revision", this->table.Revision())});
 }
 
+void PublishedState::OnSourceAnswered(SourcePart part) {
+  this->source_answers[static_cast<std::size_t>(part)] = LoopNow();
+}
+
+std::optional<DurationMs> PublishedState::SourceSilentMs(TimeMs now) const {
+  const auto& [configuration, endpoints] = this->source_answers;
+  if (!configuration || !endpoints) return std::nullopt;
+  return now - std::min(*configuration, *endpoints);
+}
+
 void PublishedState::OnUnreadable(const std::string& what, const Error& why) {
   LogEvent(what.empty() ? EventId::kConfigRejected : EventId::kEndpointRejected,
            {{"what", what}, {"why", why.message}});
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -4,6 +4,7 @@
 /// cannot be reached or its watch hangs.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -59,6 +60,7 @@
                       std::optional<TimeMs> returned_at) override;
   void OnVms(const std::vector<ListedVm>& vms) override;
   void OnSourceReachable(bool reachable) override;
+  void OnSourceAnswered(SourcePart part) override;
   void OnUnreadable(const std::string& what, const Error& why) override;
 
   /// Handles a peer's report of its configuration version and endpoints
@@ -83,6 +85,9 @@
   /// Whether both a configuration and a list of endpoints have been received.
   [[nodiscard]] bool Complete() const noexcept;
   [[nodiscard]] bool SourceReachable() const noexcept;
+  /// Time since the source last answered for its configuration or for its
+  /// endpoints, whichever is longer; empty before it has answered for both.
+  [[nodiscard]] std::optional<DurationMs> SourceSilentMs(TimeMs now) const;
 
  private:
   void Adopt(const Configuration& next, const std::string& from);
@@ -111,6 +116,8 @@
   bool endpoints_known = false;
   bool reachable = false;
   bool reachability_reported = false;
+  /// Last answers of the source, by `SourcePart`.
+  std::array<std::optional<TimeMs>, 2> source_answers;
   TimeMs unreachable_since = 0;
   bool pulling = false;
   TimeMs next_pull_at = 0;
--- a/src/node/source.h
+++ b/src/node/source.h
@@ -14,6 +14,9 @@
 
 namespace limpethaven {
 
+/// What a call to a source asks for.
+enum class SourcePart { kConfiguration, kEndpoints };
+
 /// Receives updates from a source. A `revision` is the source's revision that
 /// contains the reported change or list.
 class SourceListener {
@@ -37,6 +40,9 @@
   virtual void OnVms(const std::vector<ListedVm>& vms) = 0;
   /// Called to report whether the source answers.
   virtual void OnSourceReachable(bool reachable) = 0;
+  /// Called when the source has answered a call for its configuration or its
+  /// endpoints, also without a change.
+  virtual void OnSourceAnswered(SourcePart part) { static_cast<void>(part); }
   /// Called when data of the source is invalid; the last valid state stays in
   /// force.
   /// @param what Name of the invalid data; empty for the configuration.
--- a/src/router/dialect.h
+++ b/src/router/dialect.h
@@ -16,6 +16,7 @@
 #include "limpethaven/config_model.h"
 #include "limpethaven/endpoint_table.h"
 #include "limpethaven/error.h"
+#include "limpethaven/role_planner.h"
 #include "net/http_message.h"
 #include "router/stream_translator.h"
 
@@ -82,6 +83,17 @@
   friend bool operator==(const OutgoingCall&, const OutgoingCall&) = default;
 };
 
+/// Order to an engine to change between prefill and decode.
+struct RoleChange {
+  std::string engine;  ///< Id of the engine.
+  PoolRole role = PoolRole::kPrefill;
+  std::string holder;  ///< Name of the process that gives the order.
+  /// Fencing token, at most 53 bits. The engine refuses an order whose token is
+  /// lower than the highest one that it has acted on.
+  std::uint64_t fence = 0;
+  friend auto operator<=>(const RoleChange&, const RoleChange&) = default;
+};
+
 /// Classification of an endpoint's response.
 struct AnswerClass {
   /// Whether the response is to this request and not to another one; always
@@ -150,6 +162,13 @@
   /// where closing the connection cancels it.
   [[nodiscard]] virtual std::optional<OutgoingCall> CancelRun(
       const CancelCommand& command) const = 0;
+  /// Builds a call that orders an engine to change its role. Empty where the
+  /// protocol has no such order.
+  [[nodiscard]] virtual std::optional<OutgoingCall> ChangeRole(
+      const RoleChange& change) const = 0;
+  /// Classifies the response to `ChangeRole`.
+  [[nodiscard]] virtual RoleOrderOutcome ClassifyRoleChange(
+      const ResponseHead& head) const = 0;
   /// Builds a call that fetches cache events.
   /// @param after Number of the last event that was read.
   /// @returns empty where the protocol has no cache events.
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -34,6 +34,11 @@
                   .Help("Sends after the first of a request")
                   .Register(this->registry)
                   .Add({})),
+      role_orders(prometheus::BuildCounter()
+                      .Name("limpethaven_role_orders_total")
+                      .Help("Orders to engines to change their role, by "
+                            "outcome")
+                      .Register(this->registry)),
       tokens(prometheus::BuildCounter()
                  .Name("limpethaven_tokens_produced_total")
                  .Help("Generated tokens that were passed on")
@@ -63,6 +68,10 @@
 
 void Metrics::OnRetry() { this->retries.Increment(); }
 
+void Metrics::OnRoleOrder(const std::string& outcome) {
+  this->role_orders.Add({{"outcome", outcome}}).Increment();
+}
+
 void Metrics::OnTokens(Tokens produced) {
   this->tokens.Increment(static_cast<double>(produced));
 }
@@ -94,6 +103,12 @@
   set("endpoints_said_leaving", static_cast<double>(snapshot.said_leaving));
   set("quarantined_parts", static_cast<double>(snapshot.quarantined_parts));
   set("members", static_cast<double>(snapshot.members));
+  set("role_prefill_engines", static_cast<double>(snapshot.roles.prefill));
+  set("role_decode_engines", static_cast<double>(snapshot.roles.decode));
+  set("role_wanted_prefill_engines",
+      static_cast<double>(snapshot.roles.wanted_prefill));
+  set("role_changing_engines", static_cast<double>(snapshot.roles.changing));
+  set("role_leases", static_cast<double>(snapshot.role_leases));
   set("endpoint_connections_made",
       static_cast<double>(snapshot.connections_made));
   set("dropped_log_lines", static_cast<double>(snapshot.dropped_log_lines));
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -12,6 +12,7 @@
 
 #include "limpethaven/clock.h"
 #include "limpethaven/error.h"
+#include "limpethaven/role_planner.h"
 
 namespace limpethaven {
 
@@ -40,6 +41,10 @@
   std::size_t quarantined_parts = 0;  ///< Parts of prompts that are refused.
   /// Members that serve callers, including this process if it does.
   std::size_t members = 0;
+  /// Engines of the cells whose roles this process balances: by role, the
+  /// wanted number of prefill engines, and those that change their role.
+  RoleSplit roles;
+  std::size_t role_leases = 0;  ///< Cells to which it may send role orders.
   /// Attempts to connect to endpoints since the start.
   std::uint64_t connections_made = 0;
   /// Log lines dropped since the start.
@@ -60,6 +65,9 @@
   void OnFirstEvent(DurationMs elapsed_ms);
   /// Counts a request that is sent to an endpoint again.
   void OnRetry();
+  /// Counts an order to an engine to change its role.
+  /// @param outcome Name of a `RoleOrderOutcome`, or `not_sent`.
+  void OnRoleOrder(const std::string& outcome);
   /// Counts generated tokens that were passed on.
   void OnTokens(Tokens produced);
   /// Counts tokens that a team was charged.
@@ -75,6 +83,7 @@
   prometheus::Family<prometheus::Histogram>& durations;
   prometheus::Histogram& first_event;
   prometheus::Counter& retries;
+  prometheus::Family<prometheus::Counter>& role_orders;
   prometheus::Counter& tokens;
   prometheus::Family<prometheus::Counter>& charged;
   prometheus::Family<prometheus::Gauge>& gauges;
