Cells: choose the prefill engine by outstanding prompts

Cause: the backlog of a prefill engine followed from the times of placement. An engine that became slow kept getting a prompt every 100 ms while others were idle. Prompts of one length also hide the fixed part of the prefill time from the regression, so that engines counted as free before they were.

Change: each engine has a list of the prompts that are not reported done. Engines of about equal cost are compared by the number of these. A backlog counts all of them while the oldest is later than its notice can be, and an engine whose oldest prompt took twice the expected time is used only when the others are no better. A prompt whose notice is lost counts until a renewal shows its first token, its reservation ends, or 5 s have passed.

--- a/src/core/scheduling/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 #include "limpethaven/output_forecast.h"
 
@@ -28,6 +29,23 @@
 /// prefill. A single failure may be due to an expired handle; two in quick
 /// succession indicate a fault.
 constexpr double kKvFetchEjectFailureCount = 1.5;
+/// An outstanding prompt whose notice has not come after this time no longer
+/// counts: the notice is lost.
+constexpr DurationMs kOutstandingTimeoutMs = 5000;
+/// Multiple of the expected prefill time from which an engine is overdue.
+constexpr double kOverdueRatio = 2;
+/// Initial delay of the notice of a finished prefill: entry processes send
+/// notices every 100 ms.
+constexpr double kInitialNoticeDelayMs = 50;
+constexpr double kInitialNoticeDeviationMs = 25;
+/// Longer delays are those of a disturbed process and are not learned.
+constexpr DurationMs kMaxNoticeDelayMs = 500;
+/// Multiple of the mean deviation within which a notice is expected. Delays
+/// are spread evenly over an interval, of which it covers all.
+constexpr double kNoticeDeviations = 2;
+/// Prefill costs that differ by less than this part of the prompt's prefill
+/// time count as equal.
+constexpr double kEqualCostRatio = 0.25;
 /// Added latency of fetching KV memory from another data centre.
 constexpr double kCrossDataCentreFetchMs = 10.0;
 
@@ -43,47 +61,6 @@
 
 }  // namespace
 
-PrefixCacheView::PrefixCacheView(std::size_t max_blocks)
-    : capacity(max_blocks) {}
-
-void PrefixCacheView::Add(std::uint64_t block) {
-  this->Remove(block);
-  this->by_last_added.push_front(block);
-  this->positions.emplace(block, this->by_last_added.begin());
-  if (this->by_last_added.size() <= this->capacity) return;
-  this->positions.erase(this->by_last_added.back());
-  this->by_last_added.pop_back();
-}
-
-void PrefixCacheView::Remove(std::uint64_t block) {
-  const auto position = this->positions.find(block);
-  if (position == this->positions.end()) return;
-  this->by_last_added.erase(position->second);
-  this->positions.erase(position);
-}
-
-std::size_t PrefixCacheView::Match(
-    const std::vector<std::uint64_t>& prefix) const {
-  const auto miss = std::ranges::find_if_not(
-      prefix,
-      [this](std::uint64_t block) { return this->positions.contains(block); });
-  return static_cast<std::size_t>(miss - prefix.begin());
-}
-
-bool EngineRow::CanPrefill() const {
-  return this->spec.role == PoolRole::kPrefill ||
-         this->spec.role == PoolRole::kMixed;
-}
-
-bool EngineRow::CanDecode() const {
-  return this->spec.role == PoolRole::kDecode ||
-         this->spec.role == PoolRole::kMixed;
-}
-
-DurationMs EngineRow::PrefillBacklogMs(TimeMs now) const {
-  return std::max<DurationMs>(0, this->prefill_busy_until - now);
-}
-
 CellEngines::CellEngines(CellSettings cell_settings)
     : kv_fetch_health(KvFetchHealthSettings()),
       settings(cell_settings),
@@ -91,6 +68,8 @@
           static_cast<double>(cell_settings.prefill_latency_ms),
           cell_settings.prefill_ms_per_token, kTypicalPromptTokens,
           kPromptStdDevTokens, kPriorSampleCount),
+      notice_delay_ms(kInitialNoticeDelayMs),
+      notice_deviation_ms(kInitialNoticeDeviationMs),
       decode_tokens_per_ms(cell_settings.decode_tokens_per_ms) {}
 
 void CellEngines::Configure(const std::vector<CellEngine>& engines,
@@ -138,6 +117,9 @@
     engine.usable = engine.configured && !engine.spec.leaving &&
                     this->engine_health.Usable(engine.spec.id, now);
     engine.kv_fetchable = this->kv_fetch_health.Usable(engine.spec.id, now);
+    std::erase_if(engine.outstanding, [now](const OutstandingPrompt& prompt) {
+      return now - prompt.placed_at >= kOutstandingTimeoutMs;
+    });
   });
 }
 
@@ -167,7 +149,7 @@
       static_cast<DurationMs>(local_prefill_ms) + this->IdlePrefillMs(0);
   const bool prefill_in_time =
       choice.prefill != kNoEngine &&
-      this->rows[choice.prefill].PrefillBacklogMs(now) <=
+      this->rows[choice.prefill].PlannedBacklogMs(now) <=
           this->settings.max_prefill_backlog_ms &&
       (choice.first_token_ms <= left_ms ||
        choice.first_token_ms <= local_first_token_ms);
@@ -256,6 +238,45 @@
       static_cast<double>(measured_ms) / engine.prefill_slowdown);
 }
 
+void CellEngines::StartPrefill(EngineRow& engine,
+                               const std::string& reservation,
+                               const EngineChoice& choice, TimeMs now) {
+  engine.prefill_busy_until =
+      std::max(now, engine.prefill_busy_until) + choice.prefill_compute_ms;
+  ++engine.running_prefills;
+  const auto notice_ms = static_cast<DurationMs>(
+      this->notice_delay_ms + kNoticeDeviations * this->notice_deviation_ms);
+  engine.outstanding.push_back(OutstandingPrompt{
+      reservation, choice.prefill_compute_ms, now, now + choice.first_token_ms,
+      now + choice.first_token_ms + notice_ms,
+      now + notice_ms +
+          static_cast<DurationMs>(kOverdueRatio *
+                                  static_cast<double>(choice.first_token_ms))});
+}
+
+void CellEngines::EndPrefill(EngineRow& engine, std::string_view reservation,
+                             DurationMs measured_ms, TimeMs now) {
+  --engine.running_prefills;
+  if (engine.running_prefills == 0) engine.prefill_busy_until = now;
+  const auto prompt = std::ranges::find(engine.outstanding, reservation,
+                                        &OutstandingPrompt::reservation);
+  if (prompt == engine.outstanding.end()) return;
+  const DurationMs delay_ms = now - prompt->placed_at - measured_ms;
+  engine.outstanding.erase(prompt);
+  if (measured_ms <= 0 || delay_ms < 0 || delay_ms > kMaxNoticeDelayMs) return;
+  const double error_ms = static_cast<double>(delay_ms) - this->notice_delay_ms;
+  this->notice_delay_ms += kLearningRate * error_ms;
+  this->notice_deviation_ms +=
+      kLearningRate * (std::abs(error_ms) - this->notice_deviation_ms);
+}
+
+void CellEngines::DropOutstanding(EngineRow& engine,
+                                  std::string_view reservation) {
+  std::erase_if(engine.outstanding, [&](const OutstandingPrompt& prompt) {
+    return prompt.reservation == reservation;
+  });
+}
+
 void CellEngines::LearnDecodeRate(Tokens tokens, DurationMs elapsed_ms) {
   if (elapsed_ms < kMinDecodeSampleMs || tokens <= 0) return;
   const double sample =
@@ -332,21 +353,17 @@
   }
 }
 
-void CellEngines::ChoosePrefill(const PlacementRequest& request, TimeMs now,
-                                EngineChoice& choice) const {
-  const std::string& decode_centre = this->rows[choice.decode].spec.data_centre;
-  double best = std::numeric_limits<double>::max();
-  double second_best = std::numeric_limits<double>::max();
+std::vector<CellEngines::PrefillCandidate> CellEngines::PrefillCandidates(
+    const PlacementRequest& request, const std::string& decode_centre,
+    TimeMs now) const {
+  std::vector<PrefillCandidate> candidates;
+  bool any_in_time = false;
   for (std::size_t index = 0; index < this->rows.size(); ++index) {
     const EngineRow& engine = this->rows[index];
     if (!engine.usable || !engine.CanPrefill() || !engine.kv_fetchable ||
         now < engine.refusing_until) {
       continue;
     }
-    if (!this->settings.allow_local_prefill &&
-        engine.PrefillBacklogMs(now) > this->settings.max_prefill_backlog_ms) {
-      continue;
-    }
     if (IsExcluded(request, engine.spec.id)) continue;
     if (this->engine_limits.WaitMs(engine.spec.id, now) > 0) continue;
     // At least one token of the prompt is always computed.
@@ -354,28 +371,69 @@
         static_cast<Tokens>(engine.cache.Match(request.prefix)) *
             kTokensPerPiece,
         std::max<Tokens>(0, request.prompt_tokens - 1));
-    const double prefill_compute_ms =
+    const double compute_ms =
         this->PrefillComputeMs(engine, request.prompt_tokens - cached);
-    const bool crosses_data_centres = engine.spec.data_centre != decode_centre;
-    const double cost = prefill_compute_ms +
-                        static_cast<double>(engine.PrefillBacklogMs(now)) +
-                        (crosses_data_centres ? kCrossDataCentreFetchMs : 0);
-    if (cost < best) {
-      choice.runner_up = choice.prefill;
-      second_best = best;
-      best = cost;
-      choice.prefill = index;
-      choice.cached_tokens = cached;
-      // The + 1 rounds up, so that a short prompt does not count as 0 ms.
-      choice.prefill_compute_ms =
-          static_cast<DurationMs>(prefill_compute_ms) + 1;
-      choice.first_token_ms =
-          static_cast<DurationMs>(cost) + this->IdlePrefillMs(0);
-    } else if (cost < second_best) {
-      choice.runner_up = index;
-      second_best = cost;
-    }
+    const bool overdue = engine.PrefillOverdue(now);
+    any_in_time = any_in_time || !overdue;
+    const DurationMs planned_ms = engine.PlannedBacklogMs(now);
+    const DurationMs backlog_ms = engine.PrefillBacklogMs(now);
+    const double fetch_ms =
+        engine.spec.data_centre != decode_centre ? kCrossDataCentreFetchMs : 0;
+    PrefillCandidate candidate;
+    candidate.index = index;
+    candidate.cached_tokens = cached;
+    candidate.compute_ms = compute_ms;
+    candidate.cost_ms = compute_ms + static_cast<double>(planned_ms) + fetch_ms;
+    candidate.rank_ms =
+        (overdue ? kOverdueRatio : 1.0) *
+            (compute_ms + static_cast<double>(
+                              std::max(backlog_ms, engine.LastPromptMs(now)))) +
+        fetch_ms;
+    candidate.planned_ms = planned_ms;
+    candidate.backlog_ms = overdue ? backlog_ms : planned_ms;
+    candidate.outstanding = engine.outstanding.size();
+    candidates.push_back(candidate);
   }
+  const auto too_busy = [&](const PrefillCandidate& candidate) {
+    return (any_in_time ? candidate.backlog_ms : candidate.planned_ms) >
+           this->settings.max_prefill_backlog_ms;
+  };
+  if (!this->settings.allow_local_prefill ||
+      !std::ranges::all_of(candidates, too_busy)) {
+    std::erase_if(candidates, too_busy);
+  }
+  return candidates;
+}
+
+void CellEngines::ChoosePrefill(const PlacementRequest& request, TimeMs now,
+                                EngineChoice& choice) const {
+  const std::vector<PrefillCandidate> candidates = this->PrefillCandidates(
+      request, this->rows[choice.decode].spec.data_centre, now);
+  if (candidates.empty()) return;
+  const double lowest_ms =
+      std::ranges::min(candidates, {}, &PrefillCandidate::rank_ms).rank_ms;
+  const double tolerance_ms =
+      kEqualCostRatio * std::max(0.0, this->prefill_ms_by_tokens.Slope()) *
+      static_cast<double>(request.prompt_tokens);
+  const auto rank = [&](const PrefillCandidate& candidate) {
+    const bool equal = candidate.rank_ms <= lowest_ms + tolerance_ms;
+    return std::tuple(!equal, equal ? candidate.outstanding : 0,
+                      candidate.rank_ms);
+  };
+  const auto best = std::ranges::min_element(candidates, {}, rank);
+  choice.prefill = best->index;
+  choice.cached_tokens = best->cached_tokens;
+  // The + 1 rounds up, so that a short prompt does not count as 0 ms.
+  choice.prefill_compute_ms = static_cast<DurationMs>(best->compute_ms) + 1;
+  choice.first_token_ms =
+      static_cast<DurationMs>(best->cost_ms) + this->IdlePrefillMs(0);
+  double second_ms = std::numeric_limits<double>::max();
+  std::ranges::for_each(candidates, [&](const PrefillCandidate& candidate) {
+    if (candidate.index == best->index || candidate.rank_ms >= second_ms)
+      return;
+    second_ms = candidate.rank_ms;
+    choice.runner_up = candidate.index;
+  });
 }
 
 double CellEngines::PrefillComputeMs(const EngineRow& engine,
--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -47,6 +47,18 @@
   TimeMs updated_at = 0;  ///< Time of the last progress; 0 during prefill.
 };
 
+/// A prompt that was placed on a prefill engine and is not reported done.
+struct OutstandingPrompt {
+  std::string reservation;
+  DurationMs compute_ms = 0;  ///< Time for which it occupies the engine.
+  TimeMs placed_at = 0;
+  TimeMs first_token_at = 0;  ///< Expected end of its prefill.
+  TimeMs due_at = 0;          ///< Time by which its notice is expected.
+  /// Time from which the engine counts as overdue: twice the time to the first
+  /// token that was expected at placement has passed, and the notice's delay.
+  TimeMs overdue_at = 0;
+};
+
 /// State of one engine.
 struct EngineRow {
   CellEngine spec;
@@ -67,6 +79,10 @@
   TimeMs refusing_until = 0;  ///< End of the cool-down after a refusal.
   std::int64_t refusals = 0;  ///< Refusals since the last success.
   std::int64_t running_prefills = 0;
+  /// Prompts not reported done, in the order of placement. A prompt whose
+  /// notice is lost is removed when its reservation ends, or by `Refresh` 5 s
+  /// after its placement.
+  std::vector<OutstandingPrompt> outstanding;
   /// Expected end of the prefill work that was placed on it.
   TimeMs prefill_busy_until = 0;
   /// Expected end of the prefill work that it does itself as a decode engine.
@@ -78,8 +94,18 @@
 
   [[nodiscard]] bool CanPrefill() const;
   [[nodiscard]] bool CanDecode() const;
-  /// Expected time until its prefill work is done.
+  /// Expected time until its prefill work is done. While the notice of its
+  /// oldest prompt is late, this is at least the work of all prompts that are
+  /// not reported done.
   [[nodiscard]] DurationMs PrefillBacklogMs(TimeMs now) const;
+  /// The part of the backlog that follows from the times of placement alone.
+  [[nodiscard]] DurationMs PlannedBacklogMs(TimeMs now) const;
+  /// Expected time until its last prompt is done, the fixed part of the prefill
+  /// time included. While that part is not known well, prompts last longer than
+  /// `PlannedBacklogMs` says.
+  [[nodiscard]] DurationMs LastPromptMs(TimeMs now) const;
+  /// Whether its oldest prompt has taken twice as long as expected.
+  [[nodiscard]] bool PrefillOverdue(TimeMs now) const;
 };
 
 inline constexpr std::size_t kNoEngine = static_cast<std::size_t>(-1);
@@ -109,7 +135,8 @@
   [[nodiscard]] EngineRow* Find(std::string_view id);
   [[nodiscard]] std::vector<EngineRow>& Rows() noexcept;
   [[nodiscard]] const std::vector<EngineRow>& Rows() const noexcept;
-  /// Updates `usable` and `kv_fetchable` of each engine.
+  /// Updates `usable` and `kv_fetchable` of each engine, and drops prompts
+  /// whose notices are lost from the outstanding ones.
   void Refresh(TimeMs now);
 
   /// Chooses engines for a request. `decode` is `kNoEngine` if the request must
@@ -151,6 +178,18 @@
   /// @param measured_ms Time from sending the prompt to the engine's answer.
   void LearnPrefill(EngineRow& engine, Tokens uncached, bool queued,
                     DurationMs expected_ms, DurationMs measured_ms);
+  /// Adds a prompt to the work of its prefill engine.
+  void StartPrefill(EngineRow& engine, const std::string& reservation,
+                    const EngineChoice& choice, TimeMs now);
+  /// Removes a prompt from the work of its prefill engine. Must be called once
+  /// for each prompt.
+  /// @param measured_ms Time from sending the prompt to the engine's answer; 0
+  /// if the prompt is not reported done.
+  void EndPrefill(EngineRow& engine, std::string_view reservation,
+                  DurationMs measured_ms, TimeMs now);
+  /// Removes a prompt from the outstanding ones, because something else than
+  /// its notice has shown that it is done.
+  void DropOutstanding(EngineRow& engine, std::string_view reservation);
   /// Updates the decode rate from the progress of a generation, which produced
   /// `tokens` in `elapsed_ms`.
   void LearnDecodeRate(Tokens tokens, DurationMs elapsed_ms);
@@ -173,6 +212,25 @@
                     TimeMs now, EngineChoice& choice) const;
   void ChoosePrefill(const PlacementRequest& request, TimeMs now,
                      EngineChoice& choice) const;
+  /// An engine that may prefill a prompt.
+  struct PrefillCandidate {
+    std::size_t index = kNoEngine;
+    Tokens cached_tokens = 0;
+    double compute_ms = 0;
+    double cost_ms = 0;  ///< Expected time to the end of the prefill.
+    /// The cost by which engines are compared: the engine is free when its last
+    /// prompt is expected to be done.
+    double rank_ms = 0;
+    DurationMs planned_ms = 0;  ///< As of `EngineRow::PlannedBacklogMs`.
+    /// Backlog that keeps the engine from getting the prompt.
+    DurationMs backlog_ms = 0;
+    std::size_t outstanding = 0;
+  };
+  /// The engines that may prefill the prompt now. Overdue ones are among them
+  /// only if there are no others, also none that is too busy at present.
+  [[nodiscard]] std::vector<PrefillCandidate> PrefillCandidates(
+      const PlacementRequest& request, const std::string& decode_centre,
+      TimeMs now) const;
   /// Time in milliseconds for which the prefill of `tokens` occupies an engine.
   [[nodiscard]] double PrefillComputeMs(const EngineRow& engine,
                                         Tokens tokens) const;
@@ -181,7 +239,11 @@
   std::vector<EngineRow> rows;
   std::unordered_map<std::string, std::size_t> index_of;
   OnlineRegression prefill_ms_by_tokens;  ///< Prefill time at an idle engine.
-  double decode_tokens_per_ms;            ///< Decode rate of one generation.
+  /// Time between the end of a prefill and its notice: moving averages of the
+  /// mean and of the absolute deviation.
+  double notice_delay_ms;
+  double notice_deviation_ms;
+  double decode_tokens_per_ms;  ///< Decode rate of one generation.
 };
 
 }  // namespace limpethaven
--- a/src/core/scheduling/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -322,10 +322,7 @@
       this->engines.engine_health.OnChosen(prefill_engine.spec.id, now);
       this->engines.engine_limits.OnSend(prefill_engine.spec.id, now);
       this->engines.kv_fetch_health.OnChosen(prefill_engine.spec.id, now);
-      prefill_engine.prefill_busy_until =
-          std::max(now, prefill_engine.prefill_busy_until) +
-          choice.prefill_compute_ms;
-      ++prefill_engine.running_prefills;
+      this->engines.StartPrefill(prefill_engine, id, choice, now);
       std::ranges::for_each(request.prefix,
                             [&prefill_engine](std::uint64_t block) {
                               prefill_engine.cache.Add(block);
@@ -358,7 +355,7 @@
     if (current != this->reservation_of.end() && current->second == id) {
       this->reservation_of.erase(current);
     }
-    this->EndPrefill(row, now);
+    this->EndPrefill(found->first, row, 0, now);
     this->ended.insert(found->first);
     this->ended_by_time.push_back(TimedReservation{now, found->first});
     this->reservations.erase(found);
@@ -367,13 +364,14 @@
 
   /// Removes a reservation from the running prefills of its prefill engine, if
   /// it still counts among them.
-  void EndPrefill(ReservationRow& row, TimeMs now) {
+  /// @param measured_ms As in `CellEngines::EndPrefill`.
+  void EndPrefill(std::string_view id, ReservationRow& row,
+                  DurationMs measured_ms, TimeMs now) {
     if (!row.prefilling) return;
     row.prefilling = false;
     EngineRow* engine = this->engines.Find(row.prefill);
     if (engine == nullptr) return;
-    --engine->running_prefills;
-    if (engine->running_prefills == 0) engine->prefill_busy_until = now;
+    this->engines.EndPrefill(*engine, id, measured_ms, now);
   }
 
   /// Starts to send cancels of an attempt to the engine, also for an attempt
@@ -528,6 +526,13 @@
                     Generation{renewal.prompt_tokens, renewal.expected,
                                renewal.max_tokens, 0, 0});
     }
+    if (renewal.produced > 0 && row != state.reservations.end()) {
+      // The notice of its finished prefill may be lost.
+      EngineRow* prefill = state.engines.Find(row->second.prefill);
+      if (prefill != nullptr) {
+        state.engines.DropOutstanding(*prefill, renewal.reservation);
+      }
+    }
     if (engine == nullptr || renewal.produced <= 0) return;
     const auto held = engine->generations.find(renewal.reservation);
     if (held == engine->generations.end()) return;
@@ -554,7 +559,7 @@
     state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
                                row.expected_first_token_ms, measured_ms);
   }
-  state.EndPrefill(row, now);
+  state.EndPrefill(found->first, row, measured_ms, now);
 }
 
 void CellScheduler::Finish(std::string_view reservation, Tokens produced,
