Net: bound the bytes of request bodies that a process holds

The server now counts announced and received body bytes of all open requests and refuses a request beyond the limit with 503 before it has read the body.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -18,6 +18,8 @@
 constexpr DurationMs kAcceptRetryDelayMs = 20;
 /// Longest time to send an error response.
 constexpr DurationMs kErrorWriteTimeoutMs = 1000;
+/// Retry-After, in seconds, of a request whose body cannot be held now.
+constexpr const char* kBodyRetryAfterS = "1";
 
 int StatusOf(ParseFault fault, bool timed_out) {
   if (timed_out) return 408;
@@ -34,6 +36,31 @@
   return 400;
 }
 
+/// Bytes of one request's body, counted in the server's total until the request
+/// ends.
+class BodyReservation {
+ public:
+  explicit BodyReservation(std::size_t& total_bytes) : total(total_bytes) {}
+  ~BodyReservation() { this->total -= this->reserved; }
+  BodyReservation(const BodyReservation&) = delete;
+  BodyReservation& operator=(const BodyReservation&) = delete;
+
+  /// Raises the reservation to `bytes`. @returns false when the total would
+  /// exceed `limit`; nothing is reserved then. A limit of 0 is none.
+  [[nodiscard]] bool Raise(std::size_t bytes, std::size_t limit) {
+    if (bytes <= this->reserved) return true;
+    const std::size_t more = bytes - this->reserved;
+    if (limit > 0 && this->total + more > limit) return false;
+    this->total += more;
+    this->reserved = bytes;
+    return true;
+  }
+
+ private:
+  std::size_t& total;
+  std::size_t reserved = 0;
+};
+
 }  // namespace
 
 ServerExchange::ServerExchange(ConnectionPtr caller_connection,
@@ -214,12 +241,28 @@
   accepted.busy = true;
   TimeMs deadline = LoopNow() + this->limits.header_timeout_ms;
   bool continue_sent = false;
+  BodyReservation reservation(this->held_body_bytes);
+  std::size_t body_bytes = 0;  // Announced, or received where chunked.
   while (!parser.Done()) {
-    connection.Consume(parser.Put(connection.Input()));
+    const bool in_body = parser.HeadDone();
+    const std::size_t consumed = parser.Put(connection.Input());
+    connection.Consume(consumed);
     if (parser.Fault() != ParseFault::kNone) {
       co_await this->RejectRequest(connection, parser.Fault(), false);
       co_return false;
     }
+    if (parser.HeadDone()) {
+      const std::int64_t announced =
+          parser.Request().headers.GetInt("Content-Length").value_or(0);
+      if (in_body) body_bytes += consumed;
+      const bool fits = reservation.Raise(
+          std::max(body_bytes, static_cast<std::size_t>(announced)),
+          this->limits.total_body_bytes);
+      if (!fits) {
+        co_await this->RefuseBody(connection);
+        co_return false;
+      }
+    }
     if (parser.Done()) break;
     if (parser.HeadDone()) {
       const Headers& headers = parser.Request().headers;
@@ -264,6 +307,13 @@
   co_return exchange.KeepAlive() && !connection.Closed();
 }
 
+Task<> HttpServer::RefuseBody(Connection& connection) {
+  ResponseHead head{503, {}, false};
+  head.headers.Add("Retry-After", kBodyRetryAfterS);
+  co_await connection.Write(WriteResponse(head, {}),
+                            LoopNow() + kErrorWriteTimeoutMs);
+}
+
 Task<> HttpServer::RejectRequest(Connection& connection, ParseFault fault,
                                  bool timed_out) {
   if (fault == ParseFault::kTruncated) co_return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -22,6 +22,10 @@
   DurationMs header_timeout_ms = 5000;
   /// Time after which an idle keep-alive connection is closed.
   DurationMs idle_timeout_ms = 30'000;
+  /// Most bytes of request bodies that the server holds at once, each from its
+  /// announcement to the end of the response; 0: no limit. A request beyond it
+  /// is refused with 503.
+  std::size_t total_body_bytes = 0;
   friend auto operator<=>(const ServerLimits&, const ServerLimits&) = default;
 };
 
@@ -156,6 +160,8 @@
   /// Sends an error response to a request that could not be read.
   Task<> RejectRequest(Connection& connection, ParseFault fault,
                        bool timed_out);
+  /// Refuses a request whose body exceeds what the server may hold.
+  Task<> RefuseBody(Connection& connection);
 
   Loop& loop;
   asio::ip::tcp::acceptor acceptor;
@@ -165,6 +171,7 @@
   ServerLimits limits;
   std::unordered_set<ServerConnectionPtr> connections;
   std::size_t open_requests = 0;
+  std::size_t held_body_bytes = 0;  ///< Of `ServerLimits::total_body_bytes`.
   bool draining = false;
 };
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -226,7 +226,8 @@
   this->caller_server.SetLimits(ServerLimits{
       MessageLimits{static_cast<std::uint32_t>(limits.max_header_bytes),
                     static_cast<std::uint64_t>(limits.max_body_bytes)},
-      limits.header_timeout_ms, limits.idle_timeout_ms});
+      limits.header_timeout_ms, limits.idle_timeout_ms,
+      this->settings.total_body_bytes});
   this->shares.Configure(*config);
   this->router.SetConfig(config);
   if (this->settings.abort_withdrawn_keys) {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -68,6 +68,8 @@
   /// Longest time that a request waits for its team's tokens before it is
   /// refused.
   DurationMs token_wait_ms = 0;
+  /// Most bytes of callers' request bodies held at once; 0: no limit.
+  std::size_t total_body_bytes = 0;
   RouterSettings router;
   CellSettings cells;
   std::size_t cell_size = 64;  ///< Greatest number of engines in one cell.
--- a/tests/http_wire_test.cc
+++ b/tests/http_wire_test.cc
@@ -233,6 +233,61 @@
   REQUIRE(StartsWith(body, "HTTP/1.1 413 "));
 }
 
+TEST_CASE("wire: bodies beyond the memory for them are refused unread") {
+  // Guards against a process that holds the bodies of many requests at once and
+  // exceeds its memory.
+  ServerFixture fixture;
+  ServerLimits limits;
+  limits.message.body_bytes = 2048;
+  limits.header_timeout_ms = 1000;
+  limits.idle_timeout_ms = 1000;
+  limits.total_body_bytes = 1500;
+  fixture.server.SetLimits(limits);
+  std::string slow;
+  std::string refused;
+  std::string chunked;
+  const auto send = [&fixture](std::string text, std::string& received) {
+    return [&fixture, &received, text = std::move(text)]() -> Task<> {
+      std::string address = kServerAddress;
+      const ConnectionPtr peer = co_await Connection::Dial(
+          fixture.loop, std::move(address), LoopNow() + kTestTimeoutMs);
+      std::string bytes = text;
+      co_await peer->Write(std::move(bytes), LoopNow() + kTestTimeoutMs);
+      while (peer->State() == InputState::kOpen) {
+        const std::size_t buffered_bytes = peer->Input().size();
+        co_await peer->WaitInput(buffered_bytes, LoopNow() + kTestTimeoutMs);
+      }
+      received = std::string(peer->Input());
+      peer->Close();
+    };
+  };
+  const bool done = fixture.Run([&]() -> Task<> {
+    // Announces 1,000 bytes and sends none of them until the timeout.
+    Spawn(fixture.loop,
+          send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n",
+               slow));
+    co_await SleepFor(fixture.loop, kPartIntervalMs);
+    co_await send("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 600\r\n\r\n",
+                  refused)();
+    co_await send(
+        "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n258\r\n" +
+            std::string(600, 'x') + "\r\n0\r\n\r\n",
+        chunked)();
+    co_await SleepFor(fixture.loop, 1500);
+  });
+  REQUIRE(done);
+  REQUIRE(StartsWith(refused, "HTTP/1.1 503 "));
+  REQUIRE(refused.find("Retry-After: 1") != std::string::npos);
+  REQUIRE(StartsWith(chunked, "HTTP/1.1 503 "));
+  REQUIRE(StartsWith(slow, "HTTP/1.1 408 "));
+  // The memory is free again.
+  const std::string served =
+      fixture.SendRaw({Post("/d", std::string(1400, 'x'))},
+                      [](std::string_view input) { return !input.empty(); });
+  REQUIRE(StartsWith(served, "HTTP/1.1 200 "));
+}
+
 TEST_CASE("wire: server closes the connection after ambiguous framing") {
   ServerFixture fixture;
   const std::string received = fixture.SendUntilClosed(
