Sources: pause, resume, and the shorter watches of a reader

A process that follows readers must stop its own calls, and a reader must be able to say how old its state is.

Source gets Pause, Resume, SetReader and Progress. A paused source continues from the revision that it had reached, over a new connection: a list read after a pause would count as incomplete or as complete without reason, and a connection kept idle may have fallen silent. A reader's watch waits 800 ms and ends when the state is 900 ms old; one that is 200 ms late is taken to hang. The age counts from the time at which the watch must have ended at the source, so that a slow connection makes it older.

--- a/src/entry/native_source.cc
+++ b/src/entry/native_source.cc
@@ -18,6 +18,8 @@
 /// Time that the response to a long poll may take beyond that.
 constexpr DurationMs kLongPollMarginMs = 2000;
 constexpr DurationMs kRetryDelayMs = 500;
+/// A paused source is resumed by a notification; it looks this often as well.
+constexpr DurationMs kPausedPollMs = 1000;
 constexpr DurationMs kVmListPeriodMs = 1000;
 constexpr std::size_t kMaxIdleConnectionCount = 4;
 /// Number of concurrent calls up to which an endpoint is chosen before others.
@@ -52,7 +54,8 @@
 NativeSource::NativeSource(Loop& event_loop, std::string platform_address)
     : loop(event_loop),
       address(std::move(platform_address)),
-      pool(event_loop, kMaxIdleConnectionCount) {}
+      pool(event_loop, kMaxIdleConnectionCount),
+      resumed(event_loop) {}
 
 void NativeSource::Start(SourceListener& source_listener) {
   this->listener = &source_listener;
@@ -60,23 +63,54 @@
   Spawn(this->loop, [this]() -> Task<> { co_await this->PollVmList(); });
 }
 
+void NativeSource::Pause() { this->paused = true; }
+
+void NativeSource::Resume() {
+  if (!this->paused) return;
+  this->paused = false;
+  // The connections may have fallen silent while nothing was sent on them.
+  this->pool.CloseIdle(this->address);
+  this->resumed.Notify();
+}
+
+void NativeSource::SetReader(bool reader) { this->is_reader = reader; }
+
+SourceProgress NativeSource::Progress() const {
+  return SourceProgress{
+      this->complete_at, {0, this->follower.Snapshot()->version}, this->calls};
+}
+
 Task<> NativeSource::WatchHead() {
   bool reachable = false;
   for (;;) {
-    const DurationMs wait_ms = reachable ? kLongPollMs : 0;
+    while (this->paused) {
+      co_await this->resumed.WaitUntil(LoopNow() + kPausedPollMs);
+    }
+    const TimeMs started_at = LoopNow();
+    DurationMs wait_ms = reachable ? kLongPollMs : 0;
+    DurationMs margin_ms = kLongPollMarginMs;
+    if (this->is_reader && reachable) {
+      wait_ms = this->reader_settings.NextWaitMs(this->complete_at, started_at);
+      margin_ms = this->reader_settings.grace_ms;
+    }
+    ++this->calls;
     const std::uint64_t known_version = this->follower.Snapshot()->version;
     int status = 0;
     const Result<std::string> text = co_await this->Get(
         "/v1/watch/head?after=" + std::to_string(known_version) +
             "&wait_ms=" + std::to_string(wait_ms),
-        wait_ms + kLongPollMarginMs, status);
+        wait_ms + margin_ms, status);
     reachable = text.has_value();
     this->listener->OnSourceReachable(reachable);
     if (!reachable) {
       co_await SleepFor(this->loop, kRetryDelayMs);
       continue;
     }
-    if (status == kNoContentStatus) continue;
+    if (status == kNoContentStatus) {
+      this->complete_at =
+          WatchCompleteAt(false, started_at, wait_ms, LoopNow());
+      continue;
+    }
     const Result<ConfigHead> head = DecodeHead(text.value());
     if (!head) {
       this->listener->OnUnreadable("", head.error());
@@ -86,6 +120,7 @@
     const Result<void> adopted = co_await this->Adopt(head.value());
     if (adopted) {
       this->NotifyListener();
+      this->complete_at = started_at;
     } else {
       this->listener->OnUnreadable("", adopted.error());
       co_await SleepFor(this->loop, kRetryDelayMs);
--- a/src/entry/native_source.h
+++ b/src/entry/native_source.h
@@ -3,11 +3,14 @@
 /// polls the list of VMs.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "limpethaven/config_follower.h"
 #include "net/http_client.h"
+#include "net/notifier.h"
 #include "node/source.h"
 
 namespace limpethaven {
@@ -19,6 +22,11 @@
   NativeSource(Loop& event_loop, std::string platform_address);
 
   void Start(SourceListener& source_listener) override;
+  /// The list of VMs is still polled: readers do not pass it on.
+  void Pause() override;
+  void Resume() override;
+  void SetReader(bool reader) override;
+  [[nodiscard]] SourceProgress Progress() const override;
 
  private:
   /// Watches the head of the configuration by long polls and applies each new
@@ -43,6 +51,12 @@
   SourceListener* listener = nullptr;  ///< Set by `Start`.
   ConnectionPool pool;
   ConfigFollower follower;
+  Notifier resumed;  ///< Notified by `Resume`.
+  bool paused = false;
+  bool is_reader = false;
+  ReaderWatchSettings reader_settings;
+  std::optional<TimeMs> complete_at;  ///< See `SourceProgress`.
+  std::uint64_t calls = 0;            ///< For the configuration.
 };
 
 /// Builds a record of the endpoint table for each endpoint that a configuration
--- a/src/node/source.h
+++ b/src/node/source.h
@@ -43,12 +43,59 @@
   virtual void OnUnreadable(const std::string& what, const Error& why) = 0;
 };
 
+/// Watches of a source whose process informs peers. They are short, so that the
+/// state of the process is at most about 1,000 ms old.
+struct ReaderWatchSettings {
+  /// Longest time for which the source holds a watch without a change.
+  DurationMs wait_ms = 800;
+  /// A watch that brings no answer within this time after its end is taken to
+  /// hang.
+  DurationMs grace_ms = 200;
+  /// Age of the state at which a watch ends at the latest. It leaves 100 ms for
+  /// round trips.
+  DurationMs renew_age_ms = 900;
+  /// Pause between two watches, so that one answer has several changes.
+  DurationMs batch_ms = 150;
+
+  /// Time for which the next watch waits.
+  /// @param complete_at See `SourceProgress`.
+  [[nodiscard]] DurationMs NextWaitMs(std::optional<TimeMs> complete_at,
+                                      TimeMs now) const;
+};
+
+/// Latest time up to which an answered watch is known to have reported all
+/// changes, see `SourceProgress`. The answer may have been delayed on its way.
+/// @param changed Whether the answer has changes, so that the source may have
+/// sent it at any time after the call.
+/// @param wait_ms Time for which the source was asked to hold the watch.
+[[nodiscard]] TimeMs WatchCompleteAt(bool changed, TimeMs started_at,
+                                     DurationMs wait_ms, TimeMs now);
+
+/// How far a source has been followed.
+struct SourceProgress {
+  /// Every change that the source had at this time has been reported to the
+  /// listener; empty when nothing has been read yet.
+  std::optional<TimeMs> complete_at;
+  /// Revision of the source up to which endpoints have been reported.
+  SourceRevision as_of;
+  std::uint64_t calls = 0;  ///< Calls to the source since the start.
+};
+
 /// Reads a source and watches it for changes; runs on the event loop once
 /// started.
 class Source {
  public:
   virtual ~Source() = default;
   virtual void Start(SourceListener& listener) = 0;
+  /// Stops to call the source for configuration and endpoints. A call that is
+  /// under way ends as usual, and what it brings is reported.
+  virtual void Pause() {}
+  /// Continues after `Pause` with the changes that were made meanwhile, over a
+  /// new connection. Does nothing unless paused.
+  virtual void Resume() {}
+  /// Sets whether the watches are those of a reader, from the next one on.
+  virtual void SetReader(bool reader) { static_cast<void>(reader); }
+  [[nodiscard]] virtual SourceProgress Progress() const { return {}; }
 };
 
 }  // namespace limpethaven
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -160,6 +160,60 @@
       kContactMs));
 }
 
+TEST_CASE("platform: a paused source brings all changes when it is resumed") {
+  FollowedStore followed(
+      "127.93.0.6:18194",
+      platform::StoreSettings{.batch_ms = 50, .max_silence_ms = 500});
+  followed.source.Pause();
+  followed.loop.run_for(std::chrono::milliseconds(700));
+  const std::size_t calls = followed.store.CallsWith("kv-").size();
+  followed.store.Put("op/config", ConfigItem(2));
+  followed.store.Delete("servers/e1");
+  followed.loop.run_for(std::chrono::milliseconds(700));
+  CHECK(followed.store.CallsWith("kv-").size() == calls);
+  CHECK(followed.listener.version == 1);
+  followed.source.Resume();
+  CHECK(followed.RunUntil(
+      [&] {
+        return followed.listener.version == 2 &&
+               followed.listener.usable == std::set<std::string>{"e2"};
+      },
+      400));
+  // A list after a pause would count as incomplete, so that what it lacks would
+  // stay in use.
+  CHECK(followed.listener.lists == 1);
+}
+
+TEST_CASE("platform: the state of a reader of the store becomes stale") {
+  FollowedStore followed("127.93.0.7:18194");
+  followed.source.SetReader(true);
+  // The longer watches that wait now have ended by then.
+  followed.loop.run_for(std::chrono::milliseconds(2600));
+  const auto age_ms = [&] {
+    const auto complete_at = followed.source.Progress().complete_at;
+    return complete_at ? LoopNow() - *complete_at : DurationMs{1'000'000};
+  };
+  REQUIRE(followed.RunUntil([&] { return age_ms() < 200; }, kContactMs));
+  const std::size_t calls_before = followed.store.CallsWith("kv-").size();
+  const auto stale = [&] { return age_ms() > 1200; };
+  CHECK_FALSE(followed.RunUntil(stale, 4000));
+  const std::size_t calls =
+      followed.store.CallsWith("kv-").size() - calls_before;
+  CHECK(calls <= 12);
+  // Changes at any time within a watch, each followed by the pause after it.
+  for (int count = 0; count < 8; ++count) {
+    followed.store.Put("servers/e1", EndpointItem("127.0.0.1:9", "ready", 1));
+    CHECK_FALSE(followed.RunUntil(stale, 370));
+  }
+  // A watch that is lost is found before its state is stale, and a store that
+  // is silent makes it stale.
+  followed.store.SetWatchesSilent(true);
+  followed.store.SetWatchesSilent(false);
+  CHECK_FALSE(followed.RunUntil(stale, 3000));
+  followed.store.SetSilent(true);
+  CHECK(followed.RunUntil(stale, 1300));
+}
+
 TEST_CASE("reported: an odd item among the endpoints ends or stops a process") {
   const std::string ready = EndpointItem("127.0.0.1:9", "ready", 1);
   const auto with = [&ready](std::string_view field, std::string_view text) {
