Node: peers watch the published state of a process

Answers name the age of the state, the time for which the watch was held and the revision reached. Malformed messages are refused and tested with mutated bytes.

--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -24,6 +24,8 @@
 #include "limpethaven/order_planner.h"
 #include "limpethaven/prompt.h"
 #include "limpethaven/prompt_quarantine.h"
+#include "limpethaven/reader_freshness.h"
+#include "limpethaven/reader_role.h"
 #include "limpethaven/rendezvous.h"
 #include "limpethaven/request_pacer.h"
 #include "limpethaven/resume_token.h"
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -206,8 +206,9 @@
   // The source may have been unreachable from this process only. Peers that
   // followed it without interruption have applied the removals that this
   // process has missed.
+  const bool source_lost = !this->reachable && !this->informed_by_peers;
   const bool needs_peer =
-      !this->reachable || !this->Complete() || this->table.Retaining();
+      source_lost || !this->Complete() || this->table.Retaining();
   if (!needs_peer || this->pulling || now < this->next_pull_at) return;
   std::vector<std::string> peers = this->gossip.Members().UsableAddresses();
   std::erase(peers, this->gossip.Members().Self().address);
@@ -276,6 +277,11 @@
         "malformed state request: expected an unsigned integer in version and "
         "a revision");
   }
+  co_return this->StateAfter(version, revision).dump();
+}
+
+json PublishedState::StateAfter(std::uint64_t version,
+                                const SourceRevision& revision) const {
   json answer = {{"version", this->config->version},
                  {"digest", this->config->digest},
                  {"known", this->endpoints_known},
@@ -286,7 +292,22 @@
   const EndpointTable::Changes changes = this->table.ChangesAfter(revision);
   answer["announced"] = changes.announced;
   answer["gone"] = changes.gone;
-  co_return answer.dump();
+  return answer;
+}
+
+bool PublishedState::HasAfter(std::uint64_t version,
+                              const SourceRevision& revision) const {
+  if (this->config->version > version) return true;
+  const EndpointTable::Changes changes = this->table.ChangesAfter(revision);
+  return !changes.announced.empty() || !changes.gone.empty();
+}
+
+SourceRevision PublishedState::Revision() const {
+  return this->table.Revision();
+}
+
+void PublishedState::SetInformedByPeers(bool informed) {
+  this->informed_by_peers = informed;
 }
 
 void PublishedState::StartPull(const std::string& peer) {
@@ -302,18 +323,19 @@
       co_await this->link.Call(peer, std::string(kStatePath), request.dump(),
                                LoopNow() + kPullTimeoutMs);
   this->pulling = false;
-  if (answer) this->ApplyPeerState(answer.value(), peer);
+  if (answer) static_cast<void>(this->ApplyPeerState(answer.value(), peer));
 }
 
-void PublishedState::ApplyPeerState(const std::string& body,
+bool PublishedState::ApplyPeerState(const std::string& body,
                                     const std::string& from) {
   try {
     const json answer = json::parse(body);
+    bool valid = true;
     if (answer.contains("entities")) {
       Configuration next;
       const auto entities =
           DecodeEntityList(answer.at("entities").get<std::string>());
-      bool valid = entities.has_value();
+      valid = entities.has_value();
       if (valid) {
         valid = std::ranges::all_of(
             entities.value(), [&next](const Entity& entity) {
@@ -350,9 +372,11 @@
     this->AdvanceTo(answer.contains("revision")
                         ? answer.at("revision").get<SourceRevision>()
                         : HighestRevision(announced, gone));
+    return valid;
   } catch (const json::exception& fault) {
     this->OnUnreadable("state from peer " + from,
                        Error::Of(ErrorKind::kConfigInvalid, fault.what()));
+    return false;
   }
 }
 
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,9 @@
 
 namespace limpethaven {
 
+void to_json(nlohmann::json& out, const SourceRevision& revision);
+void from_json(const nlohmann::json& in, SourceRevision& revision);
+
 /// Receives changes of the published state.
 class StateListener {
  public:
@@ -71,6 +75,19 @@
   /// @returns whether any of them is news.
   bool MarkLeaving(const std::vector<LeavingEndpoint>& leaving,
                    const std::string& from);
+  /// Encodes what a peer lacks: the configuration, if it is newer than
+  /// `version`, and the changes of endpoints after `revision`.
+  [[nodiscard]] nlohmann::json StateAfter(std::uint64_t version,
+                                          const SourceRevision& revision) const;
+  /// Whether `StateAfter` has anything that is newer.
+  [[nodiscard]] bool HasAfter(std::uint64_t version,
+                              const SourceRevision& revision) const;
+  /// Applies the state that a peer has sent, in the form of `StateAfter`.
+  /// @returns false when any of it is malformed.
+  bool ApplyPeerState(const std::string& body, const std::string& from);
+  /// Sets whether peers inform this process in place of its source. While they
+  /// do, it does not matter whether the source answers.
+  void SetInformedByPeers(bool informed);
   /// Expires retained endpoints. Pulls state from a peer while the source
   /// cannot be reached, state is missing, the source's watch hangs, or
   /// endpoints missing from the source's list are retained. Call it
@@ -83,6 +100,8 @@
   /// Whether both a configuration and a list of endpoints have been received.
   [[nodiscard]] bool Complete() const noexcept;
   [[nodiscard]] bool SourceReachable() const noexcept;
+  /// Revision up to which no update of an endpoint is missing.
+  [[nodiscard]] SourceRevision Revision() const;
 
  private:
   void Adopt(const Configuration& next, const std::string& from);
@@ -101,7 +120,6 @@
   void StartPull(const std::string& peer);
   /// Requests the changes that a peer has and applies them.
   Task<> Pull(std::string peer);
-  void ApplyPeerState(const std::string& body, const std::string& from);
 
   PeerLink& link;
   const Gossip& gossip;
@@ -112,6 +130,7 @@
   bool reachable = false;
   bool reachability_reported = false;
   TimeMs unreachable_since = 0;
+  bool informed_by_peers = false;
   bool pulling = false;
   TimeMs next_pull_at = 0;
   /// Peer that reported a newer endpoints revision; empty: none.
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -12,6 +12,7 @@
 #include "limpethaven/error.h"
 #include "limpethaven/membership.h"
 #include "net/http_parser.h"
+#include "node/state_watch.h"
 #include "peer/cell_messages.h"
 #include "platform/dialect.h"
 #include "platform/settings.h"
@@ -173,6 +174,25 @@
                      HmacSha256("s", text).substr(0, kTagBytes);
                  static_cast<void>(DecodeGossip("s", tag + text));
                });
+  const std::string watch = EncodeWatchRequest(
+      StateWatchRequest{KnownState{7, SourceRevision{2, 41}}, 500, 9});
+  CheckDecoder("state watch", watch, [](const std::string& text) {
+    const auto request = DecodeWatchRequest(text);
+    if (!request) return;
+    REQUIRE(request.value().wait_ms >= 0);
+    REQUIRE(request.value().wait_ms <= kMaxStateWatchMs);
+  });
+  CheckDecoder(
+      "state watch answer",
+      R"({"version":7,"digest":"d","known":true,"revision":[2,41],"gone":[],
+      "announced":[],"as_of":[2,44],"state":3,"waited_ms":120,
+      "source_age_ms":340})",
+      [](const std::string& text) {
+        const auto answer = DecodeWatchAnswer(text);
+        if (!answer) return;
+        REQUIRE(answer.value().waited_ms >= 0);
+        REQUIRE(answer.value().source_age_ms.value_or(0) >= 0);
+      });
   // The exchange catches the JSON library's exceptions, and no others.
   CellPlacementRequest placement;
   placement.cell = "m/0";
