Node: follow readers of the source in large fleets

With 136 processes, two watches each made 142 calls per second to the store. NodeSettings::source_readers and min_members_for_readers let a process that is no reader pause its source while a reader is fresh; both are off by default. The platform's settings set 2 and 100 where drain_ms is at least 3,000, since a process needs 2,100 ms and a read to do without its readers.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -66,6 +66,11 @@
       state(this->link, this->gossip, this->table, *this,
             PublishedState::kMissingRetentionMs,
             this->settings.peer_staleness_ms),
+      state_watch(this->link, this->state),
+      source_follower(
+          this->link, this->gossip, this->state, this->settings.data_centre,
+          ReaderRoleSettings{this->settings.source_readers,
+                             this->settings.min_members_for_readers}),
       router(
           RouterParts{event_loop, *this->dialects.callers,
                       *this->dialects.endpoints, this->pool, this->table,
@@ -146,6 +151,8 @@
   if (!this->link.Start()) return CannotListen(peers);
   if (!this->gossip.Start(this->settings.seeds)) return CannotListen(peers);
   source.Start(this->state);
+  this->state_watch.SetSource(source);
+  this->source_follower.SetSource(source);
   this->watcher.Start();
   SpawnService(this->loop, [this]() -> Task<> { co_await this->Tick(); });
   return Success();
@@ -207,7 +214,10 @@
   }
 }
 
-void EntryNode::OnPause() { LogEvent(EventId::kPauseDetected, {}); }
+void EntryNode::OnPause() {
+  LogEvent(EventId::kPauseDetected, {});
+  this->source_follower.OnPause(LoopNow());
+}
 
 void EntryNode::OnListedVms(const std::vector<ListedVm>& vms) {
   this->gossip.SetListed(vms);
@@ -227,12 +237,14 @@
   }
   this->ConfigureCells();
   this->gossip.SetConfig(config->version, config->digest);
+  this->state_watch.NotifyChange();
   this->UpdateReadiness();
 }
 
 void EntryNode::OnEndpoints() {
   this->endpoints_updated_at = LoopNow();
   this->gossip.SetEndpointsRevision(this->table.Revision());
+  this->state_watch.NotifyChange();
   // Endpoint updates arrive in batches: the cells are built once for the whole
   // batch, after the event loop has applied it.
   if (this->cells_stale) return;
@@ -287,6 +299,7 @@
     this->pool.CloseExpired(now);
     this->link.Tick(now);
     this->state.Tick();
+    this->source_follower.Tick(now);
     this->shares.Tick();
     this->cells.Tick(now);
     this->UpdateReadiness();
@@ -405,6 +418,10 @@
   snapshot.members = this->gossip.Members().ServingMembers().size();
   snapshot.connections_made = this->pool.DialCount();
   snapshot.dropped_log_lines = DroppedLogLines();
+  snapshot.source_calls = this->source_follower.SourceCalls();
+  snapshot.reads_source = this->source_follower.ReadsSource();
+  snapshot.source_reader = this->source_follower.IsReader();
+  snapshot.state_age_ms = this->source_follower.StateAgeMs(now);
   this->metrics.SetGauges(snapshot);
   return this->metrics.Text();
 }
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -13,6 +13,8 @@
 #include "node/admin_api.h"
 #include "node/engine_watcher.h"
 #include "node/published_state.h"
+#include "node/source_follower.h"
+#include "node/state_watch.h"
 #include "peer/cell_exchange.h"
 #include "peer/gossip.h"
 #include "peer/peer_link.h"
@@ -64,6 +66,11 @@
   DurationMs peer_staleness_ms = 700;
   /// See `EndpointTable`.
   DurationMs restored_grace_ms = EndpointTable::kRestoredGraceMs;
+  /// Processes in each data centre that read the source for the others; 0:
+  /// every process reads it.
+  std::int64_t source_readers = 0;
+  /// Serving members from which on `source_readers` is in force.
+  std::int64_t min_members_for_readers = 0;
   /// Longest time that a request waits for its team's tokens before it is
   /// refused.
   DurationMs token_wait_ms = 0;
@@ -196,6 +203,8 @@
   ShareExchange shares;
   CellExchange cells;
   PublishedState state;
+  StateWatch state_watch;
+  SourceFollower source_follower;
   Router router;
   EngineWatcher watcher;
   AdminApi admin_api;
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -97,6 +97,13 @@
   set("endpoint_connections_made",
       static_cast<double>(snapshot.connections_made));
   set("dropped_log_lines", static_cast<double>(snapshot.dropped_log_lines));
+  set("source_calls", static_cast<double>(snapshot.source_calls));
+  set("source_read", snapshot.reads_source ? 1 : 0);
+  set("source_reader", snapshot.source_reader ? 1 : 0);
+  set("state_age_seconds",
+      snapshot.state_age_ms < 0
+          ? -1
+          : static_cast<double>(snapshot.state_age_ms) / kMsPerS);
 }
 
 std::string Metrics::Text() const {
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -44,6 +44,14 @@
   std::uint64_t connections_made = 0;
   /// Log lines dropped since the start.
   std::uint64_t dropped_log_lines = 0;
+  /// Calls to the source of the configuration and endpoints since the start.
+  std::uint64_t source_calls = 0;
+  /// Whether this process reads the source, for itself or for others.
+  bool reads_source = true;
+  /// Whether peers may follow the source through this process.
+  bool source_reader = false;
+  /// Age of the known configuration and endpoints; -1: unknown.
+  DurationMs state_age_ms = -1;
 };
 
 /// Metrics of one process.
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -66,6 +66,31 @@
   REQUIRE_FALSE(ParseSettings("[]"));
 }
 
+TEST_CASE("platform settings: readers of the store fit the bounds") {
+  json settings = GoodSettings();
+  // Guards against readers where a change must be in force sooner than a
+  // process can find out that it has lost them.
+  REQUIRE(ParseSettings(settings.dump()).value().node.source_readers == 0);
+  settings["limpethaven"]["source_readers"] = 2;
+  REQUIRE_FALSE(ParseSettings(settings.dump()));
+  settings.erase("limpethaven");
+  settings["bounds"]["drain_ms"] = 3000;
+  const NodeSettings node = ParseSettings(settings.dump()).value().node;
+  REQUIRE(node.source_readers == 2);
+  REQUIRE(node.min_members_for_readers == 100);
+  for (const char* name : {"source_readers", "min_members_for_readers"}) {
+    for (const json& value : {json(-1), json(1.5), json(1e12)}) {
+      json invalid = settings;
+      invalid["limpethaven"][name] = value;
+      const Result<PlatformSettings> read = ParseSettings(invalid.dump());
+      REQUIRE_FALSE(read);
+      REQUIRE(read.error().message.find(name) != std::string::npos);
+    }
+  }
+  settings["limpethaven"] = {{"source_readers", 0}};
+  REQUIRE(ParseSettings(settings.dump()).value().node.source_readers == 0);
+}
+
 json GoodEndpoint() {
   return json::parse(R"({"service": "scribe", "addr": "127.0.0.5:9000",
     "zone": "east-a", "version": "1", "slots": 8, "state": "ready",
