Limits: only the first owner of a cell gives an engine its whole limit

Change: a scheduler uses one part in eight of each limit unless its process has been the first owner by the known members for 2 s; processes after the second share another eighth (LimitDivisor, event 417). Each call to an owner carries the limits that its sender knows, with their age, because an owner that was restarted at its address was not told them; an older limit does not replace a newer one or its end.

A pacer whose rate changes keeps its permits spread. A limit is now kept for two intervals, and the first permit is spread over a whole one.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -268,8 +268,14 @@
   void KvFetchSucceeded(std::string_view engine, TimeMs now);
   /// Sets the requests a second that an engine takes, prefills and generations
   /// together; empty when it names no limit any more.
+  /// @param age_ms Time since the engine named it. A limit older than the one
+  /// that is known changes nothing.
   void LimitEngine(std::string_view engine, std::optional<double> max_per_s,
-                   TimeMs now);
+                   TimeMs now, DurationMs age_ms = 0);
+  /// Sets the part of the engines' limits that this scheduler uses, as one
+  /// `divisor`-th of each. Schedulers of the same cell that may run at the same
+  /// time must together not use more than a limit.
+  void SetLimitDivisor(std::int64_t divisor, TimeMs now);
   /// Stops repeating a cancel, because the engine confirmed it or no longer has
   /// the request.
   void CancelDone(std::string_view reservation);
--- a/include/limpethaven/endpoint_limits.h
+++ b/include/limpethaven/endpoint_limits.h
@@ -43,13 +43,17 @@
   explicit EndpointLimits(std::uint64_t random_seed, LimitUse limit_use = {});
 
   /// Sets the number of processes that share the limits.
-  void SetProcessCount(std::int64_t count) noexcept;
+  void SetProcessCount(std::int64_t count, TimeMs now) noexcept;
   /// Records the limit in an endpoint's answer, or that it named none.
   /// @param max_per_s Requests a second; empty when there is no limit.
+  /// @param age_ms Time since the answer. An answer older than one that was
+  /// recorded before changes nothing.
   LimitChange OnAnswer(std::string_view endpoint,
-                       std::optional<double> max_per_s, TimeMs now);
+                       std::optional<double> max_per_s, TimeMs now,
+                       DurationMs age_ms = 0);
   /// Removes the limits of endpoints that have not answered for
-  /// `kLimitRetentionMs`. @returns their ids.
+  /// `kLimitRetentionMs`, or for two intervals between this process's permits
+  /// if that is longer. @returns their ids.
   std::vector<std::string> Expire(TimeMs now);
   /// Requests a second that the endpoint takes; empty without a limit.
   [[nodiscard]] std::optional<double> Find(std::string_view endpoint) const;
@@ -70,15 +74,20 @@
   /// This process's part of a limit, in requests a second.
   [[nodiscard]] double PartOf(double max_per_s) const noexcept;
   [[nodiscard]] DurationMs LifetimeOf(double max_per_s) const noexcept;
+  /// Time after which a limit ends without an answer.
+  [[nodiscard]] DurationMs RetentionOf(double max_per_s) const noexcept;
 
   LimitUse use;
   std::int64_t processes = 1;
   std::mt19937_64 random;
 
   std::unordered_map<std::string, LimitRow> rows;
+  /// When an answer without a limit ended one, so that an older answer that
+  /// arrives later does not bring it back.
+  std::unordered_map<std::string, TimeMs> ended_at;
 };
 
-/// A limit ends when its endpoint has not answered for this time.
+/// Shortest time without an answer after which a limit ends.
 inline constexpr DurationMs kLimitRetentionMs = 60'000;
 
 }  // namespace limpethaven
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -46,6 +46,7 @@
   kEndpointCallFailed = 414,
   kPlacementRefused = 415,
   kCellOwnerLost = 416,
+  kCellLimitDivisor = 417,
   kRetry = 420,
   kStreamEventDropped = 421,
   kStreamReconnected = 422,
--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -20,6 +20,7 @@
 #include "limpethaven/fwd.h"
 #include "limpethaven/interfaces.h"
 #include "limpethaven/leaving_endpoints.h"
+#include "limpethaven/limit_divisor.h"
 #include "limpethaven/membership.h"
 #include "limpethaven/order_planner.h"
 #include "limpethaven/prompt.h"
--- a/include/limpethaven/request_pacer.h
+++ b/include/limpethaven/request_pacer.h
@@ -17,8 +17,10 @@
   /// @param first_at When the first permit is earned.
   RequestPacer(double per_s, DurationMs lifetime_ms, TimeMs first_at);
 
-  /// Changes the rate, and the lifetime, from the next permit on.
-  void SetRate(double per_s, DurationMs lifetime_ms);
+  /// Changes the rate and the lifetime. The time left until the next permit
+  /// changes in proportion, so that permits of several senders that are spread
+  /// over an interval stay spread.
+  void SetRate(double per_s, DurationMs lifetime_ms, TimeMs now);
   /// Whether a request may be sent now.
   [[nodiscard]] bool Allows(TimeMs now) const;
   /// Time until a request may be sent; 0 when one may be sent now.
@@ -30,8 +32,8 @@
   /// When the oldest unexpired permit is, or will be, earned.
   [[nodiscard]] double NextPermitAt(TimeMs now) const;
 
-  double interval_ms = 0;  ///< Infinite for a rate of 0.
-  double lifetime = 0;     ///< In milliseconds.
+  double interval_ms;  ///< Infinite for a rate of 0.
+  double lifetime;     ///< In milliseconds.
   double next_at;
 };
 
--- a/src/core/base/event.cc
+++ b/src/core/base/event.cc
@@ -43,6 +43,7 @@
     EventRow{EventId::kEndpointCallFailed, "endpoint_call_failed"},
     EventRow{EventId::kPlacementRefused, "placement_refused"},
     EventRow{EventId::kCellOwnerLost, "cell_owner_lost"},
+    EventRow{EventId::kCellLimitDivisor, "cell_limit_divisor"},
     EventRow{EventId::kRetry, "retry"},
     EventRow{EventId::kStreamEventDropped, "stream_event_dropped"},
     EventRow{EventId::kStreamReconnected, "stream_reconnected"},
--- a/src/core/endpoints/request_pacer.cc
+++ b/src/core/endpoints/request_pacer.cc
@@ -11,18 +11,28 @@
 /// Longest wait that is reported.
 constexpr DurationMs kMaxWaitMs = 60'000;
 
+double IntervalMs(double per_s) {
+  return per_s > 0 ? kMsPerS / per_s : std::numeric_limits<double>::infinity();
+}
+
 }  // namespace
 
 RequestPacer::RequestPacer(double per_s, DurationMs lifetime_ms,
                            TimeMs first_at)
-    : next_at(static_cast<double>(first_at)) {
-  this->SetRate(per_s, lifetime_ms);
-}
-
-void RequestPacer::SetRate(double per_s, DurationMs lifetime_ms) {
+    : interval_ms(IntervalMs(per_s)),
+      lifetime(static_cast<double>(lifetime_ms)),
+      next_at(static_cast<double>(first_at)) {}
+
+void RequestPacer::SetRate(double per_s, DurationMs lifetime_ms, TimeMs now) {
+  const double next_interval_ms = IntervalMs(per_s);
+  const double left_ms = this->next_at - static_cast<double>(now);
+  if (left_ms > 0 && std::isfinite(this->interval_ms) &&
+      std::isfinite(next_interval_ms)) {
+    this->next_at = static_cast<double>(now) +
+                    left_ms * next_interval_ms / this->interval_ms;
+  }
   this->lifetime = static_cast<double>(lifetime_ms);
-  this->interval_ms =
-      per_s > 0 ? kMsPerS / per_s : std::numeric_limits<double>::infinity();
+  this->interval_ms = next_interval_ms;
 }
 
 bool RequestPacer::Allows(TimeMs now) const { return this->WaitMs(now) == 0; }
--- a/src/core/scheduling/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -605,8 +605,13 @@
 }
 
 void CellScheduler::LimitEngine(std::string_view engine,
-                                std::optional<double> max_per_s, TimeMs now) {
-  this->tables->engines.engine_limits.OnAnswer(engine, max_per_s, now);
+                                std::optional<double> max_per_s, TimeMs now,
+                                DurationMs age_ms) {
+  this->tables->engines.engine_limits.OnAnswer(engine, max_per_s, now, age_ms);
+}
+
+void CellScheduler::SetLimitDivisor(std::int64_t divisor, TimeMs now) {
+  this->tables->engines.engine_limits.SetProcessCount(divisor, now);
 }
 
 void CellScheduler::CancelDone(std::string_view reservation) {
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -150,7 +150,7 @@
   for (const std::string& owner : this->OwnersOf(cell)) {
     if (owner == self) break;
     CellPlacementRequest message{cell.name, request, may_redirect,
-                                 this->LimitsFor(cell.name, owner)};
+                                 this->LimitsOf(cell.name)};
     message.request.budget_ms -= LoopNow() - started_at;
     const Result<CellPlacementAnswer> answer =
         co_await this->CallOwner(owner, std::move(message), cancel);
@@ -174,7 +174,7 @@
     this->QueueNotice(owner, std::move(notice));
   }
   CellPlacementRequest message{cell.name, std::move(request), may_redirect,
-                               this->LimitsFor(cell.name, self)};
+                               this->LimitsOf(cell.name)};
   message.request.budget_ms -= LoopNow() - started_at;
   const Result<CellPlacementAnswer> answer =
       co_await this->PlaceLocally(cell, std::move(message), cancel, nullptr);
@@ -204,32 +204,27 @@
         order.empty() ? this->gossip.Members().Self().address : order.front();
   }
   if (notice.kind == CellNoticeKind::kEngineLimit) {
-    ReportedLimits& reported = this->reported_limits[notice.cell];
-    if (reported.owner.empty()) reported.owner = receiver;
-    reported.engines.erase(notice.engine);
+    auto& limits = this->named_limits[notice.cell];
+    limits.erase(notice.engine);
     if (notice.max_per_s) {
-      reported.engines.emplace(
-          notice.engine, ReportedLimits::Limit{*notice.max_per_s, LoopNow()});
+      limits.emplace(notice.engine, NamedLimit{*notice.max_per_s, LoopNow()});
     }
   }
   this->outbox[receiver].notices.push_back(std::move(notice));
 }
 
-std::vector<EngineLimit> CellExchange::LimitsFor(const std::string& cell,
-                                                 const std::string& owner) {
+std::vector<EngineLimit> CellExchange::LimitsOf(const std::string& cell) {
   std::vector<EngineLimit> limits;
-  const auto found = this->reported_limits.find(cell);
-  if (found == this->reported_limits.end()) return limits;
-  ReportedLimits& reported = found->second;
-  if (reported.owner == owner) return limits;
-  reported.owner = owner;
-  const TimeMs oldest = LoopNow() - kLimitRetentionMs;
-  std::erase_if(reported.engines, [oldest](const auto& row) {
-    return row.second.reported_at < oldest;
+  const auto found = this->named_limits.find(cell);
+  if (found == this->named_limits.end()) return limits;
+  const TimeMs now = LoopNow();
+  std::erase_if(found->second, [now](const auto& row) {
+    return now - row.second.named_at >= kLimitRetentionMs;
   });
-  std::ranges::transform(reported.engines, std::back_inserter(limits),
-                         [](const auto& row) {
-                           return EngineLimit{row.first, row.second.max_per_s};
+  std::ranges::transform(found->second, std::back_inserter(limits),
+                         [now](const auto& row) {
+                           return EngineLimit{row.first, row.second.max_per_s,
+                                              now - row.second.named_at};
                          });
   return limits;
 }
@@ -274,6 +269,8 @@
   if (renew) this->next_renewal = now + kRenewalPeriodMs;
   this->FlushOutbox(now, renew);
   std::ranges::for_each(this->hosted, [&](auto& entry) {
+    const CellSpec* cell = this->FindCell(entry.first);
+    if (cell != nullptr) this->UpdateLimitDivisor(*entry.second, *cell, now);
     this->RunScheduler(*entry.second, now);
   });
 }
@@ -338,12 +335,40 @@
 }
 
 std::vector<std::string> CellExchange::OwnersOf(const CellSpec& cell) const {
+  return RendezvousTop("cell/" + cell.name, this->EligibleOwners(cell, false),
+                       kMaxOwnersTried);
+}
+
+void CellExchange::UpdateLimitDivisor(HostedCell& host, const CellSpec& cell,
+                                      TimeMs now) {
+  const std::vector<std::string> eligible = this->EligibleOwners(cell, true);
+  const std::vector<std::string> order =
+      RendezvousTop("cell/" + cell.name, eligible, kMaxOwnersTried);
+  const auto rank = static_cast<std::size_t>(
+      std::ranges::find(order, this->gossip.Members().Self().address) -
+      order.begin());
+  const std::int64_t divisor = host.limit_divisor.Update(
+      rank, static_cast<std::int64_t>(eligible.size()), now);
+  if (divisor == host.divisor) return;
+  host.divisor = divisor;
+  host.scheduler.SetLimitDivisor(divisor, now);
+  LogEvent(EventId::kCellLimitDivisor,
+           {{"cell", cell.name},
+            LogField::Of("divisor", divisor),
+            LogField::Of("rank", rank),
+            LogField::Of("processes", eligible.size()),
+            {"first", order.empty() ? std::string() : order.front()}});
+}
+
+std::vector<std::string> CellExchange::EligibleOwners(
+    const CellSpec& cell, bool with_held_down) const {
   std::vector<MemberUpdate> candidates =
       this->gossip.Members().ServingMembers();
   const TimeMs now = LoopNow();
   std::erase_if(candidates, [&](const MemberUpdate& member) {
     const auto row = this->owners.find(member.address);
-    return row != this->owners.end() && now < row->second.hold_down_until;
+    return !with_held_down && row != this->owners.end() &&
+           now < row->second.hold_down_until;
   });
   const bool any_in_data_centre =
       std::ranges::any_of(candidates, [&cell](const MemberUpdate& member) {
@@ -367,7 +392,7 @@
   std::vector<std::string> addresses;
   std::ranges::transform(candidates, std::back_inserter(addresses),
                          &MemberUpdate::address);
-  return RendezvousTop("cell/" + cell.name, addresses, kMaxOwnersTried);
+  return addresses;
 }
 
 const CellSpec* CellExchange::FindCell(std::string_view name) const {
@@ -420,6 +445,7 @@
       self.address + "-" + std::to_string(self.incarnation) + "-" + cell.name,
       this->settings);
   host->scheduler.Configure(cell.engines, LoopNow());
+  this->UpdateLimitDivisor(*host, cell, LoopNow());
   return *this->hosted.emplace(cell.name, std::move(host)).first->second;
 }
 
@@ -435,7 +461,8 @@
       kPlacementMarginMs;
   std::ranges::for_each(
       message.engine_limits, [&host](const EngineLimit& limit) {
-        host.scheduler.LimitEngine(limit.engine, limit.max_per_s, LoopNow());
+        host.scheduler.LimitEngine(limit.engine, limit.max_per_s, LoopNow(),
+                                   limit.age_ms);
       });
   PendingPlacement pending(this->link.GetLoop());
   host.pending.insert_or_assign(id, &pending);
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -21,6 +21,7 @@
 
 #include "limpethaven/cell_scheduler.h"
 #include "limpethaven/cells.h"
+#include "limpethaven/limit_divisor.h"
 #include "net/notifier.h"
 #include "peer/cell_messages.h"
 #include "peer/gossip.h"
@@ -128,6 +129,8 @@
                const CellSettings& settings)
         : scheduler(name, owner_id, settings) {}
     CellScheduler scheduler;
+    LimitDivisor limit_divisor;
+    std::int64_t divisor = 0;  ///< Last result of `limit_divisor`.
     /// Keyed by request id.
     std::unordered_map<std::string, PendingPlacement*> pending;
     bool ticking = false;
@@ -141,15 +144,10 @@
     /// end.
     std::optional<TimeMs> released_at;
   };
-  /// Limits that this process has reported for the engines of a cell, keyed by
-  /// engine.
-  struct ReportedLimits {
-    std::string owner;  ///< Owner that they were reported to last.
-    struct Limit {
-      double max_per_s = 0;
-      TimeMs reported_at = 0;
-    };
-    std::map<std::string, Limit> engines;
+  /// A limit that an engine named to this process.
+  struct NamedLimit {
+    double max_per_s = 0;
+    TimeMs named_at = 0;
   };
   /// Hold-down of an owner that did not answer.
   struct OwnerState {
@@ -159,6 +157,12 @@
   /// Addresses of the first two eligible owners of a cell, in rendezvous order.
   /// They may include this process.
   [[nodiscard]] std::vector<std::string> OwnersOf(const CellSpec& cell) const;
+  /// Members that are eligible as owners of a cell. Members in a hold-down are
+  /// left out if `with_held_down` is false.
+  [[nodiscard]] std::vector<std::string> EligibleOwners(
+      const CellSpec& cell, bool with_held_down) const;
+  /// Sets the part of the engines' limits that a hosted cell's scheduler uses.
+  void UpdateLimitDivisor(HostedCell& host, const CellSpec& cell, TimeMs now);
   [[nodiscard]] const CellSpec* FindCell(std::string_view name) const;
   /// Cell of a pool that this process sends its requests to first; empty when
   /// the pool has no cell.
@@ -203,11 +207,10 @@
   /// Sends the queued reports to their owners.
   /// @param renew Whether to add the renewals of all held reservations.
   void FlushOutbox(TimeMs now, bool renew);
-  /// Limits that the engines of a cell have named, if this owner has not had
-  /// them from this process yet: it may have taken over the cell without
-  /// knowing them.
-  [[nodiscard]] std::vector<EngineLimit> LimitsFor(const std::string& cell,
-                                                   const std::string& owner);
+  /// Limits that the engines of a cell have named to this process. Each call
+  /// to an owner carries them, because an owner that has taken over the cell or
+  /// was restarted at its address does not know them.
+  [[nodiscard]] std::vector<EngineLimit> LimitsOf(const std::string& cell);
   /// Queues the loads of the owned cells for the owners of the other cells of
   /// the same pool.
   void QueueLoads(TimeMs now);
@@ -227,7 +230,8 @@
   std::unordered_map<std::string, OwnerState> owners;
   /// Loads of cells that other processes own, keyed by cell name.
   std::unordered_map<std::string, RemoteLoad> loads;
-  std::map<std::string, ReportedLimits> reported_limits;  ///< Keyed by cell.
+  /// Keyed by cell and engine.
+  std::map<std::string, std::map<std::string, NamedLimit>> named_limits;
   /// Cell of each engine, keyed by engine id.
   std::unordered_map<std::string, std::string> cell_of_engine;
   TimeMs next_renewal = 0;
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -31,10 +31,11 @@
 void to_json(json& out, const CellPlacementRequest& message) {
   const PlacementRequest& request = message.request;
   json limits = json::array();
-  std::ranges::transform(message.engine_limits, std::back_inserter(limits),
-                         [](const EngineLimit& limit) {
-                           return json::array({limit.engine, limit.max_per_s});
-                         });
+  std::ranges::transform(
+      message.engine_limits, std::back_inserter(limits),
+      [](const EngineLimit& limit) {
+        return json::array({limit.engine, limit.max_per_s, limit.age_ms});
+      });
   out = json::array(
       {message.cell, request.request_id, request.team, request.weight,
        request.priority, request.data_centre, request.prompt_tokens,
@@ -62,12 +63,14 @@
   in.at(14).get_to(message.may_redirect);
   // Processes of an earlier version send no limits.
   if (in.size() <= kLimitsIndex) return;
-  std::ranges::transform(in.at(kLimitsIndex),
-                         std::back_inserter(message.engine_limits),
-                         [](const json& row) {
-                           return EngineLimit{row.at(0).get<std::string>(),
-                                              row.at(1).get<double>()};
-                         });
+  std::ranges::transform(
+      in.at(kLimitsIndex), std::back_inserter(message.engine_limits),
+      [](const json& row) {
+        // Processes of an earlier version send no age.
+        return EngineLimit{row.at(0).get<std::string>(),
+                           row.at(1).get<double>(),
+                           row.size() > 2 ? row.at(2).get<DurationMs>() : 0};
+      });
   if (in.size() > kPrefilledIndex) {
     in.at(kPrefilledIndex).get_to(request.prefilled);
   }
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -14,6 +14,7 @@
 struct EngineLimit {
   std::string engine;
   double max_per_s = 0;
+  DurationMs age_ms = 0;  ///< Time since the engine named it.
 };
 
 /// Body of a call that asks the owner of a cell to place a request.
@@ -22,7 +23,7 @@
   PlacementRequest request;
   /// Whether the owner may redirect the request to another cell.
   bool may_redirect = false;
-  /// Limits that the caller knows; sent with its first call to an owner.
+  /// Limits that engines of the cell have named to the caller.
   std::vector<EngineLimit> engine_limits;
 };
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -40,8 +40,10 @@
   bool best_healthy = false;
   const TimeMs now = LoopNow();
   std::uniform_real_distribution<double> jitter(0, kMaxJitterCalls);
-  this->limits.SetProcessCount(static_cast<std::int64_t>(
-      this->parts.gossip.Members().ServingMembers().size()));
+  this->limits.SetProcessCount(
+      static_cast<std::int64_t>(
+          this->parts.gossip.Members().ServingMembers().size()),
+      now);
   for (const EndpointRecord* endpoint : this->parts.table.Usable(pool.name)) {
     if (std::ranges::find(tried, endpoint->id) != tried.end()) continue;
     if (this->limits.WaitMs(endpoint->id, now) > 0) continue;
--- a/tests/request_pacer_test.cc
+++ b/tests/request_pacer_test.cc
@@ -44,7 +44,7 @@
   REQUIRE_FALSE(pacer.Allows(1'000'000));
   pacer.OnSend(1'000'000);
   REQUIRE(pacer.WaitMs(1'000'000) > 0);
-  pacer.SetRate(1, 1000);
+  pacer.SetRate(1, 1000, 1'000'000);
   REQUIRE(pacer.Allows(1'000'000));
 }
 
@@ -56,7 +56,7 @@
   std::vector<EndpointLimits> processes;
   for (int index = 0; index < process_count; ++index) {
     processes.emplace_back(static_cast<std::uint64_t>(index) + 1);
-    processes.back().SetProcessCount(process_count);
+    processes.back().SetProcessCount(process_count, 0);
     processes.back().OnAnswer("endpoint", limit, 0);
   }
   std::vector<TimeMs> sent;
