--- a/src/peer/cell_directory.cc
+++ b/src/peer/cell_directory.cc
@@ -14,6 +14,12 @@
 /// A skipped owner is not called again for this time.
 constexpr DurationMs kOwnerHoldDownMs = 1000;
 
+/// The owners considered for a cell, in rendezvous order.
+std::vector<std::string> OwnerOrder(const CellSpec& cell,
+                                    const std::vector<std::string>& eligible) {
+  return RendezvousTop("cell/" + cell.name, eligible, kMaxOwnersTried);
+}
+
 }  // namespace
 
 CellDirectory::CellDirectory(const Gossip& peer_gossip,
@@ -40,7 +46,7 @@
     const auto row = this->hold_downs.find(member.address);
     return row != this->hold_downs.end() && now < row->second;
   });
-  return EligibleOwners(cell, std::move(candidates));
+  return OwnerOrder(cell, EligibleOwners(cell, std::move(candidates)));
 }
 
 bool CellDirectory::IsFirstOwner(const CellSpec& cell) const {
@@ -48,8 +54,21 @@
   const auto leads = [&self](const std::vector<std::string>& owners) {
     return !owners.empty() && owners.front() == self;
   };
-  return leads(this->OwnersOf(cell)) &&
-         leads(EligibleOwners(cell, this->gossip.Members().ServingMembers()));
+  return leads(this->OwnersOf(cell)) && this->PlaceOf(cell).rank == 0;
+}
+
+OwnerPlace CellDirectory::PlaceOf(const CellSpec& cell) const {
+  const std::vector<std::string> eligible =
+      EligibleOwners(cell, this->gossip.Members().ServingMembers());
+  const std::vector<std::string> order = OwnerOrder(cell, eligible);
+  OwnerPlace place;
+  place.rank = static_cast<std::size_t>(
+      std::ranges::find(order, this->gossip.Members().Self().address) -
+      order.begin());
+  if (order.empty()) place.rank = kMaxOwnersTried;
+  place.processes = static_cast<std::int64_t>(eligible.size());
+  if (!order.empty()) place.first = order.front();
+  return place;
 }
 
 std::vector<std::string> CellDirectory::EligibleOwners(
@@ -76,7 +95,7 @@
   std::vector<std::string> addresses;
   std::ranges::transform(candidates, std::back_inserter(addresses),
                          &MemberUpdate::address);
-  return RendezvousTop("cell/" + cell.name, addresses, kMaxOwnersTried);
+  return addresses;
 }
 
 const CellSpec* CellDirectory::Find(std::string_view name) const {
--- a/src/peer/cell_directory.h
+++ b/src/peer/cell_directory.h
@@ -7,6 +7,8 @@
 /// and are not in a hold-down.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -18,6 +20,16 @@
 
 namespace limpethaven {
 
+/// Place of this process among the processes that may schedule a cell.
+struct OwnerPlace {
+  /// Place in rendezvous order, 0 for the first; members in a hold-down are
+  /// counted. Not below the number of owners considered for a process that is
+  /// none of them.
+  std::size_t rank = 0;
+  std::int64_t processes = 0;  ///< Processes that may schedule the cell.
+  std::string first;           ///< Address of the first owner.
+};
+
 /// The cells of all pools and their owners, as one process sees them.
 class CellDirectory {
  public:
@@ -34,6 +46,7 @@
   /// Whether this process is the first owner of a cell in any case: also when
   /// the members in a hold-down are counted.
   [[nodiscard]] bool IsFirstOwner(const CellSpec& cell) const;
+  [[nodiscard]] OwnerPlace PlaceOf(const CellSpec& cell) const;
   /// Starts the hold-down of an owner that did not answer.
   void HoldDown(const std::string& owner, TimeMs now);
   /// Cell of a pool that this process sends its requests to first; empty when
@@ -41,7 +54,8 @@
   [[nodiscard]] std::string HomeCell(std::string_view pool) const;
 
  private:
-  /// `OwnersOf`, for the eligible ones among these members.
+  /// Addresses of the members among `candidates` that are eligible as owners
+  /// of a cell.
   [[nodiscard]] static std::vector<std::string> EligibleOwners(
       const CellSpec& cell, std::vector<MemberUpdate> candidates);
 
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -127,10 +127,9 @@
   const TimeMs started_at = LoopNow();
   for (const std::string& owner : this->directory.OwnersOf(cell)) {
     if (owner == self) break;
-    CellPlacementRequest message{
-        cell.name, request, may_redirect,
-        this->reported_limits.TakeFor(cell.name, owner, LoopNow()),
-        this->marks.Of(cell.name)};
+    CellPlacementRequest message{cell.name, request, may_redirect,
+                                 this->named_limits.Of(cell.name, LoopNow()),
+                                 this->marks.Of(cell.name)};
     message.request.budget_ms -= LoopNow() - started_at;
     const Result<CellPlacementAnswer> answer =
         co_await CallCellOwner(this->link, owner, std::move(message), cancel);
@@ -156,10 +155,9 @@
     notice.request_id = request.request_id;
     this->QueueNotice(owner, std::move(notice));
   }
-  CellPlacementRequest message{
-      cell.name, std::move(request), may_redirect,
-      this->reported_limits.TakeFor(cell.name, self, LoopNow()),
-      this->marks.Of(cell.name)};
+  CellPlacementRequest message{cell.name, std::move(request), may_redirect,
+                               this->named_limits.Of(cell.name, LoopNow()),
+                               this->marks.Of(cell.name)};
   message.request.budget_ms -= LoopNow() - started_at;
   const Result<CellPlacementAnswer> answer =
       co_await this->PlaceLocally(cell, std::move(message), cancel, nullptr);
@@ -190,7 +188,7 @@
         order.empty() ? this->gossip.Members().Self().address : order.front();
   }
   if (notice.kind == CellNoticeKind::kEngineLimit) {
-    this->reported_limits.OnReport(receiver, notice, LoopNow());
+    this->named_limits.OnNotice(notice, LoopNow());
   }
   this->outbox.For(receiver).notices.push_back(std::move(notice));
 }
@@ -229,6 +227,10 @@
   if (renew) this->next_renewal = now + kRenewalPeriodMs;
   this->FlushOutbox(now, renew);
   std::ranges::for_each(this->hosted, [&](auto& entry) {
+    const CellSpec* cell = this->directory.Find(entry.first);
+    if (cell != nullptr) {
+      entry.second->UpdateLimitDivisor(this->directory.PlaceOf(*cell), now);
+    }
     this->RunScheduler(*entry.second, now);
   });
 }
@@ -311,6 +313,7 @@
       self.address + "-" + std::to_string(self.incarnation) + "-" + cell.name,
       this->settings);
   host->scheduler.Configure(cell.engines, LoopNow());
+  host->UpdateLimitDivisor(this->directory.PlaceOf(cell), LoopNow());
   return *this->hosted.emplace(cell.name, std::move(host)).first->second;
 }
 
@@ -323,7 +326,8 @@
   const TimeMs deadline = PlacementDeadline(message.request, LoopNow());
   std::ranges::for_each(
       message.engine_limits, [&host](const EngineLimit& limit) {
-        host.scheduler.LimitEngine(limit.engine, limit.max_per_s, LoopNow());
+        host.scheduler.LimitEngine(limit.engine, limit.max_per_s, LoopNow(),
+                                   limit.age_ms);
       });
   PendingPlacement pending(this->link.GetLoop());
   host.pending.insert_or_assign(id, &pending);
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -25,9 +25,9 @@
 #include "peer/gossip.h"
 #include "peer/held_reservations.h"
 #include "peer/hosted_cell.h"
+#include "peer/named_limits.h"
 #include "peer/order_marks.h"
 #include "peer/peer_link.h"
-#include "peer/reported_limits.h"
 
 namespace limpethaven {
 
@@ -157,7 +157,7 @@
   CellOutbox outbox;
   /// Loads of the cells that other processes own.
   CellLoads loads;
-  ReportedLimits reported_limits;
+  NamedLimits named_limits;
   OrderMarks marks;
   /// Cell of each engine, keyed by engine id.
   std::unordered_map<std::string, std::string> cell_of_engine;
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -14,6 +14,7 @@
 struct EngineLimit {
   std::string engine;
   double max_per_s = 0;
+  DurationMs age_ms = 0;  ///< Time since the engine named it.
 };
 
 /// What processes pass on about the role orders to a cell's engines, so that a
@@ -35,7 +36,7 @@
   PlacementRequest request;
   /// Whether the owner may redirect the request to another cell.
   bool may_redirect = false;
-  /// Limits that the caller knows; sent with its first call to an owner.
+  /// Limits that engines of the cell have named to the caller.
   std::vector<EngineLimit> engine_limits;
   OrderMark mark;  ///< Of the cell, as the caller knows it.
 };
--- a/src/peer/hosted_cell.cc
+++ b/src/peer/hosted_cell.cc
@@ -85,4 +85,18 @@
   return cancels;
 }
 
+void HostedCell::UpdateLimitDivisor(const OwnerPlace& place, TimeMs now) {
+  const std::int64_t next =
+      this->limit_divisor.Update(place.rank, place.processes, now);
+  if (next == this->divisor) return;
+  this->divisor = next;
+  this->scheduler.SetLimitDivisor(next, now);
+  LogEvent(EventId::kCellLimitDivisor,
+           {{"cell", this->scheduler.Name()},
+            LogField::Of("divisor", next),
+            LogField::Of("rank", place.rank),
+            LogField::Of("processes", place.processes),
+            {"first", place.first}});
+}
+
 }  // namespace limpethaven
--- a/src/peer/hosted_cell.h
+++ b/src/peer/hosted_cell.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "limpethaven/cell_scheduler.h"
+#include "limpethaven/limit_divisor.h"
 #include "net/notifier.h"
+#include "peer/cell_directory.h"
 #include "peer/cell_messages.h"
 
 namespace limpethaven {
@@ -36,7 +38,12 @@
   /// @returns the cancels that it commands.
   [[nodiscard]] std::vector<CancelCommand> Run(TimeMs now);
 
+  /// Sets the part of the engines' limits that the scheduler uses.
+  void UpdateLimitDivisor(const OwnerPlace& place, TimeMs now);
+
   CellScheduler scheduler;
+  LimitDivisor limit_divisor;
+  std::int64_t divisor = 0;  ///< Last result of `limit_divisor`.
   /// Keyed by request id.
   std::unordered_map<std::string, PendingPlacement*> pending;
 };
