Cells: on-time requests before late ones, refusal by the drain rate

Cause: in a load spike, requests that had missed their first-token target took memory that others needed to be on time, and requests were refused only after they had waited until their callers timed out.

Change: with CellSettings::late_after_on_time, a late request starts only while none that can be on time waits for the same engines; requests that would be late at any engine are late at once; each less urgent priority gets 5% of the starts, and so do the requests of a priority that are due first. With CellSettings::refuse_by_drain_rate, a new request is refused at once if the memory that its team is expected to get from the rate of the last 2 s comes too late. Both are off by default.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -90,6 +90,15 @@
   /// without a success between doubles it.
   DurationMs refusal_cooldown_ms = 150;
   DurationMs max_refusal_cooldown_ms = 4800;
+  /// Whether a request that missed its first-token target, or would miss it at
+  /// any engine, starts only while none that can meet its target waits for the
+  /// same engines. Each less urgent priority then gets at least 5% of the
+  /// starts while it has requests that can meet their targets.
+  bool late_after_on_time = false;
+  /// Whether new requests are refused by the rate at which memory was freed in
+  /// the last seconds, instead of an estimate from the engines' memory.
+  bool refuse_by_drain_rate = false;
+  friend auto operator<=>(const CellSettings&, const CellSettings&) = default;
 };
 
 /// An engine of the cell.
@@ -163,6 +172,11 @@
 struct RefuseCommand {
   std::string request_id;
   Error error;
+  DurationMs estimate_ms = 0;  ///< Expected wait for an engine.
+  DurationMs allowed_ms = 0;   ///< Time that the request could wait at most.
+  /// Rate of freed memory that the estimate follows from; 0 if it follows from
+  /// the memory of the engines.
+  double drain_tokens_per_ms = 0;
 };
 /// Cancels a request on an engine, which frees its memory.
 struct CancelCommand {
--- a/include/limpethaven/fair_queue.h
+++ b/include/limpethaven/fair_queue.h
@@ -48,6 +48,10 @@
   /// @returns nothing if no head was accepted before the search ended.
   [[nodiscard]] std::optional<QueueItem> PopFirst(
       const std::function<bool(const QueueItem&)>& fits);
+  /// Pops the item with the earliest latest start, if `fits` accepts it. Its
+  /// team is charged as by `PopFirst`.
+  [[nodiscard]] std::optional<QueueItem> PopMostUrgent(
+      const std::function<bool(const QueueItem&)>& fits);
   /// Removes and returns the items whose latest start lies before `now`.
   [[nodiscard]] std::vector<QueueItem> PopLate(TimeMs now);
   /// Removes one item. @returns whether it was queued.
@@ -55,6 +59,8 @@
   [[nodiscard]] std::size_t Size() const noexcept;
   /// Sum of the queued items' costs.
   [[nodiscard]] Tokens QueuedTokens() const noexcept;
+  /// Sum of the costs of a team's queued items.
+  [[nodiscard]] Tokens QueuedTokens(const std::string& team) const;
 
  private:
   /// An item in the order of its team; the sequence number breaks ties.
@@ -71,6 +77,7 @@
   };
   struct TeamRow {
     double start_tag = 0;
+    Tokens queued_tokens = 0;
     std::set<TeamItem> items;
   };
   struct TeamTag {
@@ -84,6 +91,8 @@
     friend auto operator<=>(const ItemExpiry&, const ItemExpiry&) = default;
   };
 
+  /// Charges the item against the share of its team, and removes it.
+  [[nodiscard]] QueueItem Charge(const std::string& id);
   /// Removes the item from all indexes and returns it. It must be queued.
   [[nodiscard]] QueueItem Take(const std::string& id);
 
--- a/src/core/scheduling/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -204,6 +204,13 @@
   });
 }
 
+bool CellEngines::AnyUsableFor(const PlacementRequest& request) const {
+  return std::ranges::any_of(this->rows, [&request](const EngineRow& engine) {
+    return engine.usable && engine.CanDecode() &&
+           !IsExcluded(request, engine.spec.id);
+  });
+}
+
 Tokens CellEngines::LargestMemory() const {
   Tokens largest = 0;
   std::ranges::for_each(this->rows, [&largest](const EngineRow& engine) {
--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -160,6 +160,9 @@
   [[nodiscard]] Tokens UsableMemory(double request_token_ms) const;
   /// Whether any decode engine may take the request at some time.
   [[nodiscard]] bool AnyFor(const PlacementRequest& request) const;
+  /// Whether any decode engine that takes new work at present may take the
+  /// request.
+  [[nodiscard]] bool AnyUsableFor(const PlacementRequest& request) const;
   /// Memory of the largest configured decode engine, usable or not; 0 if there
   /// is none.
   [[nodiscard]] Tokens LargestMemory() const;
--- a/src/core/scheduling/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -175,7 +175,12 @@
     if (found == this->reservations.end()) return std::nullopt;
     ReservationRow row = std::move(found->second);
     if (EngineRow* engine = this->engines.Find(row.decode)) {
-      engine->generations.erase(found->first);
+      const auto generation = engine->generations.find(found->first);
+      if (generation != engine->generations.end()) {
+        this->queue.OnFreed(
+            generation->second.prompt + generation->second.expected, now);
+        engine->generations.erase(generation);
+      }
     }
     const auto current = this->reservation_of.find(row.request_id);
     if (current != this->reservation_of.end() && current->second == id) {
