--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -165,6 +165,9 @@
   /// Part of a decode engine that a generation occupies, by its memory or as
   /// one of the engine's slots, whichever is more; 0 without decode engines.
   [[nodiscard]] double DecodeEngineShare(Tokens held) const;
+  /// Whether any decode engine that takes new work at present may take the
+  /// request.
+  [[nodiscard]] bool AnyUsableFor(const PlacementRequest& request) const;
   /// Memory of the largest configured decode engine, usable or not; 0 if there
   /// is none.
   [[nodiscard]] Tokens LargestMemory() const;
