--- a/src/core/config/config_codec.cc
+++ b/src/core/config/config_codec.cc
@@ -158,6 +158,20 @@
   return StableHash(key) % kChunkCount;
 }
 
+/// Why the role settings of a pool are invalid; empty when they are valid.
+std::string DescribeInvalidRoles(const PoolSpec& pool) {
+  if (!pool.engine) return {};
+  const EngineSpec& engine = *pool.engine;
+  if (engine.role_change_ms < 0) {
+    return "role_change_ms: expected 0 or more, got " +
+           std::to_string(engine.role_change_ms);
+  }
+  if (engine.balance_roles && engine.role_change_ms == 0) {
+    return "balance_roles: expected a role_change_ms above 0";
+  }
+  return {};
+}
+
 }  // namespace
 
 EntityTable::EntityTable() : chunks(kChunkCount), digests(kChunkCount) {
@@ -250,22 +264,29 @@
 
 Result<void> ApplyEntity(Configuration& config, const Entity& entity) {
   const auto value = json::parse(entity.value, nullptr, false);
+  std::string invalid;
   try {
     if (entity.key == "fleet") {
       config.fleet = value.get<FleetSpec>();
       return Success();
     }
-    VisitTable(
-        config, entity.key, [&value](auto& table, const std::string& name) {
-          using Spec = typename std::decay_t<decltype(table)>::mapped_type;
-          table.insert_or_assign(name, value.template get<Spec>());
-        });
+    VisitTable(config, entity.key, [&](auto& table, const std::string& name) {
+      using Spec = typename std::decay_t<decltype(table)>::mapped_type;
+      auto spec = value.template get<Spec>();
+      if constexpr (std::is_same_v<Spec, PoolSpec>) {
+        invalid = DescribeInvalidRoles(spec);
+      }
+      if (invalid.empty()) table.insert_or_assign(name, std::move(spec));
+    });
   } catch (const json::exception& fault) {
     return Error::Of(ErrorKind::kConfigInvalid,
                      "invalid value of configuration entity " + entity.key +
                          ": " + fault.what());
   }
-  return Success();
+  if (invalid.empty()) return Success();
+  return Error::Of(
+      ErrorKind::kConfigInvalid,
+      "invalid value of configuration entity " + entity.key + ": " + invalid);
 }
 
 void RemoveEntity(Configuration& config, std::string_view key) {
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -16,6 +16,7 @@
 constexpr DurationMs kCallTimeoutMs = 10'000;
 constexpr DurationMs kStartTimeoutMs = 20'000;
 constexpr DurationMs kPollMs = 2;
+constexpr DurationMs kSourceAnswerPeriodMs = 500;
 constexpr std::string_view kHost = "fleet.example";
 
 /// Returns a loopback IP number that no other part of this program uses. The
@@ -35,6 +36,8 @@
   PoolSpec engines;
   engines.name = "scribe";
   engines.engine = EngineSpec{16, 100'000, 1000, 10'000, 500, 1};
+  engines.engine->role_change_ms = settings.role_change_ms;
+  engines.engine->balance_roles = settings.role_change_ms > 0;
   config.pools.emplace(engines.name, engines);
   PoolSpec service;
   service.name = "shop";
@@ -88,15 +91,26 @@
   }
   /// Removes the first `count` endpoints.
   void Remove(std::size_t count) {
-    ++this->revision;
     this->endpoints.erase(
         this->endpoints.begin(),
         this->endpoints.begin() + static_cast<std::ptrdiff_t>(count));
+    this->Announce();
+  }
+  /// Reports all endpoints to the listeners.
+  void Announce() {
+    ++this->revision;
     std::ranges::for_each(this->listeners, [this](SourceListener* listener) {
       listener->OnAllEndpoints(this->endpoints, {0, this->revision},
                                std::nullopt);
     });
   }
+  /// Answers the listeners' watches without a change.
+  void AnswerWatches() {
+    std::ranges::for_each(this->listeners, [](SourceListener* listener) {
+      listener->OnSourceAnswered(SourcePart::kConfiguration);
+      listener->OnSourceAnswered(SourcePart::kEndpoints);
+    });
+  }
 
   Configuration config;
   std::vector<EndpointRecord> endpoints;
@@ -166,6 +180,7 @@
                                      LoopNow() + kCallTimeoutMs);
     }
     this->calls.push_back(parser.Request());
+    this->bodies.push_back(parser.TakeBody());
     this->call_times.push_back(LoopNow());
     const EngineAnswer reply = this->answer(parser.Request());
     std::string bytes = reply.bytes;
@@ -249,6 +264,12 @@
     add("shop", PoolRole::kService);
   }
   this->source = std::move(fixed);
+  Spawn(this->loop, [this]() -> Task<> {
+    for (;;) {
+      co_await SleepFor(this->loop, kSourceAnswerPeriodMs);
+      if (!this->source_silent) this->source->AnswerWatches();
+    }
+  });
   for (std::size_t index = 0; index < this->settings.entries; ++index) {
     this->addresses.push_back(NextLoopbackIp());
   }
@@ -266,8 +287,9 @@
 }
 
 PlatformFleet::~PlatformFleet() {
-  std::ranges::for_each(this->entries,
-                        [](const auto& entry) { entry->CloseSockets(); });
+  std::ranges::for_each(this->entries, [](const auto& entry) {
+    if (entry != nullptr) entry->CloseSockets();
+  });
   std::ranges::for_each(this->engines,
                         [](const auto& engine) { engine->Stop(); });
   CloseAllConnections(this->loop);
@@ -340,6 +362,26 @@
   this->source->Remove(count);
 }
 
+void PlatformFleet::AnnounceRole(std::size_t engine, PoolRole role) {
+  const std::string& address = this->engines[engine]->address;
+  std::ranges::find(this->source->endpoints, address, &EndpointRecord::address)
+      ->role = role;
+  this->source->Announce();
+}
+
+void PlatformFleet::SilenceSource(bool silent) { this->source_silent = silent; }
+
+void PlatformFleet::KillEntry(std::size_t entry) {
+  this->entries[entry]->CloseSockets();
+  this->RunFor(kPollMs);
+  this->ended.push_back(std::move(this->entries[entry]));
+}
+
+std::size_t PlatformFleet::EntryAt(std::string_view ip) const {
+  return static_cast<std::size_t>(std::ranges::find(this->addresses, ip) -
+                                  this->addresses.begin());
+}
+
 void PlatformFleet::DrainEntry(std::size_t entry) {
   this->entries[entry]->Drain();
 }
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -51,6 +51,7 @@
   std::string address;  ///< `IP:port`.
   DurationMs down_ms = 300;
   std::vector<RequestHead> calls;
+  std::vector<std::string> bodies;  ///< Of the calls, in the same order.
   std::vector<TimeMs> call_times;
 
  private:
@@ -90,6 +91,8 @@
   /// engine that is new to it.
   std::size_t cell_size = 64;
   DurationMs settle_ms = 0;
+  /// Time in which an engine changes its role; 0: roles are fixed.
+  DurationMs role_change_ms = 0;
   /// Time limit of each request of a caller.
   DurationMs timeout_ms = 10'000;
 };
@@ -126,6 +129,15 @@
   void RunFor(DurationMs duration_ms);
   /// Announces to all entries that the first `count` engines are gone.
   void RemoveEngines(std::size_t count);
+  /// Announces the role of an engine to all entries.
+  void AnnounceRole(std::size_t engine, PoolRole role);
+  /// Makes the source silent, or lets it answer again. The entries keep what
+  /// they know.
+  void SilenceSource(bool silent);
+  /// Ends an entry without a drain.
+  void KillEntry(std::size_t entry);
+  /// Index of the entry with this IP number.
+  [[nodiscard]] std::size_t EntryAt(std::string_view ip) const;
   /// Starts the graceful stop of an entry.
   void DrainEntry(std::size_t entry);
   /// Calls that reached any engine with `text` among the prompt's parts.
@@ -134,7 +146,7 @@
   PlatformFleetSettings settings;
   Loop loop{1};
   std::vector<std::unique_ptr<ScriptedEngine>> engines;
-  std::vector<std::unique_ptr<EntryNode>> entries;
+  std::vector<std::unique_ptr<EntryNode>> entries;  ///< Null once killed.
   std::vector<HttpResponse> responses;  ///< Responses to calls of `Start`.
   /// Times at which `responses` came, after the start of their calls.
   std::vector<DurationMs> response_times;
@@ -148,6 +160,7 @@
                                          std::string_view prefix);
 
   std::unique_ptr<FixedSource> source;
+  bool source_silent = false;
   /// Ended entries, kept because pending tasks refer to them.
   std::vector<std::unique_ptr<EntryNode>> ended;
   ConnectionPool pool;
