limpethavenctl check: entries without effect, contradictions, differences

The command printed only the faults of the parser. It now also finds entries that never match and limits that contradict each other, with file, line and severity, and prints the differences from the version in force (--against: a service file, a published head.json, a saved answer to /debug/config, or the admin address of a process). Exit status 0 clean, 1 findings, 2 cannot read.

A [fleet] that is no table was ignored by the parser and is a fault now. A folder given as a file ends with status 2.

--- a/include/limpethaven/config_file.h
+++ b/include/limpethaven/config_file.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,9 +33,21 @@
   std::string text;
 };
 
+/// Place of an entry in the service files.
+struct EntryPlace {
+  std::string path;
+  std::uint32_t line = 0;    ///< Counted from 1.
+  std::uint32_t column = 0;  ///< Counted from 1.
+  friend auto operator<=>(const EntryPlace&, const EntryPlace&) = default;
+};
+
+/// Places of entries, keyed like `Entity::key`: `team/NAME`, `route/KEY`.
+using EntryPlaces = std::map<std::string, EntryPlace, std::less<>>;
+
 /// Result of parsing service files.
 struct ParsedFiles {
   Configuration config;  ///< Incomplete unless `faults` is empty.
+  EntryPlaces places;
   /// Every fault of every file, sorted by path, line and column.
   std::vector<FileFault> faults;
 };
--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -6,6 +6,7 @@
 #include "limpethaven/cell_scheduler.h"
 #include "limpethaven/cells.h"
 #include "limpethaven/clock.h"
+#include "limpethaven/config_check.h"
 #include "limpethaven/config_codec.h"
 #include "limpethaven/config_file.h"
 #include "limpethaven/config_follower.h"
--- a/src/core/config/config_file.cc
+++ b/src/core/config/config_file.cc
@@ -34,6 +34,12 @@
   FaultSink(std::string_view file_path, std::vector<FileFault>& all_faults)
       : path(file_path), faults(all_faults) {}
 
+  /// Place of the start of the region `where`.
+  [[nodiscard]] EntryPlace PlaceOf(const toml::source_region& where) const {
+    return EntryPlace{std::string(this->path), where.begin.line,
+                      where.begin.column};
+  }
+
   /// Adds a fault at the start of the region `where`.
   void Add(const toml::source_region& where, std::string message) const {
     this->faults.push_back(FileFault{std::string(this->path), where.begin.line,
@@ -208,6 +214,11 @@
     this->ReadTables(root, "route", sink, &FilesParser::ReadRoute);
     this->ReadTables(root, "link", sink, &FilesParser::ReadLink);
     this->ReadTables(root, "goal", sink, &FilesParser::ReadGoal);
+    const toml::node* fleet_node = root.get("fleet");
+    if (fleet_node != nullptr && !fleet_node->is_table()) {
+      sink.Add(fleet_node->source(),
+               "fleet: expected a table, written [fleet]");
+    }
     if (const toml::table* fleet = root["fleet"].as_table()) {
       TableReader reader(*fleet, "fleet", sink);
       this->ReadFleet(reader, sink);
@@ -260,7 +271,11 @@
                   std::string_view what) {
     if (name.empty()) return;
     const auto [row, inserted] = table.emplace(name, std::move(spec));
-    if (inserted) return;
+    if (inserted) {
+      this->parsed.places.emplace(std::string(what) + "/" + name,
+                                  sink.PlaceOf(reader.TablePosition()));
+      return;
+    }
     sink.Add(reader.TablePosition(),
              std::string(what) + " '" + name +
                  "' is already defined by an earlier entry, " +
@@ -428,6 +443,7 @@
                "definition");
     }
     this->fleet_seen = true;
+    this->parsed.places.emplace("fleet", sink.PlaceOf(reader.TablePosition()));
     this->parsed.config.fleet.share_slots =
         reader.ReadInteger("share_slots", 1, kMaxShareSlotCount, std::nullopt);
   }
--- a/src/node/admin_api.cc
+++ b/src/node/admin_api.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "limpethaven/config_check.h"
 #include "node/entry_node.h"
 
 namespace limpethaven {
@@ -60,6 +61,9 @@
   if (path == "/debug/status") body = this->Status();
   if (path == "/debug/teams") body = this->Teams();
   if (path == "/debug/cells") body = this->Cells();
+  if (path == "/debug/config") {
+    body = EncodeEntityList(ShownEntities(*this->node.state.Config()));
+  }
   const int status = body.empty() ? 404 : 200;
   co_await exchange.Answer(JsonHead(status), std::move(body));
 }
--- a/src/tools/ctl_main.cc
+++ b/src/tools/ctl_main.cc
@@ -9,8 +9,9 @@
 #include <nlohmann/json.hpp>
 
 #include "cli/flags.h"
+#include "edge/config_reader.h"
 #include "edge/http_client.h"
-#include "limpethaven/config_file.h"
+#include "limpethaven/config_check.h"
 #include "limpethaven/crypto.h"
 #include "log/request_story.h"
 
@@ -27,6 +28,7 @@
   std::string request;
   std::vector<std::string> logs;
   std::vector<std::string> files;
+  std::string against;
 };
 
 /// Sends a request to a process. @returns the JSON body of its response,
@@ -78,21 +80,43 @@
   return 0;
 }
 
-/// Prints the faults of service files. @returns the exit code: 0 without any.
+/// Prints what the files change in the version in force, by groups.
+Result<void> PrintDifferences(std::vector<Entity> entities,
+                              const std::string& source) {
+  BOOST_OUTCOME_TRY(in_force, ReadEntities(source));
+  const std::vector<EntityDifference> differences =
+      CompareEntities(std::move(in_force), std::move(entities));
+  std::cout << differences.size() << " differences from " << source << '\n';
+  std::string_view group;
+  for (const EntityDifference& difference : differences) {
+    if (difference.group != group) {
+      group = difference.group;
+      std::cout << group << ":\n";
+    }
+    std::cout << "  " << difference << '\n';
+  }
+  return Success();
+}
+
+/// Checks service files. @returns the exit code: 0 if they are clean, 1 with
+/// findings, 2 if something cannot be read.
 int CheckFiles(const CtlSettings& settings) {
-  std::vector<ServiceFile> files;
-  std::ranges::transform(
-      settings.files, std::back_inserter(files), [](const std::string& path) {
-        std::ifstream in(path, std::ios::binary);
-        return ServiceFile{path, std::string(std::istreambuf_iterator<char>(in),
-                                             std::istreambuf_iterator<char>())};
-      });
-  const ParsedFiles parsed = ParseServiceFiles(files);
-  std::ranges::for_each(parsed.faults, [](const FileFault& fault) {
-    std::cout << fault << '\n';
-  });
-  std::cout << parsed.faults.size() << " faults\n";
-  return parsed.faults.empty() ? 0 : 1;
+  const auto fail = [](const Error& error) {
+    std::cerr << "limpethavenctl: " << error.message << '\n';
+    return 2;
+  };
+  Result<CheckedFiles> checked = CheckConfigFiles(settings.files);
+  if (!checked) return fail(checked.error());
+  const std::vector<Finding>& findings = checked.value().findings;
+  std::ranges::for_each(
+      findings, [](const Finding& finding) { std::cout << finding << '\n'; });
+  std::cout << findings.size() << " findings\n";
+  if (!settings.against.empty()) {
+    const Result<void> printed =
+        PrintDifferences(std::move(checked.value().entities), settings.against);
+    if (!printed) return fail(printed.error());
+  }
+  return findings.empty() ? 0 : 1;
 }
 
 /// Prints the events of one request from the logs of several VMs, in order of
@@ -154,10 +178,18 @@
   AddFlag(*addresses, "--target", settings.target, "IP:port of an entry VM");
   CLI::App* drain = add_command("drain", "Stop one entry process gracefully");
   add_admin(drain);
-  CLI::App* check = add_command("check", "Validate service files");
-  check->add_option("files", settings.files, "Service files")
-      ->required()
-      ->check(CLI::ExistingFile);
+  CLI::App* check = add_command(
+      "check",
+      "Check service files: faults, entries without effect, contradictions");
+  check
+      ->add_option("files", settings.files,
+                   "Service files, or one published head.json or saved answer "
+                   "to /debug/config")
+      ->required();
+  check->add_option("--against", settings.against,
+                    "Version in force to compare with: a service file, a "
+                    "published head.json, or IP:port of a process's admin "
+                    "server");
   CLI::App* explain =
       add_command("explain", "Print the events of one request from a log");
   explain->add_option("request", settings.request, "Request id")->required();
--- a/tests/endpoint_limit_test.cc
+++ b/tests/endpoint_limit_test.cc
@@ -80,6 +80,19 @@
   CHECK(refused->head.headers.Has("Retry-After"));
 }
 
+// Guards against a process that comes back and counts as one sender more, or
+// against others that use its part twice.
+TEST_CASE("a plain endpoint gets no more than its limit when a process dies") {
+  constexpr int kKillAt = 200;
+  constexpr std::size_t kKilled = 1;
+  PlatformFleet fleet(PlatformFleetSettings{}, NameLimit);
+  Press(fleet, [&fleet](std::size_t entry, int number) {
+    fleet.StartService(entry);
+    if (number == kKillAt) fleet.RestartEntry(kKilled);
+  });
+  CHECK(MostCallsInWindow(*fleet.engines.back(), kKilled) <= kMaxCallsInWindow);
+}
+
 TEST_CASE("engines get no more calls than the limit that they name") {
   PlatformFleetSettings settings;
   settings.engines = 4;
