--- a/include/limpethaven/endpoint_health.h
+++ b/include/limpethaven/endpoint_health.h
@@ -29,6 +29,9 @@
   DurationMs probation_ms = 10'000;
 };
 
+/// Age up to which peers report failures.
+inline constexpr DurationMs kPeerEvidenceMs = 5000;
+
 /// Health of endpoints, keyed by address. An address without a recorded failure
 /// is healthy. Not thread safe.
 class EndpointHealth {
@@ -42,6 +45,11 @@
   /// @param weight Failures that it counts as.
   /// @returns whether this failure ejects the endpoint.
   bool OnFailure(std::string_view address, TimeMs now, double weight = 1.0);
+  /// Counts failures that peers report. Unlike those of `OnFailure`, they are
+  /// no outcome of a probe. They are ignored until `kPeerEvidenceMs` after an
+  /// ejection: they may be those that led to it.
+  /// @returns whether they eject the endpoint.
+  bool OnPeerFailures(std::string_view address, TimeMs now, double weight);
   /// Records a success. It readmits an endpoint that has been ejected, unless
   /// it comes during the ejection and may be that of an earlier request.
   /// @returns whether it readmits the endpoint.
@@ -59,11 +67,13 @@
     double failure_count = 0;  ///< Decayed to `updated_at`.
     TimeMs updated_at = 0;
     bool ejected = false;  ///< From an ejection until the next success.
+    TimeMs ejected_at = 0;
     TimeMs ejected_until = 0;
     TimeMs probed_until = 0;          ///< A probe may be pending until then.
     std::int64_t ejection_count = 0;  ///< Ejections of the present series.
     TimeMs readmitted_at = 0;
   };
+  void Eject(EndpointRow& row, TimeMs now) const;
   /// Decays the failure count to `now`.
   void Decay(EndpointRow& row, TimeMs now) const;
 
--- a/include/limpethaven/load_report.h
+++ b/include/limpethaven/load_report.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "limpethaven/clock.h"
+#include "limpethaven/endpoint_health.h"
 
 namespace limpethaven {
 
@@ -59,7 +60,7 @@
   static constexpr DurationMs kWindowMs = 2000;
   /// Time over which failures are counted. It is longer, because failures are
   /// rare and a process hears from each peer only every few seconds.
-  static constexpr DurationMs kFailureWindowMs = 5000;
+  static constexpr DurationMs kFailureWindowMs = kPeerEvidenceMs;
 
   void OnStart(std::string_view endpoint, TimeMs now);
   void OnEnd(std::string_view endpoint, TimeMs now);
--- a/src/core/endpoints/endpoint_health.cc
+++ b/src/core/endpoints/endpoint_health.cc
@@ -16,6 +16,24 @@
   if (row.failure_count < this->settings.eject_threshold && !row.ejected) {
     return false;
   }
+  this->Eject(row, now);
+  return true;
+}
+
+bool EndpointHealth::OnPeerFailures(std::string_view address, TimeMs now,
+                                    double weight) {
+  EndpointRow& row = this->rows[std::string(address)];
+  const bool ejected_lately =
+      row.ejection_count > 0 && now - row.ejected_at < kPeerEvidenceMs;
+  if (row.ejected || ejected_lately) return false;
+  this->Decay(row, now);
+  row.failure_count += weight;
+  if (row.failure_count < this->settings.eject_threshold) return false;
+  this->Eject(row, now);
+  return true;
+}
+
+void EndpointHealth::Eject(EndpointRow& row, TimeMs now) const {
   const bool series_ended =
       !row.ejected && now - row.readmitted_at >= this->settings.probation_ms;
   if (series_ended) row.ejection_count = 0;
@@ -25,11 +43,11 @@
       std::min(this->settings.max_ejection_ms,
                this->settings.initial_ejection_ms << doublings);
   row.ejected = true;
+  row.ejected_at = now;
   row.ejected_until = now + ejection_ms;
   row.probed_until = 0;
   ++row.ejection_count;
   row.failure_count = 0;
-  return true;
 }
 
 bool EndpointHealth::OnSuccess(std::string_view address, TimeMs now) {
