Carry load reports in gossip

Processes need each other's calls to plain endpoints to balance them, without asking the endpoints.

A message may end with a report: sequence, window and four numbers for each of at most 16 endpoints, below 400 bytes. Earlier versions ignore the field; a malformed report refuses the message. The gossip fuzzer gives reports to their readers.

--- a/fuzz/gossip.cc
+++ b/fuzz/gossip.cc
@@ -1,10 +1,13 @@
 /// @file
 /// Fuzzes gossip: the codec with the raw input, and codec and membership with
-/// the input behind a valid authentication tag.
+/// the input behind a valid authentication tag. The
+/// load report of a message is taken by its readers.
 #include <cstdint>
 #include <string>
 
 #include "limpethaven/crypto.h"
+#include "limpethaven/endpoint_balancer.h"
+#include "limpethaven/failure_evidence.h"
 #include "limpethaven/membership.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -20,5 +23,11 @@
                                      {}, 1);
   static_cast<void>(membership.Receive(message.value(), 0));
   static_cast<void>(membership.Tick(0));
+  limpethaven::EndpointBalancer balancer("zone", 1);
+  limpethaven::FailureEvidence evidence;
+  balancer.OnReport(message.value().from, "zone", message.value().load, 0);
+  static_cast<void>(
+      evidence.OnReport(message.value().from.address, message.value().load, 0));
+  balancer.Update("pool", {{"endpoint", "zone", 1}}, message.value().load, 0);
   return 0;
 }
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -25,6 +25,7 @@
 #include "limpethaven/error.h"
 #include "limpethaven/interfaces.h"
 #include "limpethaven/leaving_endpoints.h"
+#include "limpethaven/load_report.h"
 #include "limpethaven/prompt_quarantine.h"
 #include "limpethaven/source_revision.h"
 #include "limpethaven/vm_id.h"
@@ -141,6 +142,9 @@
   /// Endpoints that are leaving by their own word; `Membership` neither reads
   /// nor sets them.
   std::vector<LeavingEndpoint> leaving_endpoints;
+  /// Calls of the sender to plain endpoints; `Membership` neither reads nor
+  /// sets it. Sequence 0: the sender reports none.
+  LoadReport load;
   friend auto operator<=>(const GossipMessage&, const GossipMessage&) = default;
 };
 
--- a/src/core/membership/gossip_codec.cc
+++ b/src/core/membership/gossip_codec.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -12,11 +13,13 @@
 
 /// Bytes of the HMAC-SHA-256 that are sent as the authentication tag.
 constexpr std::size_t kTagBytes = 16;
-/// Elements of the CBOR array of a message without evidence and leaving
-/// endpoints, which follow in this order. Later versions may append others.
+/// Elements of the CBOR array of a message without evidence, leaving
+/// endpoints and load report, which follow in this order. Later versions may
+/// append others.
 constexpr std::size_t kMessageFieldCount = 13;
 constexpr std::size_t kEvidenceIndex = kMessageFieldCount;
 constexpr std::size_t kLeavingIndex = kMessageFieldCount + 1;
+constexpr std::size_t kLoadIndex = kMessageFieldCount + 2;
 /// Place of the era in the array of versions, which earlier versions leave out.
 constexpr std::size_t kEraIndex = 3;
 /// Elements of the CBOR array of a leaving endpoint.
@@ -25,6 +28,11 @@
 constexpr std::size_t kUpdateFieldCount = 7;
 /// Elements of the CBOR array of the evidence against a part of prompts.
 constexpr std::size_t kEvidenceFieldCount = 4;
+/// Elements of the CBOR array of a load report: sequence, window, loads. Later
+/// versions may append others.
+constexpr std::size_t kLoadFieldCount = 3;
+/// Numbers of one endpoint in the flat array of loads.
+constexpr std::size_t kNumbersPerLoad = 4;
 /// Stands for the age of a complete answer where there was none.
 constexpr DurationMs kNeverServed = -1;
 
@@ -90,6 +98,54 @@
                          in.at(1).get<std::int64_t>()};
 }
 
+/// Four numbers of at most five bytes for each endpoint: a report of the
+/// largest size has less than 400 bytes.
+json ToJson(const LoadReport& report) {
+  json loads = json::array();
+  const std::size_t count =
+      std::min(report.loads.size(), LoadReport::kMaxEndpoints);
+  std::ranges::for_each(
+      report.loads.begin(),
+      report.loads.begin() + static_cast<std::ptrdiff_t>(count),
+      [&loads](const EndpointLoad& load) {
+        loads.push_back(load.endpoint);
+        loads.push_back(load.calls);
+        loads.push_back(load.busy_ms);
+        loads.push_back(load.failures);
+      });
+  return json::array({report.sequence, report.window_ms, loads});
+}
+
+/// Reads a number; throws when it is not in 0 to `max`.
+std::int64_t NumberFrom(const json& in, std::int64_t max) {
+  const auto value = in.get<std::int64_t>();
+  if (!in.is_number_integer() || value < 0 || value > max) {
+    throw std::out_of_range("number");
+  }
+  return value;
+}
+
+LoadReport LoadFrom(const json& in) {
+  if (in.size() < kLoadFieldCount) throw std::out_of_range("load report");
+  LoadReport report;
+  report.sequence = in.at(0).get<std::uint64_t>();
+  report.window_ms = NumberFrom(in.at(1), LoadReport::kMaxValue);
+  const json& loads = in.at(2);
+  if (!loads.is_array() || loads.size() % kNumbersPerLoad != 0 ||
+      loads.size() > LoadReport::kMaxEndpoints * kNumbersPerLoad) {
+    throw std::out_of_range("loads");
+  }
+  for (std::size_t index = 0; index < loads.size(); index += kNumbersPerLoad) {
+    report.loads.push_back(EndpointLoad{
+        static_cast<std::uint32_t>(NumberFrom(
+            loads.at(index), std::numeric_limits<std::uint32_t>::max())),
+        NumberFrom(loads.at(index + 1), LoadReport::kMaxValue),
+        NumberFrom(loads.at(index + 2), LoadReport::kMaxValue),
+        NumberFrom(loads.at(index + 3), LoadReport::kMaxValue)});
+  }
+  return report;
+}
+
 GossipMessage MessageFrom(const json& in) {
   if (in.size() < kMessageFieldCount) throw std::out_of_range("message");
   GossipMessage message;
@@ -123,6 +179,7 @@
                            std::back_inserter(message.leaving_endpoints),
                            LeavingFrom);
   }
+  if (in.size() > kLoadIndex) message.load = LoadFrom(in.at(kLoadIndex));
   return message;
 }
 
@@ -146,13 +203,14 @@
   // Left out when empty, so that processes of an earlier version can read the
   // message.
   const bool has_leaving = !message.leaving_endpoints.empty();
-  if (!message.evidence.empty() || has_leaving) {
+  const bool has_load = message.load.sequence != 0;
+  if (!message.evidence.empty() || has_leaving || has_load) {
     json evidence = json::array();
     std::ranges::transform(message.evidence, std::back_inserter(evidence),
                            [](const PartEvidence& row) { return ToJson(row); });
     fields.push_back(std::move(evidence));
   }
-  if (has_leaving) {
+  if (has_leaving || has_load) {
     json leaving = json::array();
     std::ranges::transform(message.leaving_endpoints,
                            std::back_inserter(leaving),
@@ -161,6 +219,7 @@
                            });
     fields.push_back(std::move(leaving));
   }
+  if (has_load) fields.push_back(ToJson(message.load));
   const std::vector<std::uint8_t> cbor = json::to_cbor(fields);
   const std::string body(cbor.begin(), cbor.end());
   return HmacSha256(secret, body).substr(0, kTagBytes) + body;
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -167,6 +167,7 @@
   message.updates.push_back(MemberUpdate{"10.0.0.2", "a", 5});
   message.evidence.push_back(PartEvidence{"part", 1, {{5, 100}}, {}});
   message.leaving_endpoints = {{"a", 10}};
+  message.load = LoadReport{3, 2000, {{7, 5, 300, 1}}};
   CheckDecoder("gossip", EncodeGossip("s", message).substr(kTagBytes),
                [](const std::string& text) {
                  const std::string tag =
