Choose plain endpoints by shares on fleets of the platform

With 66 VMs, a VM mostly has no calls in flight, and all calls go to its own data centre, whose endpoints are overrun where there are fewer of them.

Limits, pauses, ejections and the endpoints that a request has tried are respected as before, and when only ejected endpoints are left, the earlier rule chooses. Failures that peers report are counted, and new ones of this process are announced to 16 members. Events 476 and 477 and the metric limpethaven_plain_share show the shares, their inputs and deviations. Tests of limits, pauses, leaving and returning endpoints run with both rules.

--- a/include/limpethaven/endpoint_balancer.h
+++ b/include/limpethaven/endpoint_balancer.h
@@ -77,6 +77,14 @@
   double local_share = 0;
 };
 
+/// Result of a draw.
+struct DrawnEndpoint {
+  std::string id;  ///< Empty when no endpoint is left.
+  /// Whether it replaces the endpoint drawn first, which has more own calls in
+  /// flight.
+  bool by_own_calls = false;
+};
+
 /// Number of calls in flight to the endpoint with this id.
 using CallCounter = std::function<std::int64_t(const std::string&)>;
 
@@ -97,7 +105,8 @@
                 const LoadReport& report, TimeMs now);
   /// Drops the report of a peer that is dead or leaving.
   void Forget(std::string_view address);
-  /// Drops reports that are too old.
+  /// Removes peers that were not heard for `kSequenceRetentionMs`. Until then
+  /// their sequence numbers are kept, so that late reports are recognised.
   void Expire(TimeMs now);
 
   /// Shares of the endpoints of a pool, updated if they are older than
@@ -113,10 +122,9 @@
   /// are drawn and the one with the fewest is chosen; among equals, the first.
   /// @param tried Ids that are left out.
   /// @param calls_in_flight Own calls in flight to an endpoint.
-  /// @returns its id; empty when none is left.
-  [[nodiscard]] std::string Draw(const std::string& pool,
-                                 const std::vector<std::string>& tried,
-                                 const CallCounter& calls_in_flight);
+  [[nodiscard]] DrawnEndpoint Draw(const std::string& pool,
+                                   const std::vector<std::string>& tried,
+                                   const CallCounter& calls_in_flight);
   /// Shares by the last update; null before the first.
   [[nodiscard]] const PoolShares* Find(std::string_view pool) const;
 
@@ -143,6 +151,8 @@
     double position = 0;
   };
 
+  static constexpr DurationMs kSequenceRetentionMs = 60'000;
+
   void Estimate(PoolRow& row, const std::vector<BalancedEndpoint>& endpoints,
                 const LoadReport& own, TimeMs now);
   /// Sets the slowness of each endpoint and the time of a call.
--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -64,6 +64,8 @@
   kEndpointLimitEnded = 473,
   kEndpointPaused = 474,
   kEndpointPauseEnded = 475,
+  kPlainSharesChanged = 476,
+  kPlainChoiceDeviates = 477,
   kPromptCrashRecorded = 480,
   kPromptQuarantined = 481,
   kPromptReleased = 482,
--- a/src/core/base/event.cc
+++ b/src/core/base/event.cc
@@ -61,6 +61,8 @@
     EventRow{EventId::kEndpointLimitEnded, "endpoint_limit_ended"},
     EventRow{EventId::kEndpointPaused, "endpoint_paused"},
     EventRow{EventId::kEndpointPauseEnded, "endpoint_pause_ended"},
+    EventRow{EventId::kPlainSharesChanged, "plain_shares_changed"},
+    EventRow{EventId::kPlainChoiceDeviates, "plain_choice_deviates"},
     EventRow{EventId::kPromptCrashRecorded, "prompt_crash_recorded"},
     EventRow{EventId::kPromptQuarantined, "prompt_quarantined"},
     EventRow{EventId::kPromptReleased, "prompt_released"},
--- a/src/core/endpoints/endpoint_balancer.cc
+++ b/src/core/endpoints/endpoint_balancer.cc
@@ -86,8 +86,8 @@
 }
 
 void EndpointBalancer::Expire(TimeMs now) {
-  std::erase_if(this->peers, [&](const auto& entry) {
-    return now - entry.second.received_at > this->settings.max_report_age_ms;
+  std::erase_if(this->peers, [now](const auto& entry) {
+    return now - entry.second.received_at > kSequenceRetentionMs;
   });
 }
 
@@ -117,7 +117,6 @@
 void EndpointBalancer::Estimate(PoolRow& row,
                                 const std::vector<BalancedEndpoint>& endpoints,
                                 const LoadReport& own, TimeMs now) {
-  this->Expire(now);
   // Endpoints that are not usable now keep their estimates while calls to them
   // are still reported.
   std::map<std::uint32_t, EndpointEstimate> fresh;
@@ -146,11 +145,13 @@
   std::map<std::string, Heard> by_data_centre;
   double age_sum_ms = 0;
   PoolShares& shares = row.shares;
-  shares.reports = this->peers.size();
+  shares.reports = 0;
   shares.oldest_age_ms = 0;
   std::ranges::for_each(this->peers, [&](const auto& entry) {
     const PeerRow& peer = entry.second;
     const DurationMs age_ms = now - peer.received_at;
+    if (age_ms > this->settings.max_report_age_ms) return;
+    ++shares.reports;
     age_sum_ms += static_cast<double>(age_ms);
     shares.oldest_age_ms = std::max(shares.oldest_age_ms, age_ms);
     add(peer.report);
@@ -302,9 +303,9 @@
   divide(local_share, rooms);
 }
 
-std::string EndpointBalancer::Draw(const std::string& pool,
-                                   const std::vector<std::string>& tried,
-                                   const CallCounter& calls_in_flight) {
+DrawnEndpoint EndpointBalancer::Draw(const std::string& pool,
+                                     const std::vector<std::string>& tried,
+                                     const CallCounter& calls_in_flight) {
   const auto found = this->pools.find(pool);
   if (found == this->pools.end()) return {};
   PoolRow& row = found->second;
@@ -331,7 +332,8 @@
   };
   row.position += kGoldenRatio;
   row.position -= std::floor(row.position);
-  const EndpointShare* chosen = at(row.position);
+  const EndpointShare* first = at(row.position);
+  const EndpointShare* chosen = first;
   std::int64_t least = calls_in_flight(chosen->endpoint.id);
   std::uniform_real_distribution<double> anywhere(0, 1);
   for (int further = 0; further < kFurtherDraws && least > 0; ++further) {
@@ -341,7 +343,7 @@
     chosen = other;
     least = calls;
   }
-  return chosen->endpoint.id;
+  return DrawnEndpoint{chosen->endpoint.id, chosen != first};
 }
 
 const PoolShares* EndpointBalancer::Find(std::string_view pool) const {
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -194,6 +194,11 @@
            {{"member", change.member.latest.address},
             LogField::Of("incarnation", change.member.latest.incarnation),
             {"before", std::string(NameOf(change.previous_state))}});
+  const MemberUpdate& latest = change.member.latest;
+  if (latest.state == MemberState::kDead ||
+      latest.state == MemberState::kLeaving) {
+    this->router.Core().plain.Forget(latest.address);
+  }
 }
 
 void EntryNode::OnLeavingEndpoints(
@@ -406,6 +411,7 @@
   snapshot.connections_made = this->pool.DialCount();
   snapshot.dropped_log_lines = DroppedLogLines();
   this->metrics.SetGauges(snapshot);
+  this->metrics.SetPlainShares(this->router.Core().plain.Shares());
   return this->metrics.Text();
 }
 
--- a/src/peer/gossip.cc
+++ b/src/peer/gossip.cc
@@ -18,6 +18,9 @@
 /// may announce the same one, and probes reach the other members within a
 /// second or two.
 constexpr std::size_t kLeavingFanout = 6;
+/// Members to which new failures of a plain endpoint are announced at once.
+/// With it, most of 83 processes know of a few failures within 6 s.
+constexpr std::size_t kLoadFanout = 16;
 /// Leaving endpoints that are attached to one message.
 constexpr std::size_t kLeavingPerMessage = 8;
 /// Parts of prompts whose evidence is attached to one message.
@@ -98,6 +101,12 @@
   this->Send(this->membership.Announce(kLeavingFanout));
 }
 
+void Gossip::ShareLoad(LoadSharer& sharer) { this->load_sharer = &sharer; }
+
+void Gossip::AnnounceLoad() {
+  this->Send(this->membership.Announce(kLoadFanout));
+}
+
 const Membership& Gossip::Members() const noexcept { return this->membership; }
 
 std::string Gossip::PeerAddress(std::string_view ip) const {
@@ -118,6 +127,10 @@
     this->listener.OnLeavingEndpoints(sender,
                                       message.value().leaving_endpoints);
   }
+  if (this->load_sharer != nullptr && message.value().load.sequence != 0 &&
+      !message.value().from_leaving) {
+    this->load_sharer->OnLoadReport(message.value(), LoopNow());
+  }
   this->Send(answers.value());
   std::ranges::for_each(
       this->membership.TakeChanges(), [&](const MemberChange& change) {
@@ -152,7 +165,12 @@
 }
 
 void Gossip::Send(std::vector<OutgoingGossip> messages) {
-  std::ranges::for_each(messages, [this](OutgoingGossip& outgoing) {
+  if (messages.empty()) return;
+  const LoadReport load = this->load_sharer == nullptr
+                              ? LoadReport{}
+                              : this->load_sharer->OutgoingLoad(LoopNow());
+  std::ranges::for_each(messages, [&](OutgoingGossip& outgoing) {
+    outgoing.message.load = load;
     if (this->quarantine != nullptr) {
       outgoing.message.evidence =
           this->quarantine->Outgoing(kEvidencePerMessage, LoopNow());
--- a/src/peer/gossip.h
+++ b/src/peer/gossip.h
@@ -45,6 +45,16 @@
   virtual void OnPause() = 0;
 };
 
+/// Source and receiver of the load reports in gossip messages.
+class LoadSharer {
+ public:
+  virtual ~LoadSharer() = default;
+  /// Report for the next messages; sequence 0: none.
+  [[nodiscard]] virtual LoadReport OutgoingLoad(TimeMs now) = 0;
+  /// Called for each accepted message with a report.
+  virtual void OnLoadReport(const GossipMessage& message, TimeMs now) = 0;
+};
+
 /// Membership of one process, with its socket and its clock.
 class Gossip {
  public:
@@ -78,6 +88,11 @@
   void ShareLeaving(LeavingEndpoints& leaving_endpoints);
   /// Sends a newly leaving endpoint to a few members at once.
   void AnnounceLeaving();
+  /// Exchanges load reports with every message. `sharer` must outlive this
+  /// object's use of the event loop.
+  void ShareLoad(LoadSharer& sharer);
+  /// Sends a report with new failures to some members at once.
+  void AnnounceLoad();
   /// Closes the socket. Unlike `Leave`, it announces nothing.
   void Stop();
   /// Announces at once that this process is leaving.
@@ -100,6 +115,7 @@
   DatagramSocket socket;
   PromptQuarantine* quarantine = nullptr;    ///< Null until `ShareEvidence`.
   LeavingEndpoints* said_leaving = nullptr;  ///< Null until `ShareLeaving`.
+  LoadSharer* load_sharer = nullptr;         ///< Null until `ShareLoad`.
   std::uint64_t bytes = 0;
 };
 
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -2,6 +2,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace limpethaven {
 namespace {
 
@@ -46,7 +49,12 @@
       gauges(prometheus::BuildGauge()
                  .Name("limpethaven_state")
                  .Help("Current values of the process's gauges, by item")
-                 .Register(this->registry)) {}
+                 .Register(this->registry)),
+      plain_shares(
+          prometheus::BuildGauge()
+              .Name("limpethaven_plain_share")
+              .Help("Share of an endpoint in the calls to its plain pool")
+              .Register(this->registry)) {}
 
 void Metrics::OnEnd(const std::string& kind, const std::string& outcome,
                     DurationMs elapsed_ms) {
@@ -99,6 +107,18 @@
   set("dropped_log_lines", static_cast<double>(snapshot.dropped_log_lines));
 }
 
+void Metrics::SetPlainShares(const std::vector<PlainShare>& next) {
+  std::ranges::for_each(
+      std::exchange(this->plain_share_rows, {}),
+      [this](prometheus::Gauge* row) { this->plain_shares.Remove(row); });
+  std::ranges::for_each(next, [this](const PlainShare& entry) {
+    prometheus::Gauge& row = this->plain_shares.Add(
+        {{"pool", entry.pool}, {"endpoint", entry.endpoint}});
+    row.Set(entry.share);
+    this->plain_share_rows.push_back(&row);
+  });
+}
+
 std::string Metrics::Text() const {
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -9,6 +9,7 @@
 #include <prometheus/registry.h>
 
 #include <string>
+#include <vector>
 
 #include "limpethaven/clock.h"
 #include "limpethaven/error.h"
@@ -46,6 +47,13 @@
   std::uint64_t dropped_log_lines = 0;
 };
 
+/// Share of an endpoint in this process's calls to its plain pool.
+struct PlainShare {
+  std::string pool;
+  std::string endpoint;
+  double share = 0;
+};
+
 /// Metrics of one process.
 class Metrics {
  public:
@@ -66,6 +74,8 @@
   void OnCharge(const std::string& team, Tokens tokens);
   /// Sets all gauges.
   void SetGauges(const MetricsSnapshot& snapshot);
+  /// Sets the shares of plain endpoints, and removes all others.
+  void SetPlainShares(const std::vector<PlainShare>& next);
   /// All metrics in Prometheus text format.
   [[nodiscard]] std::string Text() const;
 
@@ -78,6 +88,8 @@
   prometheus::Counter& tokens;
   prometheus::Family<prometheus::Counter>& charged;
   prometheus::Family<prometheus::Gauge>& gauges;
+  prometheus::Family<prometheus::Gauge>& plain_shares;
+  std::vector<prometheus::Gauge*> plain_share_rows;
 };
 
 }  // namespace limpethaven
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -10,7 +10,8 @@
   while (this->record.MaySend() && !this->Cancelled()) {
     if (auto refused = this->CheckStop()) co_return refused;
     const EndpointRecord* chosen =
-        this->core.ChooseEndpoint(*this->admitted.pool, this->tried_endpoints);
+        this->core.ChooseEndpoint(*this->admitted.pool, this->tried_endpoints,
+                                  this->admitted.request.attempt_id);
     if (chosen == nullptr) break;
     const EndpointRecord endpoint = *chosen;
     this->tried_endpoints.push_back(endpoint.id);
@@ -21,8 +22,7 @@
       last = co_await this->Send(this->MakeDispatch(endpoint));
     }
     if (this->Cancelled()) break;
-    this->core.NoteOutcome(endpoint.id, last == SendOutcome::kAnswered ||
-                                            last == SendOutcome::kFailed);
+    this->core.NoteOutcome(endpoint.id, last);
     const NextStep step = this->DecideNextStep(last);
     if (step == NextStep::kForward) co_return std::nullopt;
     if (step != NextStep::kSendAgain) break;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -30,19 +30,50 @@
       config(std::make_shared<const Configuration>()),
       active(router_settings.max_requests),
       limits(RandomBits()),
+      plain(PlainBalanceSettings{router_settings.balance_plain_pools,
+                                 router_settings.balance_min_processes},
+            this->parts.data_centre),
       random(RandomBits()),
-      started_at(LoopNow()) {}
+      started_at(LoopNow()) {
+  if (this->settings.balance_plain_pools) {
+    this->parts.gossip.ShareLoad(this->plain);
+  }
+}
+
+const EndpointRecord* RouterCore::ChooseByShares(
+    const PoolSpec& pool, const std::vector<std::string>& tried,
+    const std::string& request, TimeMs now) {
+  if (!this->plain.InForce()) return nullptr;
+  std::vector<const EndpointRecord*> endpoints =
+      this->parts.table.Usable(pool.name);
+  std::erase_if(endpoints, [&](const EndpointRecord* endpoint) {
+    return this->limits.WaitMs(endpoint->id, now) > 0 ||
+           this->pauses.WaitMs(endpoint->id, now) > 0 ||
+           !this->health.Usable(endpoint->id, now);
+  });
+  if (endpoints.size() < 2) return nullptr;
+  return this->plain.Choose(
+      pool.name, endpoints, tried, request,
+      [this](const std::string& endpoint) {
+        const auto calls = this->in_flight.find(endpoint);
+        return calls == this->in_flight.end() ? 0 : calls->second;
+      },
+      now);
+}
 
 const EndpointRecord* RouterCore::ChooseEndpoint(
-    const PoolSpec& pool, const std::vector<std::string>& tried) {
-  const EndpointRecord* best = nullptr;
+    const PoolSpec& pool, const std::vector<std::string>& tried,
+    const std::string& request) {
   double best_cost = 0;
   bool best_healthy = false;
   const TimeMs now = LoopNow();
   std::uniform_real_distribution<double> jitter(0, kMaxJitterCalls);
   this->limits.SetProcessCount(static_cast<std::int64_t>(
       this->parts.gossip.Members().ServingMembers().size()));
+  const EndpointRecord* best = this->ChooseByShares(pool, tried, request, now);
+  const bool by_shares = best != nullptr;
   for (const EndpointRecord* endpoint : this->parts.table.Usable(pool.name)) {
+    if (by_shares) break;
     if (std::ranges::find(tried, endpoint->id) != tried.end()) continue;
     if (this->limits.WaitMs(endpoint->id, now) > 0) continue;
     if (this->pauses.WaitMs(endpoint->id, now) > 0) continue;
@@ -113,11 +144,20 @@
 void RouterCore::AddInFlight(const std::string& endpoint, std::int64_t calls) {
   const auto row = this->in_flight.try_emplace(endpoint, 0).first;
   row->second += calls;
+  if (calls > 0) this->plain.OnCall(endpoint, LoopNow());
+  if (calls < 0) this->plain.OnCallEnd(endpoint, LoopNow());
   if (row->second <= 0) this->in_flight.erase(row);
 }
 
-void RouterCore::NoteOutcome(const std::string& endpoint, bool served) {
+void RouterCore::NoteOutcome(const std::string& endpoint, SendOutcome outcome) {
   const TimeMs now = LoopNow();
+  const bool served =
+      outcome == SendOutcome::kAnswered || outcome == SendOutcome::kFailed;
+  const bool unanswered =
+      outcome == SendOutcome::kBroken || outcome == SendOutcome::kSilent;
+  if (unanswered && this->plain.OnFailure(endpoint, now)) {
+    this->parts.gossip.AnnounceLoad();
+  }
   if (served) {
     if (this->health.OnSuccess(endpoint, now)) {
       LogEvent(EventId::kEndpointReturned, {{"endpoint", endpoint}});
@@ -129,6 +169,27 @@
   }
 }
 
+void RouterCore::CountPeerFailures(TimeMs now) {
+  const std::vector<WeightedFailures> failures = this->plain.TakePeerFailures();
+  if (failures.empty()) return;
+  const std::vector<EndpointRecord> endpoints = this->parts.table.All();
+  std::ranges::for_each(endpoints, [&](const EndpointRecord& endpoint) {
+    if (endpoint.role != PoolRole::kService) return;
+    const std::uint32_t key = ReportKeyOf(endpoint.id);
+    std::ranges::for_each(failures, [&](const WeightedFailures& entry) {
+      if (entry.endpoint != key) return;
+      if (!this->health.OnPeerFailures(endpoint.id, now, entry.failures)) {
+        return;
+      }
+      LogEvent(EventId::kEndpointEjected,
+               {{"endpoint", endpoint.id},
+                {"why",
+                 "too many recent failures, most of them reported by "
+                 "peers"}});
+    });
+  });
+}
+
 void RouterCore::NoteLimit(const std::string& endpoint,
                            const AnswerClass& answer) {
   switch (
@@ -178,6 +239,11 @@
 }
 
 void RouterCore::Expire(TimeMs now) {
+  if (this->settings.balance_plain_pools) {
+    this->plain.SetServing(this->parts.gossip.Members().ServingMembers(), now);
+    this->plain.Expire(now);
+    this->CountPeerFailures(now);
+  }
   std::erase_if(this->anonymous_refusals, [now](const auto& row) {
     return now - row.second >= kAnonymousRefusalMs;
   });
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -14,6 +14,7 @@
 #include "limpethaven/endpoint_pauses.h"
 #include "limpethaven/endpoint_table.h"
 #include "limpethaven/prompt_quarantine.h"
+#include "limpethaven/request_record.h"
 #include "limpethaven/retry_budget.h"
 #include "limpethaven/stop_admission.h"
 #include "net/http_client.h"
@@ -24,6 +25,7 @@
 #include "router/active_requests.h"
 #include "router/dialect.h"
 #include "router/metrics.h"
+#include "router/plain_balance.h"
 
 namespace limpethaven {
 
@@ -38,6 +40,12 @@
   bool allow_local_prefill = false;
   /// Most requests that are served at once; further ones are refused.
   std::size_t max_requests = 3000;
+  /// Whether calls to plain services are divided among their endpoints by
+  /// shares that all processes compute from their reports to each other.
+  bool balance_plain_pools = false;
+  /// Number of serving processes from which that is in force, at least 1. Few
+  /// processes balance well enough by their own calls in flight.
+  std::int64_t balance_min_processes = 1;
 };
 
 /// Receives what endpoints say about themselves in their answers.
@@ -74,11 +82,14 @@
   /// chosen only when no other is left, and none whose limit on requests is
   /// used up or that is paused. The choice is recorded in the endpoints'
   /// health, since a request to an ejected endpoint is a probe, and in the
-  /// limits.
+  /// limits. With `balance_plain_pools` in force, endpoints that are not
+  /// ejected are chosen by `EndpointBalancer` instead.
   /// @param tried Ids of endpoints that are left out.
+  /// @param request Id of the request, for the log.
   /// @returns null when there is none.
   [[nodiscard]] const EndpointRecord* ChooseEndpoint(
-      const PoolSpec& pool, const std::vector<std::string>& tried);
+      const PoolSpec& pool, const std::vector<std::string>& tried,
+      const std::string& request);
   /// Time until the first endpoint of a pool may be sent a request, if all of
   /// them are paused or have used up their limit on requests; 0 when one may be
   /// sent a request now, or there is none.
@@ -93,9 +104,10 @@
   /// endpoint; negative when calls have ended.
   void AddInFlight(const std::string& endpoint, std::int64_t calls);
   /// Records the outcome of a call to an endpoint of a plain service, and logs
-  /// when the endpoint is ejected or returns.
-  /// @param served Whether the endpoint answered, even with a failure.
-  void NoteOutcome(const std::string& endpoint, bool served);
+  /// when the endpoint is ejected or returns. Peers are told of a call that
+  /// brought no answer, but not of one that the endpoint has refused or that
+  /// could not be sent.
+  void NoteOutcome(const std::string& endpoint, SendOutcome outcome);
   /// Refusal of a prompt with a quarantined part; empty for other prompts.
   /// @param prompt_parts Result of `ShareableParts`.
   [[nodiscard]] std::optional<Error> CheckQuarantine(
@@ -108,7 +120,8 @@
   /// Whether an endpoint has refused a request lately without naming it.
   [[nodiscard]] bool RefusesAnonymously(const std::string& endpoint) const;
   /// Removes the limits of endpoints that no longer answer, the pauses that are
-  /// over, and the silence of endpoints that are gone.
+  /// over, and the silence of endpoints that are gone. Counts the failures that
+  /// peers have reported.
   void Expire(TimeMs now);
   /// Smallest number of retries left in any pool's budget; 0 when there is no
   /// budget yet.
@@ -126,10 +139,17 @@
   StopAdmission stop_admission;
   /// Time of the last prefill call that an engine rejected, keyed by pool.
   std::unordered_map<std::string, TimeMs> prefill_rejected_at;
+  PlainBalance plain;
   /// Bytes of endpoints' answers that are held until they are complete.
   std::size_t buffered_bytes = 0;
 
  private:
+  /// Chooses among the endpoints that are not ejected, by shares.
+  /// @returns null when balancing is not in force or none is left.
+  [[nodiscard]] const EndpointRecord* ChooseByShares(
+      const PoolSpec& pool, const std::vector<std::string>& tried,
+      const std::string& request, TimeMs now);
+  void CountPeerFailures(TimeMs now);
   void NoteLimit(const std::string& endpoint, const AnswerClass& answer);
 
   /// Calls in flight from this process, keyed by endpoint id.
--- a/tests/balancer_fleet.cc
+++ b/tests/balancer_fleet.cc
@@ -279,9 +279,12 @@
     }
     process.balancer->Update(kPool, usable, process.meter.Peek(this->now),
                              this->now);
-    return process.balancer->Draw(kPool, {}, [&](const std::string& endpoint) {
-      return process.in_flight[endpoint];
-    });
+    return process.balancer
+        ->Draw(kPool, {},
+               [&](const std::string& endpoint) {
+                 return process.in_flight[endpoint];
+               })
+        .id;
   }
 
   void Summarise() {
--- a/tests/endpoint_balancer_test.cc
+++ b/tests/endpoint_balancer_test.cc
@@ -183,6 +183,9 @@
   CHECK(pool.Shares(600).local_share == Approx(1));
   SECTION("the report is too old") {
     CHECK(pool.Shares(3700).local_share == Approx(0.5));
+    // It is not taken again when it arrives a second time.
+    CHECK_FALSE(pool.Report(1, 1, 10, 3800));
+    CHECK(pool.Shares(4300).local_share == Approx(0.5));
   }
   SECTION("the peer is dead") {
     pool.balancer.Forget("peer");
@@ -202,9 +205,9 @@
   }
   CHECK(sum == Approx(1));
   const auto idle = [](const std::string&) { return std::int64_t{0}; };
-  CHECK_FALSE(pool.balancer.Draw("pool", {}, idle).empty());
-  CHECK(pool.balancer.Draw("pool", {"near"}, idle) == "far");
-  CHECK(pool.balancer.Draw("pool", {"near", "far"}, idle).empty());
+  CHECK_FALSE(pool.balancer.Draw("pool", {}, idle).id.empty());
+  CHECK(pool.balancer.Draw("pool", {"near"}, idle).id == "far");
+  CHECK(pool.balancer.Draw("pool", {"near", "far"}, idle).id.empty());
 }
 
 }  // namespace
--- a/tests/endpoint_limit_test.cc
+++ b/tests/endpoint_limit_test.cc
@@ -66,7 +66,9 @@
 }
 
 TEST_CASE("a plain endpoint gets no more calls than the limit that it names") {
-  PlatformFleet fleet(PlatformFleetSettings{}, NameLimit);
+  PlatformFleetSettings settings;
+  settings.balance_plain_pools = GENERATE(false, true);
+  PlatformFleet fleet(settings, NameLimit);
   Press(fleet, [&fleet](std::size_t entry, int) { fleet.StartService(entry); });
   const std::ptrdiff_t most = MostCallsInWindow(*fleet.engines.back());
   CHECK(most <= kMaxCallsInWindow);
--- a/tests/endpoint_return_test.cc
+++ b/tests/endpoint_return_test.cc
@@ -25,6 +25,7 @@
   PlatformFleetSettings settings;
   settings.engines = 1;
   settings.service_endpoints = 2;
+  settings.balance_plain_pools = GENERATE(false, true);
   PlatformFleet fleet(settings, Serve);
   ScriptedEngine& crashed = *fleet.engines.back();
   const auto press = [&fleet](DurationMs duration_ms) {
--- a/tests/endpoint_signals_test.cc
+++ b/tests/endpoint_signals_test.cc
@@ -211,6 +211,7 @@
   PlatformFleetSettings settings;
   settings.engines = 1;
   settings.service_endpoints = 2;
+  settings.balance_plain_pools = GENERATE(false, true);
   // The endpoint says so to one entry only.
   PlatformFleet fleet(settings,
                       [told = false](const RequestHead& call) mutable {
@@ -301,6 +302,7 @@
   settings.engines = 3;
   settings.prefill_engines = 2;
   settings.service_endpoints = 2;
+  settings.balance_plain_pools = GENERATE(false, true);
   // A decode engine, a prefill engine and a plain endpoint.
   PlatformFleet fleet(settings, [](const RequestHead& call) {
     const bool pauses = IsTo(call, "engine-1") || IsTo(call, "engine-4") ||
@@ -332,6 +334,7 @@
   PlatformFleetSettings settings;
   settings.engines = 2;
   settings.service_endpoints = 2;
+  settings.balance_plain_pools = GENERATE(false, true);
   // The second one asks for less.
   PlatformFleet fleet(settings, [](const RequestHead& call) {
     const bool shorter = IsTo(call, "engine-2") || IsTo(call, "engine-4");
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -391,6 +391,8 @@
   node.address_ttl_ms = this->settings.address_ttl_ms;
   node.shutdown_timeout_ms = this->settings.shutdown_timeout_ms;
   node.router.allow_local_prefill = true;
+  node.router.balance_plain_pools = this->settings.balance_plain_pools;
+  node.router.balance_min_processes = this->settings.balance_min_processes;
   node.cells.allow_local_prefill = true;
   node.cells.reserve_maximum = false;
   node.cells.settle_ms = this->settings.settle_ms;
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -92,6 +92,9 @@
   DurationMs settle_ms = 0;
   /// Time limit of each request of a caller.
   DurationMs timeout_ms = 10'000;
+  /// See `RouterSettings`.
+  bool balance_plain_pools = false;
+  std::int64_t balance_min_processes = 1;
 };
 
 class FixedSource;
