--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -205,6 +205,11 @@
            {{"member", change.member.latest.address},
             LogField::Of("incarnation", change.member.latest.incarnation),
             {"before", std::string(NameOf(change.previous_state))}});
+  const MemberUpdate& latest = change.member.latest;
+  if (latest.state == MemberState::kDead ||
+      latest.state == MemberState::kLeaving) {
+    this->router.Core().plain.Forget(latest.address);
+  }
 }
 
 void EntryNode::OnLeavingEndpoints(
@@ -432,6 +437,7 @@
   snapshot.source_reader = this->source_follower.IsReader();
   snapshot.state_age_ms = this->source_follower.StateAgeMs(now);
   this->metrics.SetGauges(snapshot);
+  this->metrics.SetPlainShares(this->router.Core().plain.Shares());
   return this->metrics.Text();
 }
 
