Send the holder with an order mark; wait for few slots in the fleet's test

The encoder left the holder out, so that the owner refused every placement request of another process; the test of role orders with real nodes showed it. With 16 slots the measured prefill time on a busy machine made the split of the test fit, so it has 4.

--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -30,7 +30,7 @@
 }
 
 json MarkToJson(const OrderMark& mark) {
-  return json::array({mark.term, mark.prefill_permille});
+  return json::array({mark.term, mark.holder, mark.prefill_permille});
 }
 
 OrderMark MarkFromJson(const json& in) {
--- a/tests/role_balancer_test.cc
+++ b/tests/role_balancer_test.cc
@@ -45,12 +45,13 @@
   };
 }
 
-/// More prefill engines than the demand needs: each generation occupies a slot
-/// of a decode engine for longer than its prefill lasts.
+/// More prefill engines than the demand needs: slots are few, and a generation
+/// is expected to occupy one for much longer than its prefill lasts.
 PlatformFleetSettings FleetSettings() {
   PlatformFleetSettings settings;
   settings.engines = 8;
   settings.prefill_engines = 8;
+  settings.slots = 4;
   settings.role_change_ms = kRoleChangeMs;
   return settings;
 }
