Tests: readers that fail before membership notices; whole processes

Members are now probed every 3 s there, and a change must be known 1,700 ms after both readers have failed. The lagging reader gets no gossip, which had cured it. A further test checks the wiring of EntryNode.

--- a/tests/reader_fleet_test.cc
+++ b/tests/reader_fleet_test.cc
@@ -9,8 +9,10 @@
 #include <vector>
 
 #include "limpethaven/crypto.h"
+#include "node/entry_node.h"
 #include "node/source_follower.h"
 #include "node/state_watch.h"
+#include "platform/dialect.h"
 #include "platform/store_source.h"
 #include "store_standin.h"
 
@@ -27,6 +29,9 @@
 constexpr std::size_t kLarge = 3;
 /// Time within which a change must be in force.
 constexpr DurationMs kBoundMs = 3000;
+/// Time within which processes whose readers have failed know a change.
+constexpr DurationMs kDetectedMs =
+    ReaderFreshnessSettings{}.max_silence_ms + 400;
 constexpr DurationMs kStartMs = 20'000;
 constexpr DurationMs kTickMs = 100;
 
@@ -64,7 +69,7 @@
 class Process final : public GossipListener, public StateListener {
  public:
   Process(std::size_t index, const std::string& store)
-      : gossip(this->loop, IdentityOf(index), MembershipSettings{}, *this),
+      : gossip(this->loop, IdentityOf(index), SlowMembership(), *this),
         link(this->loop, IdentityOf(index)),
         state(this->link, this->gossip, this->table, *this),
         watch(this->link, this->state),
@@ -145,6 +150,13 @@
     identity.secret = "fleet";
     return identity;
   }
+  /// In a fleet of five, members would be found dead, and changes spread by
+  /// gossip, sooner than in a large one.
+  static MembershipSettings SlowMembership() {
+    MembershipSettings settings;
+    settings.probe_period_ms = 3000;
+    return settings;
+  }
   static ReaderFreshnessSettings SettingsOf() {
     ReaderFreshnessSettings settings;
     settings.settle_ms = 1500;
@@ -289,12 +301,20 @@
 
 TEST_CASE("reader fleet: a reader that is killed delays a change") {
   Fleet fleet;
-  const std::vector<Process*> readers = fleet.Readers();
-  readers[0]->CutOff();
-  readers[0]->stopped = true;
-  CHECK(fleet.Follows(2));
-  readers[1]->CutOff();
-  readers[1]->stopped = true;
+  Process* reader = fleet.Readers()[0];
+  reader->CutOff();
+  reader->stopped = true;
+  CHECK(fleet.Follows(2, 500));
+  CHECK_FALSE(fleet.Followers().empty());
+}
+
+TEST_CASE("reader fleet: readers that are killed hide a change") {
+  Fleet fleet;
+  for (Process* reader : fleet.Readers()) {
+    reader->CutOff();
+    reader->stopped = true;
+  }
+  CHECK(fleet.Follows(2, kDetectedMs));
   CHECK(fleet.Follows(3));
 }
 
@@ -302,7 +322,7 @@
   Fleet fleet;
   const std::vector<Process*> readers = fleet.Readers();
   for (Process* reader : readers) reader->stopped = true;
-  CHECK(fleet.Follows(2));
+  CHECK(fleet.Follows(2, kDetectedMs));
   CHECK(fleet.Follows(3));
   for (Process* reader : readers) reader->stopped = false;
   CHECK(fleet.Follows(4));
@@ -323,7 +343,7 @@
 TEST_CASE("reader fleet: readers that lose their peers alone hide a change") {
   Fleet fleet;
   for (Process* reader : fleet.Readers()) reader->CutOff();
-  CHECK(fleet.Follows(2));
+  CHECK(fleet.Follows(2, kDetectedMs));
   CHECK(fleet.Follows(3));
 }
 
@@ -332,12 +352,14 @@
   const std::vector<Process*> readers = fleet.Readers();
   readers[0]->disturbed = true;
   readers[0]->source.Lag();
+  // Otherwise it would learn of changes by gossip.
+  readers[0]->gossip.Stop();
   // Its last watch has ended by then.
   fleet.RunFor(1000);
-  CHECK(fleet.Follows(2));
+  CHECK(fleet.Follows(2, 500));
   readers[1]->CutOff();
   readers[1]->stopped = true;
-  CHECK(fleet.Follows(3));
+  CHECK(fleet.Follows(3, kDetectedMs));
 }
 
 TEST_CASE("reader fleet: the store is silent for all and returns") {
@@ -369,5 +391,58 @@
   CHECK(fleet.NoneFellBack());
 }
 
+// Guards against parts of the process that are not connected.
+TEST_CASE("reader fleet: whole processes leave the store to their readers") {
+  Loop loop(1);
+  StoreStandin store(loop, "127.96.2.9:18197");
+  store.Listen();
+  store.Put("op/config", ConfigItem(1));
+  store.Put("servers/e1", EndpointItem("127.0.0.1:9", "ready", 1));
+  std::vector<std::unique_ptr<platform::StoreSource>> sources;
+  std::vector<std::unique_ptr<EntryNode>> nodes;
+  for (int index = 1; index <= 3; ++index) {
+    NodeSettings settings;
+    settings.ip = "127.96.2." + std::to_string(index);
+    settings.vm = settings.ip;
+    settings.data_centre = "a";
+    settings.callers_address = settings.ip + ":18199";
+    settings.peer_port = kPort;
+    settings.seeds = {"127.96.2.1", "127.96.2.2"};
+    settings.cpu_millicores = index < 3 ? 500 : 120;
+    settings.source_readers = 2;
+    settings.min_members_for_readers = 3;
+    NodeDialects dialects;
+    dialects.callers = std::make_unique<platform::PlatformCallers>();
+    dialects.endpoints = std::make_unique<platform::PlatformEndpoints>();
+    sources.push_back(std::make_unique<platform::StoreSource>(
+        loop, platform::StoreSettings{store.address}));
+    nodes.push_back(std::make_unique<EntryNode>(loop, std::move(settings),
+                                                std::move(dialects)));
+    REQUIRE(nodes.back()->Start(*sources.back()));
+  }
+  const auto run_until = [&loop](const auto& holds, DurationMs limit_ms) {
+    const TimeMs end = LoopNow() + limit_ms;
+    while (!holds() && LoopNow() < end) {
+      loop.run_for(std::chrono::milliseconds(5));
+    }
+    return holds();
+  };
+  const auto has_gauge = [&](std::size_t node, const std::string& text) {
+    return nodes[node]->MetricsText().find("{item=\"" + text + "\n") !=
+           std::string::npos;
+  };
+  CHECK(run_until([&] { return has_gauge(2, "source_read\"} 0"); }, kStartMs));
+  CHECK(has_gauge(0, "source_reader\"} 1"));
+  CHECK(has_gauge(1, "source_reader\"} 1"));
+  CHECK(has_gauge(0, "source_read\"} 1"));
+  store.Put("op/config", ConfigItem(2));
+  CHECK(run_until([&] { return nodes[2]->ConfigVersion() == 2; }, 500));
+  for (const auto& node : nodes) node->CloseSockets();
+  store.Stop();
+  CloseAllConnections(loop);
+  loop.poll();
+  loop.EndTasks();
+}
+
 }  // namespace
 }  // namespace limpethaven
