Cells: rules per pool, cost of a search, events and metrics

A forecast is kept until a generation of the engine changes or 5 ms have passed, and the queue is searched again only after a change or 5 ms. The request that is due first holds up its queue until it fits, and a less urgent priority whose requests are refused keeps the starts it is owed. Events 411 and 415 and the metrics have the inputs and outcomes of the decisions.

--- a/include/limpethaven/cell_scheduler.h
+++ b/include/limpethaven/cell_scheduler.h
@@ -158,6 +158,14 @@
   DurationMs queued_ms = 0;
   DurationMs lease_ms = 0;  ///< Time within which it must be renewed.
   std::string reason;       ///< Explanation of the choice for the event log.
+  /// Whether the first token is expected before it is due. This and the members
+  /// below are for the event log and are not sent to the entry process.
+  bool on_time = true;
+  /// Time since an answer, a report or a notice last told something about the
+  /// engine that prefills the prompt; -1 if nothing has been heard of it.
+  DurationMs report_age_ms = -1;
+  /// Prompts placed on that engine before and not reported done.
+  std::int64_t outstanding = 0;
   friend auto operator<=>(const Placement&, const Placement&) = default;
 };
 
@@ -241,6 +249,10 @@
   /// work. It is removed by this call, or by the first later one at which it
   /// has neither reservations nor running prefills.
   void Configure(const std::vector<CellEngine>& engines, TimeMs now);
+  /// Changes `CellSettings::late_after_on_time` and
+  /// `CellSettings::refuse_by_drain_rate`. Requests that wait keep their
+  /// places.
+  void SetRules(bool late_after_on_time, bool refuse_by_drain_rate);
   /// Queues a request. A later `Tick` returns a `PlaceCommand` or
   /// `RefuseCommand` for it, unless it is withdrawn first.
   void Submit(PlacementRequest request, TimeMs now);
--- a/include/limpethaven/cells.h
+++ b/include/limpethaven/cells.h
@@ -20,6 +20,7 @@
   std::string model;  ///< Name of the model or, for cells of a pool, the pool.
   std::string data_centre;  ///< Data centre with the most of its engines.
   std::vector<CellEngine> engines;
+  bool on_time_first = false;  ///< As in `EngineSpec`.
   friend auto operator<=>(const CellSpec&, const CellSpec&) = default;
 };
 
--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -60,6 +60,9 @@
   /// How long an engine retains the KV cache of a finished prefill.
   DurationMs prefill_kept_ms = 0;
   Tokens tokens_per_event = 1;  ///< Tokens in one event of an answer's stream.
+  /// Whether the cells of the pool use `CellSettings::late_after_on_time` and
+  /// `CellSettings::refuse_by_drain_rate`.
+  bool on_time_first = false;
   friend auto operator<=>(const EngineSpec&, const EngineSpec&) = default;
 };
 
--- a/include/limpethaven/memory_forecast.h
+++ b/include/limpethaven/memory_forecast.h
@@ -26,4 +26,19 @@
 /// so the peak can lie below the sum of the final sizes.
 [[nodiscard]] Tokens PeakMemory(std::vector<HeldGeneration> generations);
 
+/// The same forecast for one set of generations and many candidates for one
+/// more. Immutable.
+class MemoryForecast {
+ public:
+  MemoryForecast() = default;
+  explicit MemoryForecast(std::vector<HeldGeneration> generations);
+
+  /// Peak with one more generation, or without if it holds no tokens.
+  [[nodiscard]] Tokens PeakWith(const HeldGeneration& additional) const;
+
+ private:
+  /// In the order of falling remaining tokens.
+  std::vector<HeldGeneration> held;
+};
+
 }  // namespace limpethaven
--- a/src/core/scheduling/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -32,6 +32,9 @@
 /// An outstanding prompt whose notice has not come after this time no longer
 /// counts: the notice is lost.
 constexpr DurationMs kOutstandingTimeoutMs = 5000;
+/// Time for which a forecast of an engine's memory is used again. A generation
+/// produces one or two tokens in it.
+constexpr DurationMs kForecastStepMs = 5;
 /// Multiple of the expected prefill time from which an engine is overdue.
 constexpr double kOverdueRatio = 2;
 /// Initial delay of the notice of a finished prefill: entry processes send
@@ -173,13 +176,16 @@
 Tokens CellEngines::PeakWith(const EngineRow& engine,
                              const HeldGeneration& additional,
                              TimeMs now) const {
-  std::vector<HeldGeneration> held;
-  held.reserve(engine.generations.size() + 1);
-  std::ranges::transform(
-      engine.generations, std::back_inserter(held),
-      [&](const auto& row) { return this->ForecastOf(row.second, now); });
-  if (additional.held_tokens > 0) held.push_back(additional);
-  return PeakMemory(std::move(held)) + engine.unreserved_tokens;
+  if (!engine.forecast_at || now - *engine.forecast_at >= kForecastStepMs) {
+    std::vector<HeldGeneration> held;
+    held.reserve(engine.generations.size());
+    std::ranges::transform(
+        engine.generations, std::back_inserter(held),
+        [&](const auto& row) { return this->ForecastOf(row.second, now); });
+    engine.forecast = MemoryForecast(std::move(held));
+    engine.forecast_at = now;
+  }
+  return engine.forecast.PeakWith(additional) + engine.unreserved_tokens;
 }
 
 Tokens CellEngines::UsableMemory(double request_token_ms) const {
@@ -197,6 +203,37 @@
   return sum;
 }
 
+std::vector<EngineView> CellEngines::Views(TimeMs now) const {
+  std::vector<EngineView> views;
+  std::ranges::transform(
+      this->rows, std::back_inserter(views), [&](const EngineRow& engine) {
+        return EngineView{engine.spec.id,
+                          engine.spec.role,
+                          engine.spec.memory,
+                          this->PeakWith(engine, HeldGeneration{}, now),
+                          static_cast<std::int64_t>(engine.generations.size()),
+                          engine.PrefillBacklogMs(now),
+                          engine.usable};
+      });
+  return views;
+}
+
+Tokens CellEngines::HeadroomTokens(TimeMs now) const {
+  Tokens headroom = 0;
+  std::ranges::for_each(this->rows, [&](const EngineRow& engine) {
+    const bool accepts = engine.usable && engine.CanDecode() &&
+                         static_cast<std::int64_t>(engine.generations.size()) <
+                             engine.spec.slots;
+    if (!accepts) return;
+    const auto planned =
+        static_cast<Tokens>(static_cast<double>(engine.spec.memory) *
+                            this->settings.planned_memory_ratio);
+    headroom += std::max<Tokens>(
+        0, planned - this->PeakWith(engine, HeldGeneration{}, now));
+  });
+  return headroom;
+}
+
 bool CellEngines::AnyFor(const PlacementRequest& request) const {
   return std::ranges::any_of(this->rows, [&request](const EngineRow& engine) {
     return engine.configured && !engine.spec.leaving && engine.CanDecode() &&
--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -5,6 +5,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -71,6 +72,11 @@
   bool kv_fetchable = true;
   /// Keyed by reservation id.
   std::map<std::string, Generation, std::less<>> generations;
+  /// Forecast of its memory as of `forecast_at`, without
+  /// `unreserved_tokens`; kept until a generation changes or a time step ends.
+  mutable MemoryForecast forecast;
+  /// Empty after a change of `generations`; whoever changes them resets it.
+  mutable std::optional<TimeMs> forecast_at;
   /// Memory that the engine reports for attempts without a reservation here.
   Tokens unreserved_tokens = 0;
   /// Until then it gets no generations, so that the entry processes can report
@@ -79,6 +85,8 @@
   TimeMs refusing_until = 0;  ///< End of the cool-down after a refusal.
   std::int64_t refusals = 0;  ///< Refusals since the last success.
   std::int64_t running_prefills = 0;
+  /// Time of the last answer, report or notice that told something about it.
+  std::optional<TimeMs> reported_at;
   /// Prompts not reported done, in the order of placement. A prompt whose
   /// notice is lost is removed when its reservation ends, or by `Refresh` 5 s
   /// after its placement.
@@ -92,6 +100,10 @@
   double prefill_slowdown = 1.0;
   PrefixCacheView cache;
 
+  /// Records that it has served a request, which ends the count of refusals.
+  void OnServed(TimeMs now);
+  /// Starts the cool-down after a refusal.
+  void OnRefused(const CellSettings& settings, TimeMs now);
   [[nodiscard]] bool CanPrefill() const;
   [[nodiscard]] bool CanDecode() const;
   /// Expected time until its prefill work is done. While the notice of its
@@ -158,6 +170,9 @@
   /// @param request_token_ms Memory of one request multiplied by the time for
   /// which it is held.
   [[nodiscard]] Tokens UsableMemory(double request_token_ms) const;
+  [[nodiscard]] std::vector<EngineView> Views(TimeMs now) const;
+  /// Decode memory of the usable engines that the forecast leaves free.
+  [[nodiscard]] Tokens HeadroomTokens(TimeMs now) const;
   /// Whether any decode engine may take the request at some time.
   [[nodiscard]] bool AnyFor(const PlacementRequest& request) const;
   /// Whether any decode engine that takes new work at present may take the
--- a/src/core/scheduling/cell_queue.cc
+++ b/src/core/scheduling/cell_queue.cc
@@ -20,6 +20,9 @@
 /// latter, long requests of a team would always be behind short ones.
 constexpr double kMinStartsRatio = 0.05;
 constexpr std::int64_t kStartsPerUrgentStart = 20;
+/// Starts that a priority can be owed, so that a time without requests earns it
+/// no more.
+constexpr double kMaxCredit = 2;
 /// A late request hardly begins in time when its caller times out within this
 /// multiple of its prefill time.
 constexpr DurationMs kSafePrefills = 2;
@@ -34,6 +37,11 @@
       late_queue(kMaxBypassCount),
       last_queue(kMaxBypassCount) {}
 
+void CellQueue::SetRules(bool late_after_on_time, bool refuse_by_drain_rate) {
+  this->settings.late_after_on_time = late_after_on_time;
+  this->settings.refuse_by_drain_rate = refuse_by_drain_rate;
+}
+
 void CellQueue::Submit(PlacementRequest request, Tokens expected, TimeMs now) {
   const std::string id = request.request_id;
   WaitingRow row;
@@ -130,6 +138,8 @@
   std::ranges::for_each(this->on_time_queues,
                         [&](auto& entry) { drain_queue(entry.second.queue); });
   drain_queue(this->late_queue);
+  // Not empty only after the rules were switched off.
+  drain_queue(this->last_queue);
 }
 
 void CellQueue::AdmitOnTimeFirst(
@@ -183,11 +193,16 @@
       return in_time;
     };
     std::optional<QueueItem> item;
+    bool held = false;
     if (on_time.starts >= kStartsPerUrgentStart) {
       item = on_time.queue.PopMostUrgent(fits);
-      if (item) on_time.starts = 0;
+      // Others would use the memory that it waits for. It holds them up for a
+      // limited number of searches, as in `FairQueue`.
+      held = !item && missing.empty() && ++on_time.holds <= kMaxBypassCount;
+      if (!held) on_time.starts = 0;
+      if (!held) on_time.holds = 0;
     }
-    if (!item) item = on_time.queue.PopFirst(fits);
+    if (!item && !held) item = on_time.queue.PopFirst(fits);
     std::ranges::for_each(missing, [&](const std::string& id) {
       if (on_time.queue.Remove(id)) this->PushLate(id);
     });
@@ -202,14 +217,18 @@
     if (entry.first == priority) {
       ++queue.starts;
       queue.credit = std::max(0.0, queue.credit - 1);
-    } else if (queue.queue.Size() == 0) {
-      queue.credit = 0;
     } else if (entry.first > priority) {
-      queue.credit += kMinStartsRatio;
+      // Kept while its requests are refused, so that one of them can start.
+      queue.credit = std::min(kMaxCredit, queue.credit + kMinStartsRatio);
     }
   });
 }
 
+bool CellQueue::IsOwedStart(const PlacementRequest& request) const {
+  const OnTimeQueue& queue = this->on_time_queues.at(request.priority);
+  return queue.credit >= 1 && queue.queue.Size() == 1;
+}
+
 bool CellQueue::OnTimeWaits() const {
   return std::ranges::any_of(this->waiting, [this](const auto& entry) {
     return !entry.second.late &&
@@ -235,13 +254,15 @@
     const DurationMs wait = this->ExpectedWaitMs(row.token_ms);
     const TimeMs latest = std::max(row.give_up_at, row.first_token_due_at);
     if (wait == 0 || now + wait <= latest) return;
-    this->Remove(id);
-    refusals.push_back(this->Refusal(id, ErrorKind::kCapacity,
-                                     "the expected wait for an engine is " +
-                                         std::to_string(wait) +
-                                         " ms, the request can wait at most " +
-                                         std::to_string(latest - now) + " ms",
-                                     wait));
+    this->RemoveFromQueues(id);
+    const WaitingRow refused = this->TakeRow(id);
+    refusals.push_back(this->Refusal(
+        id, ErrorKind::kCapacity,
+        "the expected wait for an engine is " + std::to_string(wait) +
+            " ms, the request can wait at most " +
+            std::to_string(latest - now) + " ms",
+        this->settings.refuse_by_drain_rate ? this->RetryAfterMs(refused, now)
+                                            : wait));
     refusals.back().estimate_ms = wait;
     refusals.back().allowed_ms = latest - now;
   });
@@ -259,6 +280,7 @@
       row.first_token_due_at - now -
       this->engines.IdlePrefillMs(request.prompt_tokens);
   if (!row.late && estimate_ms <= allowed_ms) return std::nullopt;
+  if (!row.late && this->IsOwedStart(request)) return std::nullopt;
   if (this->StartsLate(row, now)) {
     if (!row.late) {
       this->RemoveFromQueues(id);
@@ -333,9 +355,6 @@
 }
 
 DurationMs CellQueue::RetryAfterMs(const WaitingRow& row, TimeMs now) {
-  if (!this->drain.Known(now)) {
-    return std::max(kMinRetryAfterMs, this->ExpectedWaitMs());
-  }
   std::erase_if(this->returns, [now](const ExpectedReturn& expected) {
     return expected.at <= now;
   });
@@ -350,8 +369,10 @@
     returning += expected.tokens;
     earliest = std::max(earliest, expected.at);
   });
-  const DurationMs retry_ms =
-      std::max(earliest - now, this->WaitFor(request, returning, now));
+  const DurationMs wait_ms = this->drain.Known(now)
+                                 ? this->WaitFor(request, returning, now)
+                                 : this->ExpectedWaitMs();
+  const DurationMs retry_ms = std::max(earliest - now, wait_ms);
   if (this->returns.size() < this->settings.max_queue) {
     this->returns.push_back(
         ExpectedReturn{now + retry_ms, request.priority, request.team,
--- a/src/core/scheduling/cell_queue.h
+++ b/src/core/scheduling/cell_queue.h
@@ -47,6 +47,8 @@
   /// @param cell_engines Must outlive this object.
   CellQueue(const CellSettings& cell_settings, CellEngines& cell_engines);
 
+  /// Sets the rules, see `CellSettings`.
+  void SetRules(bool late_after_on_time, bool refuse_by_drain_rate);
   /// Queues a request.
   /// @param expected Output tokens to reserve memory for.
   void Submit(PlacementRequest request, Tokens expected, TimeMs now);
@@ -80,6 +82,8 @@
     double credit = 0;
     /// Starts since the one that was due first went first.
     std::int64_t starts = 0;
+    /// Searches that the request which was due first has held up.
+    std::int64_t holds = 0;
   };
   /// A refused request whose caller was told when to come back.
   struct ExpectedReturn {
@@ -109,6 +113,9 @@
   [[nodiscard]] std::optional<ReadyRequest> PopOnTime(OnTimeQueue& on_time,
                                                       TimeMs now);
   void CountStart(std::int64_t priority);
+  /// Whether the only request of its priority is the next to start, because its
+  /// priority has had less than its part of the starts.
+  [[nodiscard]] bool IsOwedStart(const PlacementRequest& request) const;
   /// Whether a request that can be on time waits for engines that late requests
   /// would use.
   [[nodiscard]] bool OnTimeWaits() const;
--- a/src/core/scheduling/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -14,6 +14,9 @@
 namespace limpethaven {
 namespace {
 
+/// Time after which the queue is searched again though nothing has changed but
+/// the time, which ends prefills and cool-downs.
+constexpr DurationMs kSearchStepMs = 5;
 /// Failures that a failed connection counts as: two in quick succession eject
 /// an engine.
 constexpr double kUnreachableWeight = 1.5;
@@ -81,6 +84,10 @@
                       std::greater<>>
       expiries;
   std::vector<CellCommand> commands;
+  /// Whether something has changed since the last search of the queue that may
+  /// let a request start.
+  bool changed = true;
+  TimeMs searched_at = 0;  ///< Time of that search.
 
   void Refuse(const std::string& request_id, ErrorKind kind,
               std::string message, DurationMs retry_after_ms) {
@@ -92,6 +99,9 @@
   /// Places the waiting requests for which engines are available.
   void Admit(TimeMs now) {
     if (this->queue.Size() == 0) return;
+    if (!this->changed && now - this->searched_at < kSearchStepMs) return;
+    this->changed = false;
+    this->searched_at = now;
     this->engines.Refresh(now);
     this->queue.Admit(now, [&](const ReadyRequest& ready) {
       this->Place(ready.row, ready.choice, now);
@@ -124,6 +134,13 @@
         std::to_string(static_cast<int>(choice.memory_utilization * 100)) +
         "% of memory forecast, " + std::to_string(row.expected) +
         " tokens expected" + (row.late ? ", late" : "");
+    placement.on_time =
+        !row.late && now + choice.first_token_ms <= row.first_token_due_at;
+    if (prefill_engine.reported_at) {
+      placement.report_age_ms = now - *prefill_engine.reported_at;
+    }
+    placement.outstanding =
+        static_cast<std::int64_t>(prefill_engine.outstanding.size());
     ReservationRow reservation;
     reservation.request_id = request.request_id;
     reservation.decode = decode_engine.spec.id;
@@ -161,6 +178,7 @@
                const Generation& generation) {
     if (EngineRow* engine = this->engines.Find(row.decode)) {
       engine->generations.insert_or_assign(id, generation);
+      engine->forecast_at.reset();
     }
     this->reservation_of.insert_or_assign(row.request_id, id);
     this->expiries.push(TimedReservation{row.expires_at, id});
@@ -173,6 +191,7 @@
                                                 TimeMs now) {
     const auto found = this->reservations.find(id);
     if (found == this->reservations.end()) return std::nullopt;
+    this->changed = true;
     ReservationRow row = std::move(found->second);
     if (EngineRow* engine = this->engines.Find(row.decode)) {
       const auto generation = engine->generations.find(found->first);
@@ -180,6 +199,7 @@
         this->queue.OnFreed(
             generation->second.prompt + generation->second.expected, now);
         engine->generations.erase(generation);
+        engine->forecast_at.reset();
       }
     }
     const auto current = this->reservation_of.find(row.request_id);
@@ -201,6 +221,7 @@
     row.prefilling = false;
     EngineRow* engine = this->engines.Find(row.prefill);
     if (engine == nullptr) return;
+    this->changed = true;
     this->engines.EndPrefill(*engine, id, measured_ms, now);
   }
 
@@ -232,9 +253,15 @@
 
 void CellScheduler::Configure(const std::vector<CellEngine>& engines,
                               TimeMs now) {
+  this->tables->changed = true;
   this->tables->engines.Configure(engines, now);
 }
 
+void CellScheduler::SetRules(bool late_after_on_time,
+                             bool refuse_by_drain_rate) {
+  this->tables->queue.SetRules(late_after_on_time, refuse_by_drain_rate);
+}
+
 void CellScheduler::Submit(PlacementRequest request, TimeMs now) {
   Tables& state = *this->tables;
   const std::string id = request.request_id;
@@ -269,6 +296,7 @@
                             " requests are waiting",
                         state.queue.ExpectedWaitMs());
   }
+  state.changed = true;
   state.queue.Submit(std::move(request), expected, now);
 }
 
@@ -311,6 +339,7 @@
     if (engine == nullptr || renewal.produced <= 0) return;
     const auto held = engine->generations.find(renewal.reservation);
     if (held == engine->generations.end()) return;
+    engine->forecast_at.reset();
     Generation& generation = held->second;
     if (generation.updated_at > 0 && renewal.produced > generation.produced) {
       state.engines.LearnDecodeRate(renewal.produced - generation.produced,
@@ -330,7 +359,7 @@
   EngineRow* engine = state.engines.Find(row.prefill);
   if (engine != nullptr && row.prefilling) {
     state.engines.engine_health.OnSuccess(row.prefill, now);
-    if (now >= engine->refusing_until) engine->refusals = 0;
+    engine->OnServed(now);
     state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
                                row.expected_first_token_ms, measured_ms);
   }
@@ -359,21 +388,15 @@
 }
 
 void CellScheduler::EngineServed(std::string_view engine, TimeMs now) {
+  this->tables->changed = true;
   this->tables->engines.engine_health.OnSuccess(engine, now);
   EngineRow* row = this->tables->engines.Find(engine);
-  if (row != nullptr && now >= row->refusing_until) row->refusals = 0;
+  if (row != nullptr) row->OnServed(now);
 }
 
 void CellScheduler::EngineFull(std::string_view engine, TimeMs now) {
   EngineRow* row = this->tables->engines.Find(engine);
-  // Refusals during the cool-down are those of requests placed before it.
-  if (row == nullptr || now < row->refusing_until) return;
-  const CellSettings& settings = this->tables->settings;
-  // The limit keeps the shift from overflowing.
-  const std::int64_t doublings = std::min<std::int64_t>(row->refusals++, 16);
-  row->refusing_until =
-      now + std::min(settings.max_refusal_cooldown_ms,
-                     settings.refusal_cooldown_ms << doublings);
+  if (row != nullptr) row->OnRefused(this->tables->settings, now);
 }
 
 void CellScheduler::KvFetchFailed(std::string_view engine, TimeMs now) {
@@ -381,11 +404,13 @@
 }
 
 void CellScheduler::KvFetchSucceeded(std::string_view engine, TimeMs now) {
+  this->tables->changed = true;
   this->tables->engines.kv_fetch_health.OnSuccess(engine, now);
 }
 
 void CellScheduler::LimitEngine(std::string_view engine,
                                 std::optional<double> max_per_s, TimeMs now) {
+  this->tables->changed = true;
   this->tables->engines.engine_limits.OnAnswer(engine, max_per_s, now);
 }
 
@@ -398,6 +423,8 @@
   Tables& state = *this->tables;
   EngineRow* engine = state.engines.Find(id);
   if (engine == nullptr) return;
+  state.changed = true;
+  engine->reported_at = now;
   engine->unreserved_tokens = 0;
   std::ranges::for_each(load.held, [&](const HeldRequest& held) {
     if (state.reservations.contains(held.attempt)) return;
@@ -437,39 +464,15 @@
 }
 
 std::vector<EngineView> CellScheduler::Engines(TimeMs now) const {
-  std::vector<EngineView> views;
-  CellEngines& engines = this->tables->engines;
-  engines.Refresh(now);
-  std::ranges::transform(
-      engines.Rows(), std::back_inserter(views), [&](const EngineRow& engine) {
-        return EngineView{engine.spec.id,
-                          engine.spec.role,
-                          engine.spec.memory,
-                          engines.PeakWith(engine, HeldGeneration{}, now),
-                          static_cast<std::int64_t>(engine.generations.size()),
-                          engine.PrefillBacklogMs(now),
-                          engine.usable};
-      });
-  return views;
+  this->tables->engines.Refresh(now);
+  return this->tables->engines.Views(now);
 }
 
 CellLoad CellScheduler::Load(TimeMs now) const {
   const Tables& state = *this->tables;
-  CellLoad load;
-  load.waiting = static_cast<std::int64_t>(state.queue.Size());
-  load.wait_ms = state.queue.ExpectedWaitMs();
-  std::ranges::for_each(state.engines.Rows(), [&](const EngineRow& engine) {
-    const bool accepts = engine.usable && engine.CanDecode() &&
-                         static_cast<std::int64_t>(engine.generations.size()) <
-                             engine.spec.slots;
-    if (!accepts) return;
-    const auto planned =
-        static_cast<Tokens>(static_cast<double>(engine.spec.memory) *
-                            state.settings.planned_memory_ratio);
-    load.headroom_tokens += std::max<Tokens>(
-        0, planned - state.engines.PeakWith(engine, HeldGeneration{}, now));
-  });
-  return load;
+  return CellLoad{static_cast<std::int64_t>(state.queue.Size()),
+                  state.queue.ExpectedWaitMs(),
+                  state.engines.HeadroomTokens(now)};
 }
 
 std::size_t CellScheduler::QueueLength() const noexcept {
--- a/src/core/scheduling/cells.cc
+++ b/src/core/scheduling/cells.cc
@@ -139,6 +139,11 @@
                             AddCells(pool.name, group, max_engines, next_index,
                                      cells);
                           });
+    std::ranges::for_each(cells, [&pool](CellSpec& cell) {
+      if (cell.model == pool.name) {
+        cell.on_time_first = pool.engine->on_time_first;
+      }
+    });
   });
   return cells;
 }
--- a/src/core/scheduling/engine_row.cc
+++ b/src/core/scheduling/engine_row.cc
@@ -31,6 +31,21 @@
   return static_cast<std::size_t>(miss - prefix.begin());
 }
 
+void EngineRow::OnServed(TimeMs now) {
+  this->reported_at = now;
+  if (now >= this->refusing_until) this->refusals = 0;
+}
+
+void EngineRow::OnRefused(const CellSettings& settings, TimeMs now) {
+  // Refusals during the cool-down are those of requests placed before it.
+  if (now < this->refusing_until) return;
+  // The limit keeps the shift from overflowing.
+  const std::int64_t doublings = std::min<std::int64_t>(this->refusals++, 16);
+  this->refusing_until =
+      now + std::min(settings.max_refusal_cooldown_ms,
+                     settings.refusal_cooldown_ms << doublings);
+}
+
 bool EngineRow::CanPrefill() const {
   return this->spec.role == PoolRole::kPrefill ||
          this->spec.role == PoolRole::kMixed;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -390,6 +390,10 @@
   snapshot.requests = this->router.Core().active.Size();
   snapshot.connections = this->caller_server.OpenConnections();
   snapshot.waiting = this->cells.QueueLength();
+  const CellExchange::Decisions& decisions = this->cells.DecisionCounts();
+  snapshot.placed_on_time = decisions.placed_on_time;
+  snapshot.placed_late = decisions.placed_late;
+  snapshot.placements_refused = decisions.refused;
   snapshot.reservations = this->cells.HeldReservations();
   snapshot.borrowed_tokens = this->shares.Borrowed();
   snapshot.retries_left = this->router.Core().RetriesLeft();
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -39,6 +39,7 @@
 /// A request is redirected only to a cell whose headroom is at least this many
 /// times the tokens of the prompt.
 constexpr Tokens kRedirectHeadroomFactor = 4;
+constexpr double kMsPerS = 1000.0;
 
 json ParseOrDiscarded(const std::string& text) {
   return json::parse(text, nullptr, false);
@@ -75,6 +76,7 @@
     const CellSpec* cell = this->FindCell(entry.first);
     if (cell == nullptr) return this->CloseCell(*entry.second, now);
     entry.second->scheduler.Configure(cell->engines, now);
+    this->SetRules(*entry.second, *cell);
     this->RunScheduler(*entry.second, now);
   });
 }
@@ -337,6 +339,10 @@
   return waiting;
 }
 
+const CellExchange::Decisions& CellExchange::DecisionCounts() const noexcept {
+  return this->decisions;
+}
+
 std::vector<std::string> CellExchange::OwnersOf(const CellSpec& cell) const {
   std::vector<MemberUpdate> candidates =
       this->gossip.Members().ServingMembers();
@@ -420,9 +426,16 @@
       self.address + "-" + std::to_string(self.incarnation) + "-" + cell.name,
       this->settings);
   host->scheduler.Configure(cell.engines, LoopNow());
+  this->SetRules(*host, cell);
   return *this->hosted.emplace(cell.name, std::move(host)).first->second;
 }
 
+void CellExchange::SetRules(HostedCell& host, const CellSpec& cell) const {
+  host.scheduler.SetRules(
+      this->settings.late_after_on_time || cell.on_time_first,
+      this->settings.refuse_by_drain_rate || cell.on_time_first);
+}
+
 Task<Result<CellPlacementAnswer>> CellExchange::PlaceLocally(
     const CellSpec& cell, CellPlacementRequest message, Cancellation& cancel,
     PeerCall* call) {
@@ -616,7 +629,12 @@
                 {"runner_up", placement.runner_up},
                 LogField::Of("queued_ms", placement.queued_ms),
                 LogField::Of("waiting", cell.scheduler.QueueLength()),
+                LogField::Of("on_time", placement.on_time),
+                LogField::Of("report_age_ms", placement.report_age_ms),
+                LogField::Of("outstanding", placement.outstanding),
                 {"why", placement.reason}});
+      ++(placement.on_time ? this->decisions.placed_on_time
+                           : this->decisions.placed_late);
       answer(place->request_id, placement);
     } else if (const auto* refuse = std::get_if<RefuseCommand>(&command)) {
       LogEvent(EventId::kPlacementRefused,
@@ -624,7 +642,14 @@
                 {"cell", cell.scheduler.Name()},
                 {"kind", std::string(RowOf(refuse->error.kind).name)},
                 LogField::Of("waiting", cell.scheduler.QueueLength()),
+                LogField::Of("estimate_ms", refuse->estimate_ms),
+                LogField::Of("allowed_ms", refuse->allowed_ms),
+                LogField::Of("drain_tokens_per_s",
+                             static_cast<std::int64_t>(
+                                 refuse->drain_tokens_per_ms * kMsPerS)),
+                LogField::Of("retry_after_ms", refuse->error.retry_after_ms),
                 {"why", refuse->error.message}});
+      ++this->decisions.refused;
       answer(refuse->request_id, refuse->error);
     } else if (const auto* cancel = std::get_if<CancelCommand>(&command)) {
       this->CancelRun(cell, *cancel);
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -97,6 +97,14 @@
   HostedCells(TimeMs now) const;
   /// Requests that wait in the queues of all hosted cells.
   [[nodiscard]] std::size_t QueueLength() const;
+  /// Placements made and requests refused by the schedulers of this process,
+  /// since its start.
+  struct Decisions {
+    std::uint64_t placed_on_time = 0;
+    std::uint64_t placed_late = 0;
+    std::uint64_t refused = 0;
+  };
+  [[nodiscard]] const Decisions& DecisionCounts() const noexcept;
   /// Number of reservations between `Hold` and `Release`.
   [[nodiscard]] std::size_t HeldReservations() const;
 
@@ -172,6 +180,8 @@
   void MoveReservations();
   /// Ends the scheduling of a hosted cell that is no longer configured.
   void CloseCell(HostedCell& host, TimeMs now);
+  /// Sets the order and refusal rules of a hosted cell.
+  void SetRules(HostedCell& host, const CellSpec& cell) const;
   /// The hosted cell of this name, created when it is not hosted yet.
   HostedCell& HostCell(const CellSpec& cell);
   /// Calls the owners of a cell in turn, and schedules locally when none
@@ -230,6 +240,7 @@
   std::map<std::string, ReportedLimits> reported_limits;  ///< Keyed by cell.
   /// Cell of each engine, keyed by engine id.
   std::unordered_map<std::string, std::string> cell_of_engine;
+  Decisions decisions;
   TimeMs next_renewal = 0;
   TimeMs next_loads = 0;
 };
--- a/src/router/metrics.cc
+++ b/src/router/metrics.cc
@@ -79,6 +79,9 @@
   set("requests", static_cast<double>(snapshot.requests));
   set("connections", static_cast<double>(snapshot.connections));
   set("waiting", static_cast<double>(snapshot.waiting));
+  set("placed_on_time", static_cast<double>(snapshot.placed_on_time));
+  set("placed_late", static_cast<double>(snapshot.placed_late));
+  set("placements_refused", static_cast<double>(snapshot.placements_refused));
   set("reservations", static_cast<double>(snapshot.reservations));
   set("borrowed_tokens", static_cast<double>(snapshot.borrowed_tokens));
   set("retries_left", snapshot.retries_left);
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -21,6 +21,10 @@
   std::size_t connections = 0;  ///< Open connections of callers.
   /// Requests in the queues of the cells that this process schedules.
   std::size_t waiting = 0;
+  /// Decisions of those cells since the start of the process.
+  std::uint64_t placed_on_time = 0;
+  std::uint64_t placed_late = 0;
+  std::uint64_t placements_refused = 0;
   /// Engine reservations of the requests that this process is serving.
   std::size_t reservations = 0;
   /// Quota tokens borrowed from other processes since the start.
