--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -52,6 +52,7 @@
     const CellSpec* cell = this->directory.Find(entry.first);
     if (cell == nullptr) return this->CloseCell(*entry.second, now);
     entry.second->scheduler.Configure(cell->engines, now);
+    this->SetRules(*entry.second, *cell);
     this->RunScheduler(*entry.second, now);
   });
 }
@@ -304,6 +305,10 @@
   return waiting;
 }
 
+const PlacementCounts& CellExchange::DecisionCounts() const noexcept {
+  return this->decisions;
+}
+
 HostedCell& CellExchange::HostCell(const CellSpec& cell) {
   const auto known = this->hosted.find(cell.name);
   if (known != this->hosted.end()) return *known->second;
@@ -314,9 +319,16 @@
       this->settings);
   host->scheduler.Configure(cell.engines, LoopNow());
   host->UpdateLimitDivisor(this->directory.PlaceOf(cell), LoopNow());
+  this->SetRules(*host, cell);
   return *this->hosted.emplace(cell.name, std::move(host)).first->second;
 }
 
+void CellExchange::SetRules(HostedCell& host, const CellSpec& cell) const {
+  host.scheduler.SetRules(
+      this->settings.late_after_on_time || cell.on_time_first,
+      this->settings.refuse_by_drain_rate || cell.on_time_first);
+}
+
 Task<Result<CellPlacementAnswer>> CellExchange::PlaceLocally(
     const CellSpec& cell, CellPlacementRequest message, Cancellation& cancel,
     PeerCall* call) {
@@ -438,9 +450,9 @@
 }
 
 void CellExchange::RunScheduler(HostedCell& cell, TimeMs now) {
-  std::ranges::for_each(cell.Run(now), [&](const CancelCommand& command) {
-    this->CancelRun(cell, command);
-  });
+  std::ranges::for_each(
+      cell.Run(now, this->decisions),
+      [&](const CancelCommand& command) { this->CancelRun(cell, command); });
 }
 
 void CellExchange::CancelRun(HostedCell& cell, const CancelCommand& command) {
--- a/src/peer/cell_exchange.h
+++ b/src/peer/cell_exchange.h
@@ -106,6 +106,8 @@
   HostedCells(TimeMs now) const;
   /// Requests that wait in the queues of all hosted cells.
   [[nodiscard]] std::size_t QueueLength() const;
+  /// Decisions of all schedulers of this process since its start.
+  [[nodiscard]] const PlacementCounts& DecisionCounts() const noexcept;
   /// Number of reservations between `Hold` and `Release`.
   [[nodiscard]] std::size_t HeldReservations() const;
 
@@ -119,6 +121,8 @@
   void MoveReservations();
   /// Ends the scheduling of a hosted cell that is no longer configured.
   void CloseCell(HostedCell& host, TimeMs now);
+  /// Sets the order and refusal rules of a hosted cell.
+  void SetRules(HostedCell& host, const CellSpec& cell) const;
   /// The hosted cell of this name, created when it is not hosted yet.
   HostedCell& HostCell(const CellSpec& cell);
   /// Calls the owners of a cell in turn, and schedules locally when none
@@ -161,6 +165,7 @@
   OrderMarks marks;
   /// Cell of each engine, keyed by engine id.
   std::unordered_map<std::string, std::string> cell_of_engine;
+  PlacementCounts decisions;
   TimeMs next_renewal = 0;
   TimeMs next_loads = 0;
 };
--- a/src/peer/hosted_cell.cc
+++ b/src/peer/hosted_cell.cc
@@ -3,6 +3,11 @@
 #include "log/event_log.h"
 
 namespace limpethaven {
+namespace {
+
+constexpr double kMsPerS = 1000.0;
+
+}  // namespace
 
 HostedCell::HostedCell(const std::string& name, const std::string& owner_id,
                        const CellSettings& settings)
@@ -46,7 +51,8 @@
   }
 }
 
-std::vector<CancelCommand> HostedCell::Run(TimeMs now) {
+std::vector<CancelCommand> HostedCell::Run(TimeMs now,
+                                           PlacementCounts& counts) {
   std::vector<CancelCommand> cancels;
   const std::vector<CellCommand> commands = this->scheduler.Tick(now);
   const auto answer = [this](const std::string& request,
@@ -68,7 +74,11 @@
                 {"runner_up", placement.runner_up},
                 LogField::Of("queued_ms", placement.queued_ms),
                 LogField::Of("waiting", this->scheduler.QueueLength()),
+                LogField::Of("on_time", placement.on_time),
+                LogField::Of("report_age_ms", placement.report_age_ms),
+                LogField::Of("outstanding", placement.outstanding),
                 {"why", placement.reason}});
+      ++(placement.on_time ? counts.placed_on_time : counts.placed_late);
       answer(place->request_id, placement);
     } else if (const auto* refuse = std::get_if<RefuseCommand>(&command)) {
       LogEvent(EventId::kPlacementRefused,
@@ -76,7 +86,14 @@
                 {"cell", this->scheduler.Name()},
                 {"kind", std::string(RowOf(refuse->error.kind).name)},
                 LogField::Of("waiting", this->scheduler.QueueLength()),
+                LogField::Of("estimate_ms", refuse->estimate_ms),
+                LogField::Of("allowed_ms", refuse->allowed_ms),
+                LogField::Of("drain_tokens_per_s",
+                             static_cast<std::int64_t>(
+                                 refuse->drain_tokens_per_ms * kMsPerS)),
+                LogField::Of("retry_after_ms", refuse->error.retry_after_ms),
                 {"why", refuse->error.message}});
+      ++counts.refused;
       answer(refuse->request_id, refuse->error);
     } else if (const auto* cancel = std::get_if<CancelCommand>(&command)) {
       cancels.push_back(*cancel);
--- a/src/peer/hosted_cell.h
+++ b/src/peer/hosted_cell.h
@@ -2,6 +2,7 @@
 /// A cell whose scheduler runs in this process.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -25,6 +26,13 @@
   bool cell_gone = false;
 };
 
+/// Numbers of placements made and requests refused.
+struct PlacementCounts {
+  std::uint64_t placed_on_time = 0;
+  std::uint64_t placed_late = 0;
+  std::uint64_t refused = 0;
+};
+
 /// A cell whose scheduler runs in this process.
 struct HostedCell {
   /// @param owner_id Unique id of the scheduler, made of the address and
@@ -35,8 +43,10 @@
   /// Passes a notice to the scheduler.
   void Apply(const CellNotice& notice, TimeMs now);
   /// Runs the scheduler and answers the pending requests that it decided.
+  /// @param counts Is raised by the decisions.
   /// @returns the cancels that it commands.
-  [[nodiscard]] std::vector<CancelCommand> Run(TimeMs now);
+  [[nodiscard]] std::vector<CancelCommand> Run(TimeMs now,
+                                               PlacementCounts& counts);
 
   /// Sets the part of the engines' limits that the scheduler uses.
   void UpdateLimitDivisor(const OwnerPlace& place, TimeMs now);
