Test shares on a fleet of entry nodes with refusals

The test of endpoints that were tried lets one endpoint refuse calls as not run; all calls are then served by the other, and the log names such a request.

--- a/tests/plain_balance_test.cc
+++ b/tests/plain_balance_test.cc
@@ -115,14 +115,17 @@
 // before, or that keep sending calls to an endpoint that is ejected.
 TEST_CASE("shares leave out endpoints that were tried and that are ejected") {
   PlatformFleetSettings settings = TwoEndpoints();
-  settings.repeat = RepeatRule::kRepeatable;
+  // Each request may be sent again.
+  settings.retries = RetrySettings{1.0, 50, 10'000};
   const CapturedLog log;
   PlatformFleet fleet(settings, [](const RequestHead& call) {
-    EngineAnswer answer = Serve(call);
-    if (call.headers.Get("X-Expect-Instance") == "engine-2") {
-      answer = EngineAnswer{"", "", true};
+    if (call.headers.Get("X-Expect-Instance") != "engine-2") {
+      return Serve(call);
     }
-    return answer;
+    ResponseHead refusal{503, {}};
+    refusal.headers.Add("X-Attempt-Id", call.headers.Get("X-Attempt-Id"));
+    refusal.headers.Add("X-Not-Run", "1");
+    return EngineAnswer{WriteResponse(refusal, "")};
   });
   Press(fleet);
   CHECK(Served(fleet) == kCalls);
