--- a/src/edge/config_reader.cc
+++ b/src/edge/config_reader.cc
@@ -17,16 +17,16 @@
 
 /// Reads a whole file. @returns `kBadRequest` if it cannot be read.
 Result<std::string> ReadFile(const std::string& path) {
+  const Error unreadable =
+      Error::Of(ErrorKind::kBadRequest, "cannot read file '" + path + "'");
+  std::error_code ignored;
+  // A folder can be opened, and reading it throws.
+  if (std::filesystem::is_directory(path, ignored)) return unreadable;
   std::ifstream in(path, std::ios::binary);
-  // Reading a folder, which can be opened, throws in an iterator but sets a
-  // flag here. An empty file sets the flag of `text` too.
+  if (!in.is_open()) return unreadable;
   std::ostringstream text;
-  if (in.is_open()) text << in.rdbuf();
-  std::error_code ignored;
-  if (!in.is_open() || in.bad() ||
-      std::filesystem::is_directory(path, ignored)) {
-    return Error::Of(ErrorKind::kBadRequest, "cannot read file '" + path + "'");
-  }
+  text << in.rdbuf();
+  if (in.bad()) return unreadable;
   return text.str();
 }
 
