--- a/src/core/scheduling/cell_queue.cc
+++ b/src/core/scheduling/cell_queue.cc
@@ -66,6 +66,7 @@
   this->Push(id, row);
   this->waiting.insert_or_assign(id, std::move(row));
   this->submitted_since_shed.push_back(id);
+  if (!this->settings.refuse_by_drain_rate) return;
   const WaitingRow& queued = this->waiting.at(id);
   Demand& demand =
       this->demands[{queued.request.priority, queued.request.team}];
@@ -133,7 +134,9 @@
     return this->AdmitOnTimeFirst(now, place);
   }
   const auto drain_queue = [&](FairQueue& queue) {
-    while (const auto ready = this->PopFirst(queue, now)) place(*ready);
+    while (const auto ready = this->PopFirst(queue, now)) {
+      place(*ready);
+    }
   };
   std::ranges::for_each(this->on_time_queues,
                         [&](auto& entry) { drain_queue(entry.second.queue); });
