Cells: place an overdue request at once where engines are free

Cause: a request that came after its first event was due, as after a failed attempt, was judged before engines were looked for. With the drain-rate rule it was refused while the load was steady, though memory was free.

Change: a late request is judged only after a search for engines, and its own memory is not counted twice.

--- a/src/core/scheduling/cell_queue.cc
+++ b/src/core/scheduling/cell_queue.cc
@@ -97,7 +97,7 @@
   };
   std::ranges::for_each(late, [&](const QueueItem& item) {
     const WaitingRow& row = this->waiting.at(item.id);
-    const bool hopeless = this->settings.refuse_by_drain_rate &&
+    const bool hopeless = row.judged && this->settings.refuse_by_drain_rate &&
                           this->drain.Known(now) && !this->StartsLate(row, now);
     if (now < row.give_up_at && !hopeless) return this->PushLate(item.id);
     refuse(item.id,
@@ -109,8 +109,10 @@
   std::ranges::for_each(this->late_queue.PopLate(now),
                         [&](const QueueItem& item) {
                           const WaitingRow& row = this->waiting.at(item.id);
-                          if (now >= row.give_up_at)
-                            return timed_out.push_back(item);
+                          if (now >= row.give_up_at) {
+                            timed_out.push_back(item);
+                            return;
+                          }
                           QueueItem unlikely = item;
                           unlikely.latest_start = row.give_up_at;
                           this->last_queue.Push(std::move(unlikely));
@@ -248,6 +250,7 @@
   std::ranges::for_each(submitted, [&](const std::string& id) {
     const auto found = this->waiting.find(id);
     if (found == this->waiting.end()) return;
+    found->second.judged = true;
     if (by_rate) {
       auto refusal = this->JudgeByDrainRate(id, now);
       if (refusal) refusals.push_back(std::move(*refusal));
@@ -352,8 +355,9 @@
 }
 
 bool CellQueue::StartsLate(const WaitingRow& row, TimeMs now) {
-  const std::optional<DurationMs> wait_ms =
-      this->LateWaitMs(row.request.prompt_tokens + row.expected, now);
+  // A late one is among the queued ones already.
+  const std::optional<DurationMs> wait_ms = this->LateWaitMs(
+      row.late ? 0 : row.request.prompt_tokens + row.expected, now);
   return wait_ms && now + *wait_ms <= row.give_up_at;
 }
 
--- a/src/core/scheduling/cell_queue.h
+++ b/src/core/scheduling/cell_queue.h
@@ -33,6 +33,8 @@
   /// times out; the time of submission if `patience_ms` is 0.
   TimeMs give_up_at = 0;
   bool late = false;  ///< It can no longer meet its first-token target.
+  /// Whether engines were looked for and `ShedLoad` has let it wait.
+  bool judged = false;
 };
 
 /// A request that left the queue, with the engines that can take it.
--- a/tests/cell_queue_test.cc
+++ b/tests/cell_queue_test.cc
@@ -215,6 +215,27 @@
   REQUIRE(cell.scheduler.QueueLength() <= 12);
 }
 
+// Guards against the refusal of a request that comes after its first event was
+// due, as after a failed attempt, while engines have room.
+TEST_CASE("an overdue request starts at once while memory is free") {
+  Cell cell(true);
+  int number = 0;
+  for (TimeMs now = 0; now < 5000; now += 100) {
+    cell.Submit("r" + std::to_string(number++), now);
+    if (now >= 500) cell.FinishOldest(now);
+  }
+  PlacementRequest request;
+  request.request_id = "overdue";
+  request.team = "north";
+  request.prompt_tokens = 1000;
+  request.max_tokens = 1000;
+  request.budget_ms = -50;
+  request.patience_ms = 2000;
+  cell.scheduler.Submit(request, 5000);
+  cell.Tick(5001);
+  REQUIRE(cell.started.back() == "overdue");
+}
+
 TEST_CASE("without a rate of freed memory the engines' memory decides") {
   Cell cell(true);
   std::size_t refused = 0;
