--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -244,8 +244,11 @@
     DurationMs backlog_ms = 0;
     std::size_t outstanding = 0;
   };
-  /// The engines that may prefill the prompt now. Overdue ones are among them
-  /// only if there are no others, also none that is too busy at present.
+  /// The engines that may prefill the prompt now. Those with more than
+  /// `CellSettings::max_prefill_backlog_ms` of work are among them only where
+  /// local prefill is allowed and all engines have more. An overdue engine
+  /// counts as twice as slow; its late prompts do not keep it from getting more
+  /// while all engines are overdue, as after a loss of notices.
   [[nodiscard]] std::vector<PrefillCandidate> PrefillCandidates(
       const PlacementRequest& request, const std::string& decode_centre,
       TimeMs now) const;
