Cells: refusal by the drain rate stays off on the platform

Before a spike the memory that is freed follows the load, which is not what the engines could free. The rule stays behind CellSettings::refuse_by_drain_rate, off.

--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -66,8 +66,7 @@
   /// Whether the owner of a cell orders its engines to change their roles so
   /// that the split follows the demand. Needs `role_change_ms`.
   bool balance_roles = false;
-  /// Whether the cells of the pool use `CellSettings::late_after_on_time` and
-  /// `CellSettings::refuse_by_drain_rate`.
+  /// Whether the cells of the pool use `CellSettings::late_after_on_time`.
   bool on_time_first = false;
   friend auto operator<=>(const EngineSpec&, const EngineSpec&) = default;
 };
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -326,7 +326,7 @@
 void CellExchange::SetRules(HostedCell& host, const CellSpec& cell) const {
   host.scheduler.SetRules(
       this->settings.late_after_on_time || cell.on_time_first,
-      this->settings.refuse_by_drain_rate || cell.on_time_first);
+      this->settings.refuse_by_drain_rate);
 }
 
 Task<Result<CellPlacementAnswer>> CellExchange::PlaceLocally(
