--- a/include/limpethaven/config_model.h
+++ b/include/limpethaven/config_model.h
@@ -66,7 +66,8 @@
   /// Whether the owner of a cell orders its engines to change their roles so
   /// that the split follows the demand. Needs `role_change_ms`.
   bool balance_roles = false;
-  /// Whether the cells of the pool use `CellSettings::late_after_on_time`.
+  /// Whether the cells of the pool serve late requests after those that can be
+  /// on time: `CellSettings::late_after_on_time`.
   bool on_time_first = false;
   friend auto operator<=>(const EngineSpec&, const EngineSpec&) = default;
 };
