--- a/src/core/scheduling/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -489,8 +489,9 @@
       static_cast<DurationMs>(best->cost_ms) + this->IdlePrefillMs(0);
   double second_ms = std::numeric_limits<double>::max();
   std::ranges::for_each(candidates, [&](const PrefillCandidate& candidate) {
-    if (candidate.index == best->index || candidate.rank_ms >= second_ms)
+    if (candidate.index == best->index || candidate.rank_ms >= second_ms) {
       return;
+    }
     second_ms = candidate.rank_ms;
     choice.runner_up = candidate.index;
   });
