--- a/src/core/endpoints/endpoint_balancer.cc
+++ b/src/core/endpoints/endpoint_balancer.cc
@@ -26,7 +26,7 @@
 /// Added to the times that are compared: a busy entry process makes single
 /// calls appear longer by about this much, which is no slowness of the
 /// endpoint.
-constexpr double kProcessDelayS = 0.010;
+constexpr double kProcessDelayS = 0.004;
 /// A slow endpoint still gets enough calls to show that it has recovered.
 constexpr double kMaxSlowness = 10.0;
 
