--- a/src/core/endpoints/endpoint_balancer.cc
+++ b/src/core/endpoints/endpoint_balancer.cc
@@ -23,10 +23,6 @@
 /// second on, an endpoint's capacity is reduced by the full ratio.
 constexpr double kEvenRatio = 1.25;
 constexpr double kSlowRatio = 1.6;
-/// Added to the times that are compared: a busy entry process makes single
-/// calls appear longer by about this much, which is no slowness of the
-/// endpoint.
-constexpr double kProcessDelayS = 0.004;
 /// A slow endpoint still gets enough calls to show that it has recovered.
 constexpr double kMaxSlowness = 10.0;
 
