--- a/src/core/endpoints/endpoint_balancer.cc
+++ b/src/core/endpoints/endpoint_balancer.cc
@@ -235,8 +235,7 @@
         row.endpoints[ReportKeyOf(entry.endpoint.id)];
     const double time_s = (estimate.in_flight + kPriorCallsPerS * median_s) /
                           (estimate.calls_per_s + kPriorCallsPerS);
-    entry.slowness =
-        SlownessOf((time_s + kProcessDelayS) / (median_s + kProcessDelayS));
+    entry.slowness = SlownessOf(time_s / median_s);
   });
 }
 
