--- a/tests/balancer_fleet.cc
+++ b/tests/balancer_fleet.cc
@@ -224,7 +224,8 @@
   }
 
   /// Calls in flight at an endpoint by the reports.
-  double Reported(const Process& process, const std::string& endpoint) const {
+  [[nodiscard]] double Reported(const Process& process,
+                                const std::string& endpoint) const {
     double sum = 0;
     const std::uint32_t key = ReportKeyOf(endpoint);
     for (const auto& [peer, entry] : process.heard) {
--- a/tests/failure_evidence_test.cc
+++ b/tests/failure_evidence_test.cc
@@ -70,7 +70,7 @@
   }
 
   /// Processes that have ejected an endpoint.
-  std::ptrdiff_t Ejected(std::size_t endpoint) const {
+  [[nodiscard]] std::ptrdiff_t Ejected(std::size_t endpoint) const {
     return std::ranges::count_if(this->views, [endpoint](const View& view) {
       return view.ejected_at.at(endpoint) >= 0;
     });
