--- a/tests/plain_balance_test.cc
+++ b/tests/plain_balance_test.cc
@@ -71,7 +71,7 @@
 
   /// Lines with a text.
   [[nodiscard]] std::vector<std::string> Lines(std::string_view text) const {
-    std::rewind(this->file.get());
+    REQUIRE(std::fseek(this->file.get(), 0, SEEK_SET) == 0);
     std::vector<std::string> found;
     std::array<char, 4096> line{};
     while (std::fgets(line.data(), line.size(), this->file.get()) != nullptr) {
--- a/tests/prefill_backlog_test.cc
+++ b/tests/prefill_backlog_test.cc
@@ -67,6 +67,7 @@
                           .allow_local_prefill = true,
                           .reserve_maximum = false}) {
     std::vector<CellEngine> engines;
+    engines.reserve(engines.size() + kEngines);
     for (int index = 0; index < kEngines; ++index) {
       engines.push_back(Engine(EngineName(index), PoolRole::kPrefill));
     }
