--- a/tests/role_planner_test.cc
+++ b/tests/role_planner_test.cc
@@ -15,6 +15,7 @@
 /// `prefill` engines that do prefill and `decode` engines, all idle.
 std::vector<RoleEngine> Engines(std::size_t prefill, std::size_t decode) {
   std::vector<RoleEngine> rows;
+  rows.reserve(prefill + decode);
   for (std::size_t index = 0; index < prefill + decode; ++index) {
     rows.push_back(RoleEngine{
         "engine-" + std::to_string(100 + index),
--- a/tests/source_readers_test.cc
+++ b/tests/source_readers_test.cc
@@ -79,6 +79,7 @@
   explicit Model(std::vector<ModelReader> model_readers, DurationMs changes_ms)
       : readers(std::move(model_readers)), change_ms(changes_ms) {
     std::vector<std::string> names;
+    names.reserve(this->readers.size());
     for (std::size_t index = 0; index < this->readers.size(); ++index) {
       names.push_back(std::to_string(index));
     }
@@ -284,6 +285,7 @@
 
 TEST_CASE("source readers: large members of each data centre are chosen") {
   std::vector<MemberUpdate> members;
+  members.reserve(61);
   for (int number = 1; number <= 60; ++number) {
     members.push_back(
         MemberOf(number, number % 3 == 0 ? "a" : "b", number <= 6 ? 500 : 120));
