--- a/tests/role_balancer_test.cc
+++ b/tests/role_balancer_test.cc
@@ -35,7 +35,7 @@
 }
 
 /// Answers prefills and generations; orders get `order_answer`.
-ScriptedEngine::Answer EngineScript(std::string order_answer) {
+ScriptedEngine::Answer EngineScript(const std::string& order_answer) {
   return [order_answer](const RequestHead& call) {
     if (call.target == kOrderPath) return EngineAnswer{order_answer};
     if (call.headers.Get("X-Stage") == "prefill") {
