--- a/tests/reader_fleet_test.cc
+++ b/tests/reader_fleet_test.cc
@@ -286,6 +286,7 @@
   const std::vector<Process*> followers = fleet.Followers();
   REQUIRE(followers.size() == kProcesses - 2);
   std::vector<std::uint64_t> calls;
+  calls.reserve(followers.size());
   for (const Process* process : followers) {
     calls.push_back(process->follower.SourceCalls());
   }
