Cells: keep the estimate of an idle prefill from drifting

Cause: measured prefill times only determine the product of an engine's slowdown and the cell's regression. A small bias lowered the slowdowns of the engines in use and raised the regression, so that a prompt of 11,000 tokens, which takes 240 ms, appeared to need more than its target and was refused at once.

Change: the slowdowns are scaled so that the median of the measured engines is 1, and the regression with them. The expected time to the answer of the prefill engine no longer includes the fetch from another data centre.

--- a/include/limpethaven/online_regression.h
+++ b/include/limpethaven/online_regression.h
@@ -18,6 +18,8 @@
   /// Adds a sample with weight 1.
   /// @param decay Fraction by which the weight of earlier samples is reduced.
   void Add(double x, double y, double decay = 0.02) noexcept;
+  /// Multiplies all samples' y by `factor`.
+  void Scale(double factor) noexcept;
   [[nodiscard]] double Predict(double x) const noexcept;
   [[nodiscard]] double Slope() const noexcept;
   [[nodiscard]] double Intercept() const noexcept;
--- a/src/core/base/online_regression.cc
+++ b/src/core/base/online_regression.cc
@@ -31,6 +31,12 @@
   this->residual_sum = this->residual_sum * retained_ratio + error * error;
 }
 
+void OnlineRegression::Scale(double factor) noexcept {
+  this->y_sum *= factor;
+  this->xy_sum *= factor;
+  this->residual_sum *= factor * factor;
+}
+
 double OnlineRegression::Predict(double x) const noexcept {
   return this->Intercept() + this->Slope() * x;
 }
--- a/src/core/scheduling/cell_engines.cc
+++ b/src/core/scheduling/cell_engines.cc
@@ -292,12 +292,38 @@
   engine.prefill_slowdown =
       std::clamp(engine.prefill_slowdown * std::pow(ratio, kLearningRate),
                  1.0 / kMaxPrefillSlowdownRatio, kMaxPrefillSlowdownRatio);
+  engine.prefill_measured = true;
+  this->NormalizeSlowdowns();
   if (queued) return;
   this->prefill_ms_by_tokens.Add(
       static_cast<double>(uncached),
       static_cast<double>(measured_ms) / engine.prefill_slowdown);
 }
 
+void CellEngines::NormalizeSlowdowns() {
+  // Measured times only determine the product of an engine's slowdown and the
+  // regression. Without this, a small bias of the expected times lowers all
+  // slowdowns and raises the regression until long prompts are refused.
+  std::vector<double> slowdowns;
+  std::ranges::for_each(this->rows, [&slowdowns](const EngineRow& engine) {
+    if (engine.configured && engine.prefill_measured) {
+      slowdowns.push_back(engine.prefill_slowdown);
+    }
+  });
+  if (slowdowns.empty()) return;
+  const auto middle = slowdowns.begin() +
+                      static_cast<std::ptrdiff_t>((slowdowns.size() - 1) / 2);
+  std::ranges::nth_element(slowdowns, middle);
+  const double median = *middle;
+  std::ranges::for_each(this->rows, [median](EngineRow& engine) {
+    if (!engine.prefill_measured) return;
+    engine.prefill_slowdown =
+        std::clamp(engine.prefill_slowdown / median,
+                   1.0 / kMaxPrefillSlowdownRatio, kMaxPrefillSlowdownRatio);
+  });
+  this->prefill_ms_by_tokens.Scale(median);
+}
+
 void CellEngines::StartPrefill(EngineRow& engine,
                                const std::string& reservation,
                                const EngineChoice& choice, TimeMs now) {
@@ -444,6 +470,7 @@
     candidate.cached_tokens = cached;
     candidate.compute_ms = compute_ms;
     candidate.cost_ms = compute_ms + static_cast<double>(planned_ms) + fetch_ms;
+    candidate.fetch_ms = fetch_ms;
     candidate.rank_ms =
         (overdue ? kOverdueRatio : 1.0) *
             (compute_ms + static_cast<double>(
@@ -487,6 +514,9 @@
   choice.prefill_compute_ms = static_cast<DurationMs>(best->compute_ms) + 1;
   choice.first_token_ms =
       static_cast<DurationMs>(best->cost_ms) + this->IdlePrefillMs(0);
+  choice.prefill_answer_ms =
+      static_cast<DurationMs>(best->cost_ms - best->fetch_ms) +
+      this->IdlePrefillMs(0);
   double second_ms = std::numeric_limits<double>::max();
   std::ranges::for_each(candidates, [&](const PrefillCandidate& candidate) {
     if (candidate.index == best->index || candidate.rank_ms >= second_ms) {
--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -100,6 +100,7 @@
   /// Ratio of its prefill time to the prefill time that the cell's regression
   /// predicts.
   double prefill_slowdown = 1.0;
+  bool prefill_measured = false;  ///< Whether the slowdown has a sample.
   PrefixCacheView cache;
 
   /// Records that it has served a request, which ends the count of refusals.
@@ -135,6 +136,9 @@
   DurationMs prefill_compute_ms = 0;
   /// Expected time to the first token, queueing at the engine included.
   DurationMs first_token_ms = 0;
+  /// Expected time from the call of the prefill engine to its answer. It does
+  /// not include the fetch of the KV memory by the decode engine.
+  DurationMs prefill_answer_ms = 0;
   /// Forecast peak usage of the decode engine's memory with this request, as a
   /// ratio.
   double memory_utilization = 0;
@@ -197,7 +201,7 @@
   /// @param queued Whether the prompt was queued behind others. Such a prompt
   /// updates the engine's slowdown but not the cell's regression, which is for
   /// idle engines.
-  /// @param expected_ms `EngineChoice::first_token_ms` at placement.
+  /// @param expected_ms `EngineChoice::prefill_answer_ms` at placement.
   /// @param measured_ms Time from sending the prompt to the engine's answer.
   void LearnPrefill(EngineRow& engine, Tokens uncached, bool queued,
                     DurationMs expected_ms, DurationMs measured_ms);
@@ -240,7 +244,9 @@
     std::size_t index = kNoEngine;
     Tokens cached_tokens = 0;
     double compute_ms = 0;
-    double cost_ms = 0;  ///< Expected time to the end of the prefill.
+    /// Expected time to the end of the prefill and of the fetch.
+    double cost_ms = 0;
+    double fetch_ms = 0;  ///< Part of `cost_ms`.
     /// The cost by which engines are compared: the engine is free when its last
     /// prompt is expected to be done.
     double rank_ms = 0;
@@ -264,7 +270,12 @@
   CellSettings settings;
   std::vector<EngineRow> rows;
   std::unordered_map<std::string, std::size_t> index_of;
-  OnlineRegression prefill_ms_by_tokens;  ///< Prefill time at an idle engine.
+  /// Scales the slowdowns so that their median over measured engines is 1,
+  /// and the regression so that the expected times stay the same.
+  void NormalizeSlowdowns();
+
+  /// Prefill time at an idle engine with a slowdown of 1.
+  OnlineRegression prefill_ms_by_tokens;
   /// Time between the end of a prefill and its notice: moving averages of the
   /// mean and of the absolute deviation.
   double notice_delay_ms;
--- a/src/core/scheduling/cell_scheduler.cc
+++ b/src/core/scheduling/cell_scheduler.cc
@@ -31,8 +31,8 @@
   Tokens prompt_tokens = 0;  ///< 0 for an adopted reservation.
   Tokens uncached_tokens = 0;
   std::optional<Tokens> hint;
-  /// Time to the first token that was expected at placement.
-  DurationMs expected_first_token_ms = 0;
+  /// As of `EngineChoice::prefill_answer_ms`.
+  DurationMs expected_prefill_ms = 0;
   /// Whether the prefill engine had other prompts to process first.
   bool queued_prefill = false;
   /// Whether it still counts among the running prefills of its prefill engine.
@@ -165,7 +165,7 @@
     reservation.prompt_tokens = request.prompt_tokens;
     reservation.uncached_tokens = request.prompt_tokens - choice.cached_tokens;
     reservation.hint = request.hint;
-    reservation.expected_first_token_ms = choice.first_token_ms;
+    reservation.expected_prefill_ms = choice.prefill_answer_ms;
     reservation.queued_prefill = prefill_engine.running_prefills > 0;
     reservation.prefilling = !local_prefill;
     reservation.expires_at = now + this->settings.lease_ms;
@@ -380,7 +380,7 @@
     state.engines.engine_health.OnSuccess(row.prefill, now);
     engine->OnServed(now);
     state.engines.LearnPrefill(*engine, row.uncached_tokens, row.queued_prefill,
-                               row.expected_first_token_ms, measured_ms);
+                               row.expected_prefill_ms, measured_ms);
     if (!row.queued_prefill) {
       state.demand.LearnPrefill(row.prompt_tokens, measured_ms);
     }
--- a/tests/prefill_backlog_test.cc
+++ b/tests/prefill_backlog_test.cc
@@ -318,6 +318,50 @@
   }
 }
 
+// Guards against the refusal of long prompts by a cell whose estimate of an
+// idle engine's prefill time grows although the engines do not become slower:
+// each prompt is expected 10 ms later than it is done.
+TEST_CASE("long prompts are accepted after many from another data centre") {
+  CellScheduler cell("m/0", "o", CellSettings{.lease_ms = 60'000});
+  std::vector<CellEngine> engines{Engine("d:1", PoolRole::kDecode)};
+  for (int index = 0; index < 5; ++index) {
+    engines.push_back(Engine(EngineName(index), PoolRole::kPrefill));
+    engines.back().data_centre = "other";
+  }
+  cell.Configure(engines, 0);
+  constexpr double kMsPerToken = 0.021;
+  constexpr DurationMs kFixedMs = 9;
+  constexpr unsigned kSeed = 1;
+  std::mt19937_64 random(kSeed);
+  int number = 0;
+  int refused = 0;
+  const auto place = [&](Tokens tokens, TimeMs now) {
+    PlacementRequest request = Request(std::to_string(++number), tokens);
+    request.budget_ms = 400;
+    request.patience_ms = 0;
+    cell.Submit(std::move(request), now);
+    for (const CellCommand& command : cell.Tick(now)) {
+      const auto* placed = std::get_if<PlaceCommand>(&command);
+      if (placed == nullptr) {
+        ++refused;
+        continue;
+      }
+      const DurationMs measured_ms =
+          kFixedMs +
+          static_cast<DurationMs>(kMsPerToken * static_cast<double>(tokens));
+      const std::string& id = placed->placement.reservation;
+      cell.PrefillDone(id, measured_ms, now + measured_ms);
+      cell.Finish(id, 100, now + measured_ms);
+    }
+  };
+  for (TimeMs now = 0; now < 600'000; now += 300) {
+    place(1000 + static_cast<Tokens>(random() % 4000), now);
+    // Takes 240 ms at an idle engine.
+    if (now % 3000 == 0 && now > 30'000) place(11'000, now + 150);
+  }
+  CHECK(refused == 0);
+}
+
 // Guards against a prefill engine that gets no prompts because the notice of a
 // finished one is lost.
 TEST_CASE("a prompt whose notice is lost counts for 5 s at most") {
