--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -87,6 +87,8 @@
   DurationMs shutdown_timeout_ms = NodeSettings{}.shutdown_timeout_ms;
   RetrySettings retries{0.2, 50, 10'000};
   std::int64_t slots = 16;  ///< Requests that an engine runs at once.
+  /// Maximum output of a generation that names its prefix.
+  Tokens output_tokens = 30;
   /// Engines in one cell, and the time for which a cell sends nothing to an
   /// engine that is new to it.
   std::size_t cell_size = 64;
