--- a/src/core/scheduling/cell_engines.h
+++ b/src/core/scheduling/cell_engines.h
@@ -266,14 +266,13 @@
   /// Time in milliseconds for which the prefill of `tokens` occupies an engine.
   [[nodiscard]] double PrefillComputeMs(const EngineRow& engine,
                                         Tokens tokens) const;
-
-  CellSettings settings;
-  std::vector<EngineRow> rows;
-  std::unordered_map<std::string, std::size_t> index_of;
   /// Scales the slowdowns so that their median over measured engines is 1,
   /// and the regression so that the expected times stay the same.
   void NormalizeSlowdowns();
 
+  CellSettings settings;
+  std::vector<EngineRow> rows;
+  std::unordered_map<std::string, std::size_t> index_of;
   /// Prefill time at an idle engine with a slowdown of 1.
   OnlineRegression prefill_ms_by_tokens;
   /// Time between the end of a prefill and its notice: moving averages of the
--- a/tests/role_balancer_test.cc
+++ b/tests/role_balancer_test.cc
@@ -49,7 +49,7 @@
 
 /// More prefill engines than the demand needs: slots are few, and a generation
 /// is expected to occupy one for much longer than its prefill lasts, also where
-/// sanitizers and other processes make a prefill take 100 ms.
+/// sanitizers make a prefill take 11 ms.
 PlatformFleetSettings FleetSettings() {
   PlatformFleetSettings settings;
   settings.engines = 8;
