--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -32,6 +32,7 @@
   kEndpointGone = 212,
   kEndpointRejected = 213,
   kEndpointRetained = 214,
+  kPeerStateLost = 215,
   kMemberAlive = 300,
   kMemberSuspect = 301,
   kMemberDead = 302,
--- a/src/core/base/event.cc
+++ b/src/core/base/event.cc
@@ -29,6 +29,7 @@
     EventRow{EventId::kEndpointGone, "endpoint_gone"},
     EventRow{EventId::kEndpointRejected, "endpoint_rejected"},
     EventRow{EventId::kEndpointRetained, "endpoint_retained"},
+    EventRow{EventId::kPeerStateLost, "peer_state_lost"},
     EventRow{EventId::kMemberAlive, "member_alive"},
     EventRow{EventId::kMemberSuspect, "member_suspect"},
     EventRow{EventId::kMemberDead, "member_dead"},
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -329,11 +329,18 @@
 Task<> PublishedState::Pull(std::string peer) {
   const json request = {{"version", this->config->version},
                         {"revision", this->table.Revision()}};
-  const Result<std::string> answer =
-      co_await this->link.Call(peer, std::string(kStatePath), request.dump(),
-                               LoopNow() + kPullTimeoutMs);
+  const TimeMs sent_at = LoopNow();
+  const Result<std::string> answer = co_await this->link.Call(
+      peer, std::string(kStatePath), request.dump(), sent_at + kPullTimeoutMs);
   this->pulling = false;
-  if (answer) static_cast<void>(this->ApplyPeerState(answer.value(), peer));
+  if (answer) {
+    static_cast<void>(this->ApplyPeerState(answer.value(), peer));
+  } else {
+    LogEvent(EventId::kPeerStateLost,
+             {{"peer", peer},
+              {"why", answer.error().message},
+              LogField::Of("waited_ms", LoopNow() - sent_at)});
+  }
 }
 
 bool PublishedState::ApplyPeerState(const std::string& body,
--- a/src/node/source_follower.cc
+++ b/src/node/source_follower.cc
@@ -118,6 +118,12 @@
                                    sent_at + this->limits.max_answer_ms);
       fresh = answer && this->Take(reader, sent_at, answer.value(), seen);
       if (!fresh) this->freshness.OnFailure(reader);
+      if (!answer) {
+        LogEvent(EventId::kPeerStateLost,
+                 {{"peer", reader},
+                  {"why", answer.error().message},
+                  LogField::Of("waited_ms", LoopNow() - sent_at)});
+      }
     }
     const TimeMs next_at =
         fresh ? sent_at + kMinWatchPeriodMs : LoopNow() + kStaleRetryMs;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -32,11 +32,13 @@
   return vm.address + "@" + std::to_string(vm.incarnation);
 }
 
-Error CallError(const std::string& ip, CallFault fault) {
+Error CallError(const std::string& ip, CallFault fault,
+                std::size_t received_bytes) {
   const bool sent = fault != CallFault::kConnect;
-  return Error::Of(
-             ErrorKind::kEndpointFailed,
-             "call to peer " + ip + " failed: " + std::string(NameOf(fault)))
+  return Error::Of(ErrorKind::kEndpointFailed,
+                   "call to peer " + ip +
+                       " failed: " + std::string(NameOf(fault)) + ", after " +
+                       std::to_string(received_bytes) + " bytes of the answer")
       .WithRan(sent ? Ran::kUnknown : Ran::kNo);
 }
 
@@ -96,7 +98,9 @@
   SignedCall call = this->Sign(ip, path, body);
   const HttpResponse answer = co_await FetchResponse(
       this->loop, this->pool, call.address, std::move(call.bytes), deadline);
-  if (answer.fault != CallFault::kNone) co_return CallError(ip, answer.fault);
+  if (answer.fault != CallFault::kNone) {
+    co_return CallError(ip, answer.fault, answer.body.size());
+  }
   co_return this->VerifyAnswer(ip, answer.head.status, answer.body,
                                answer.head.headers.Get(kTagHeader), call.tag);
 }
@@ -122,7 +126,9 @@
     text += part;
     ended = call.Done() && part.empty();
   }
-  if (fault != CallFault::kNone) co_return CallError(ip, fault);
+  if (fault != CallFault::kNone) {
+    co_return CallError(ip, fault, text.size());
+  }
   // Keep-alives precede the answer. With a fleet secret, the last line is the
   // HMAC of the call's tag, the status and the answer.
   std::string answer_tag;
