--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -271,7 +271,8 @@
 
 Task<HttpResponse> FetchResponse(Loop& loop, ConnectionPool& pool,
                                  std::string address, std::string bytes,
-                                 TimeMs deadline, std::size_t max_body_bytes) {
+                                 TimeMs deadline, std::size_t max_body_bytes,
+                                 DurationMs stall_ms) {
   // Connections idle for up to 60 s are reused, because calls that may be
   // repeated tolerate the `kReset` of one that the peer has just closed.
   constexpr DurationMs kMaxIdleMs = 60'000;
@@ -282,8 +283,10 @@
   if (result.fault == CallFault::kNone) {
     result.fault = co_await call.ReadHead(deadline);
   }
+  const TimeMs last_deadline = deadline + kMaxTransferMs;
   while (result.fault == CallFault::kNone) {
     std::string part;
+    if (stall_ms > 0) deadline = std::min(LoopNow() + stall_ms, last_deadline);
     result.fault = co_await call.ReadBody(part, deadline);
     result.body += part;
     if (result.body.size() > max_body_bytes) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -35,6 +35,9 @@
 /// Largest body that `FetchResponse` reads unless it is told otherwise.
 inline constexpr std::size_t kMaxFetchedBytes = 16'000'000;
 
+/// Longest time for the body of a response whose call has a limit on pauses.
+inline constexpr DurationMs kMaxTransferMs = 10'000;
+
 /// Pool of idle connections, keyed by peer address.
 class ConnectionPool {
  public:
@@ -159,9 +162,13 @@
 /// repeated: the peer may close a reused connection while the request is sent,
 /// and the call then fails with `kReset`.
 /// @param max_body_bytes A longer body ends the call with `kTooLarge`.
+/// @param stall_ms With 0, the whole response must arrive before `deadline`.
+/// Otherwise only its head must, and the body may take up to
+/// `kMaxTransferMs` longer while no pause in it lasts for `stall_ms`.
 Task<HttpResponse> FetchResponse(Loop& loop, ConnectionPool& pool,
                                  std::string address, std::string bytes,
                                  TimeMs deadline,
-                                 std::size_t max_body_bytes = kMaxFetchedBytes);
+                                 std::size_t max_body_bytes = kMaxFetchedBytes,
+                                 DurationMs stall_ms = 0);
 
 }  // namespace limpethaven
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -81,6 +81,10 @@
   this->Adopt(next, "source");
 }
 
+std::uint64_t PublishedState::ConfigVersion() const {
+  return this->config->version;
+}
+
 void PublishedState::OnEndpoint(const EndpointRecord& endpoint,
                                 const SourceRevision& revision) {
   this->table.AdvanceTo(revision, LoopNow());
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -55,6 +55,7 @@
                  DurationMs staleness_ms = kWatchStalenessMs);
 
   void OnConfiguration(const Configuration& next) override;
+  [[nodiscard]] std::uint64_t ConfigVersion() const override;
   void OnEndpoint(const EndpointRecord& endpoint,
                   const SourceRevision& revision) override;
   void OnEndpointGone(const std::string& id,
--- a/src/node/source.h
+++ b/src/node/source.h
@@ -36,6 +36,8 @@
   virtual void OnAllEndpoints(const std::vector<EndpointRecord>& endpoints,
                               const SourceRevision& revision,
                               std::optional<TimeMs> returned_at) = 0;
+  /// Version of the configuration in force, from any side; 0 before the first.
+  [[nodiscard]] virtual std::uint64_t ConfigVersion() const { return 0; }
   /// Called with the list of VMs, if the source has one.
   virtual void OnVms(const std::vector<ListedVm>& vms) = 0;
   /// Called to report whether the source answers.
--- a/tests/reader_fleet_test.cc
+++ b/tests/reader_fleet_test.cc
@@ -21,6 +21,7 @@
 
 using testing::ConfigItem;
 using testing::EndpointItem;
+using testing::LargeConfigItem;
 using testing::StoreStandin;
 
 constexpr int kPort = 18'198;
@@ -203,14 +204,21 @@
 
   /// Writes a configuration, and an endpoint that leaves at odd versions.
   void Write(std::uint64_t version) {
+    this->Write(version, ConfigItem(version));
+  }
+  void Write(std::uint64_t version, const std::string& config) {
     const std::string item =
         EndpointItem("127.0.0.1:9", version % 2 == 0 ? "draining" : "ready",
                      static_cast<std::int64_t>(version / 2 + 1));
     for (const auto& store : this->stores) {
-      store->Put("op/config", ConfigItem(version));
+      store->Put("op/config", config);
       store->Put("servers/e1", item);
     }
   }
+  /// Writes a configuration with `routes` routes; see `Write`.
+  void WriteLarge(std::uint64_t version, int routes) {
+    this->Write(version, LargeConfigItem(version, routes));
+  }
   /// Readers by their own view.
   [[nodiscard]] std::vector<Process*> Readers() const {
     return this->Where(
@@ -445,5 +453,33 @@
   loop.EndTasks();
 }
 
+TEST_CASE(
+    "reader fleet: a process that reads the source again is sent each version "
+    "of the meantime") {
+  constexpr int kRoutes = 200;
+  Fleet fleet;
+  const std::vector<Process*> followers = fleet.Followers();
+  for (std::uint64_t version = 2; version < 22; ++version) {
+    fleet.WriteLarge(version, kRoutes);
+    fleet.RunFor(100);
+  }
+  REQUIRE(fleet.RunUntil([&] { return fleet.AllKnow(21); }, kBoundMs));
+  REQUIRE(fleet.Followers().size() == followers.size());
+  std::vector<std::size_t> sent;
+  for (const Process* process : followers) {
+    sent.push_back(fleet.StoreOf(*process).SentBytes());
+  }
+  for (Process* reader : fleet.Readers()) {
+    reader->CutOff();
+    reader->stopped = true;
+  }
+  CHECK(fleet.Follows(22, kDetectedMs));
+  const std::size_t value_bytes = LargeConfigItem(22, kRoutes).size() * 4 / 3;
+  for (std::size_t index = 0; index < followers.size(); ++index) {
+    CHECK(fleet.StoreOf(*followers[index]).SentBytes() - sent[index] <=
+          3 * value_bytes);
+  }
+}
+
 }  // namespace
 }  // namespace limpethaven
--- a/tests/store_standin.cc
+++ b/tests/store_standin.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t kMaxConnections = 100;
 constexpr std::string_view kWatchPath = "/limpethaven/kv-watch";
 constexpr int kHistoryGone = 410;
+/// Time between two parts of an answer that is sent slowly.
+constexpr DurationMs kSlowStepMs = 20;
+constexpr std::int64_t kMsPerS = 1000;
 
 std::string Base64(std::string_view bytes) {
   std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -45,14 +48,14 @@
 
 void StoreStandin::Put(const std::string& key, std::string value) {
   const std::uint64_t revision = ++this->data.revision;
-  this->data.items.insert_or_assign(key,
-                                    Copy::Item{std::move(value), revision});
-  this->data.history.push_back(Copy::Change{key, revision, false});
+  this->data.items.insert_or_assign(key, Copy::Item{value, revision});
+  this->data.history.push_back(Copy::Change{key, revision, std::move(value)});
 }
 
 void StoreStandin::Delete(const std::string& key) {
   this->data.items.erase(key);
-  this->data.history.push_back(Copy::Change{key, ++this->data.revision, true});
+  this->data.history.push_back(
+      Copy::Change{key, ++this->data.revision, std::nullopt});
 }
 
 StoreStandin::Copy StoreStandin::Save() const { return this->data; }
@@ -77,6 +80,8 @@
   this->refused[prefix] = status;
 }
 
+std::size_t StoreStandin::SentBytes() const { return this->sent_bytes; }
+
 std::vector<StoreStandin::Call> StoreStandin::CallsWith(
     std::string_view text) const {
   std::vector<Call> found;
@@ -150,14 +155,13 @@
       if (change.revision <= after || !change.key.starts_with(prefix)) {
         return;
       }
-      const auto item = this->data.items.find(change.key);
-      if (change.deleted || item == this->data.items.end()) {
+      if (!change.value) {
         events.push_back(
             {{"key", change.key}, {"rev", change.revision}, {"deleted", true}});
       } else {
         events.push_back({{"key", change.key},
                           {"rev", change.revision},
-                          {"value", Base64(item->second.value)}});
+                          {"value", Base64(*change.value)}});
       }
     });
     if (!events.empty() || LoopNow() >= end) {
@@ -181,7 +185,19 @@
   if (this->sends_era) {
     head.headers.Add("Store-Era", std::to_string(this->era));
   }
-  co_await exchange.Answer(std::move(head), std::move(body));
+  this->sent_bytes += body.size();
+  if (this->bytes_per_s == 0) {
+    co_await exchange.Answer(std::move(head), std::move(body));
+    co_return;
+  }
+  const auto step_bytes =
+      static_cast<std::size_t>(this->bytes_per_s * kSlowStepMs / kMsPerS);
+  bool open = co_await exchange.Begin(std::move(head));
+  for (std::size_t sent = 0; open && sent < body.size(); sent += step_bytes) {
+    co_await SleepFor(this->loop, kSlowStepMs);
+    open = co_await exchange.Send(body.substr(sent, step_bytes));
+  }
+  co_await exchange.End();
 }
 
 std::string EndpointItem(std::string_view endpoint_address,
@@ -201,4 +217,20 @@
   return item.dump();
 }
 
+std::string LargeConfigItem(std::uint64_t version, int count) {
+  json routes = json::array();
+  for (int number = 0; number < count; ++number) {
+    routes.push_back({{"host", "host.example"},
+                      {"prefix", "/route" + std::to_string(number) + "/"},
+                      {"service", "scribe"},
+                      {"kind", "idempotent"},
+                      {"attempts", 2},
+                      {"timeout_ms", 2000},
+                      {"priority", 1}});
+  }
+  const json item = {
+      {"version", version}, {"routes", routes}, {"services", json::array()}};
+  return item.dump();
+}
+
 }  // namespace limpethaven::testing
--- a/tests/store_standin.h
+++ b/tests/store_standin.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +27,7 @@
     struct Change {
       std::string key;
       std::uint64_t revision = 0;
-      bool deleted = false;
+      std::optional<std::string> value;  ///< Empty: the item was deleted.
     };
     std::map<std::string, Item> items;
     std::vector<Change> history;
@@ -57,6 +58,8 @@
   void SetSilent(bool silent);
   /// Status with which all calls of a prefix are refused; 0: none.
   void Refuse(const std::string& prefix, int status);
+  /// Bytes of the bodies of all answers.
+  [[nodiscard]] std::size_t SentBytes() const;
   /// Calls to a path whose target contains `text`.
   [[nodiscard]] std::vector<Call> CallsWith(std::string_view text) const;
 
@@ -64,6 +67,8 @@
   /// Whether answers carry the store's era.
   bool sends_era = true;
   std::size_t page_size = 500;
+  /// Rate at which each answer is sent, as over a slow link; 0: at once.
+  std::int64_t bytes_per_s = 0;
 
  private:
   Task<> Answer(Exchange& exchange);
@@ -84,6 +89,7 @@
   bool stopped = false;
   std::map<std::string, int> refused;
   std::vector<Call> calls;
+  std::size_t sent_bytes = 0;
 };
 
 /// Store item of an endpoint of the service `scribe`.
@@ -93,5 +99,7 @@
                                        std::int64_t born);
 /// Store item of a configuration without routes.
 [[nodiscard]] std::string ConfigItem(std::uint64_t version);
+/// Store item of a configuration with `count` routes.
+[[nodiscard]] std::string LargeConfigItem(std::uint64_t version, int count);
 
 }  // namespace limpethaven::testing
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -1,6 +1,7 @@
 /// @file
 /// Following a store that loses watches, forgets or goes back. Guards
 /// against processes that keep to an older state than the bounds allow.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <set>
@@ -16,10 +17,13 @@
 
 using testing::ConfigItem;
 using testing::EndpointItem;
+using testing::LargeConfigItem;
 using testing::StoreStandin;
 
 /// Time after an outage until changes must come into force in time again.
 constexpr DurationMs kContactMs = 3000;
+/// Half of a link of 10 Mbit/s; the other half is for callers.
+constexpr std::int64_t kSlowBytesPerS = 1'250'000 / 2;
 
 /// Keeps what the source reports.
 class RecordingListener final : public SourceListener {
@@ -271,5 +275,36 @@
   CHECK(follows("draining"));
 }
 
+TEST_CASE("platform: a configuration that is sent slowly is never adopted") {
+  FollowedStore followed("127.93.0.4:18194");
+  followed.store.bytes_per_s = kSlowBytesPerS;
+  // The watch has waited when the change comes.
+  followed.loop.run_for(std::chrono::milliseconds(1000));
+  followed.store.Put("op/config", LargeConfigItem(2, 7500));
+  CHECK(followed.RunUntil([&] { return followed.listener.version == 2; },
+                          2 * kContactMs));
+}
+
+TEST_CASE(
+    "platform: changes that come faster than they can be received take longer "
+    "and longer to come into force") {
+  constexpr DurationMs kGapMs = 50;
+  constexpr DurationMs kApplyMs = 2000;
+  FollowedStore followed("127.93.0.5:18194");
+  followed.store.bytes_per_s = kSlowBytesPerS;
+  std::vector<TimeMs> written_at = {0, 0};  // By version.
+  std::size_t known = 1;
+  DurationMs oldest_ms = 0;
+  const TimeMs end = LoopNow() + 2 * kContactMs;
+  while (LoopNow() < end) {
+    followed.store.Put("op/config", LargeConfigItem(written_at.size(), 700));
+    written_at.push_back(LoopNow());
+    followed.loop.run_for(std::chrono::milliseconds(kGapMs));
+    known = followed.listener.version;
+    oldest_ms = std::max(oldest_ms, LoopNow() - written_at[known + 1]);
+  }
+  CHECK(oldest_ms <= kApplyMs);
+}
+
 }  // namespace
 }  // namespace limpethaven
