Peers: send changes of a large configuration, not all of it

Callers saw refusals as an older version says, over 3 s after the newer one was confirmed (CONFIG), on a fleet of 136 VMs of which 130 have links of 10 Mbit/s.

Cause: a reader's answer to a watch, and a peer's to a pull, carried the whole configuration for each change, as JSON within JSON: 730 KB for 1,400 routes, from two readers and each peer that gossip named, with 1,000 or 400 ms for it. The failed transfers were repeated, filled the links, and made followers read all versions from the source, and gossip and callers wait.

Ruled out: silent peers (14 of 278 lost calls were connects), the processor.

A large configuration as a whole is left out of answers; the peer reads it from the source, and pulls it from a peer when the source does not answer or has not brought it 1,500 ms after a peer had it. Earlier programs are sent the whole as before.

Test, failed before: the answer to a follower that lacks one change of 4,000 routes had 2,090,654 bytes, 625,000 allowed.

--- a/include/limpethaven/config_codec.h
+++ b/include/limpethaven/config_codec.h
@@ -90,6 +90,10 @@
 
 /// Encodes a configuration as entities. Its version and digest are left out.
 [[nodiscard]] std::vector<Entity> EncodeEntities(const Configuration& config);
+/// Change that turns `before` into `after`, with the version and the digest of
+/// `after`. Only entities that differ are encoded.
+[[nodiscard]] ConfigChange ChangeBetween(const Configuration& before,
+                                         const Configuration& after);
 /// Adds the entity to `config`, or replaces the one with this key. An entity of
 /// an unknown kind is ignored, so that processes of an older release can read
 /// the configurations of a newer one.
--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -10,6 +10,7 @@
 #include "limpethaven/config_codec.h"
 #include "limpethaven/config_file.h"
 #include "limpethaven/config_follower.h"
+#include "limpethaven/config_history.h"
 #include "limpethaven/config_model.h"
 #include "limpethaven/crypto.h"
 #include "limpethaven/endpoint_balancer.h"
--- a/src/core/config/config_codec.cc
+++ b/src/core/config/config_codec.cc
@@ -136,6 +136,22 @@
       });
 }
 
+/// Adds what turns one table into another to `change`.
+template <typename T>
+void CompareTables(std::string_view prefix, const NamedTable<T>& before,
+                   const NamedTable<T>& after, ConfigChange& change) {
+  std::ranges::for_each(after, [&](const auto& row) {
+    const auto old = before.find(row.first);
+    if (old != before.end() && old->second == row.second) return;
+    change.upserts.push_back(
+        Entity{std::string(prefix) + row.first, json(row.second).dump()});
+  });
+  std::ranges::for_each(before, [&](const auto& row) {
+    if (after.contains(row.first)) return;
+    change.removals.push_back(std::string(prefix) + row.first);
+  });
+}
+
 /// Calls `visit(table, name)` with the table of `config` that holds the entity
 /// `key` and with the entity's name in it. Makes no call for an unknown kind of
 /// entity. Returns false when `key` has no slash.
@@ -262,6 +278,21 @@
   return entities;
 }
 
+ConfigChange ChangeBetween(const Configuration& before,
+                           const Configuration& after) {
+  ConfigChange change{after.version, after.digest, {}, {}};
+  if (before.fleet != after.fleet) {
+    change.upserts.push_back(Entity{"fleet", json(after.fleet).dump()});
+  }
+  CompareTables("team/", before.teams, after.teams, change);
+  CompareTables("key/", before.keys, after.keys, change);
+  CompareTables("pool/", before.pools, after.pools, change);
+  CompareTables("route/", before.routes, after.routes, change);
+  CompareTables("link/", before.links, after.links, change);
+  CompareTables("goal/", before.goals, after.goals, change);
+  return change;
+}
+
 Result<void> ApplyEntity(Configuration& config, const Entity& entity) {
   const auto value = json::parse(entity.value, nullptr, false);
   std::string invalid;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -44,6 +44,18 @@
 /// Shortest time between two pulls that `Tick` starts.
 constexpr DurationMs kPullPeriodMs = 300;
 
+/// A configuration with more entities is read from the source in place of a
+/// peer, unless that is not possible.
+constexpr std::size_t kMaxSmallConfigEntities = 256;
+/// When a peer has had a newer configuration for this long, the source does not
+/// bring it in time, and a large one is pulled too.
+constexpr DurationMs kMaxBehindMs = 1500;
+
+std::size_t EntityCount(const Configuration& config) {
+  return config.teams.size() + config.keys.size() + config.pools.size() +
+         config.routes.size() + config.links.size() + config.goals.size();
+}
+
 using AnnouncedRows = std::vector<std::pair<EndpointRecord, SourceRevision>>;
 using GoneRows = std::vector<std::pair<std::string, SourceRevision>>;
 
@@ -62,6 +74,26 @@
 
 }  // namespace
 
+std::string_view NameOf(ConfigForm form) noexcept {
+  switch (form) {
+    case ConfigForm::kWhole:
+      break;
+    case ConfigForm::kChangeOrSmall:
+      return "change_or_small";
+    case ConfigForm::kChangeOrWhole:
+      return "change_or_whole";
+  }
+  return "whole";
+}
+
+ConfigForm ConfigFormOf(std::string_view name) noexcept {
+  for (const ConfigForm form :
+       {ConfigForm::kChangeOrSmall, ConfigForm::kChangeOrWhole}) {
+    if (name == NameOf(form)) return form;
+  }
+  return ConfigForm::kWhole;
+}
+
 PublishedState::PublishedState(PeerLink& peer_link, const Gossip& peer_gossip,
                                EndpointTable& endpoint_table,
                                StateListener& state_listener,
@@ -183,8 +215,9 @@
     if (endpoints_revision >= this->ahead_revision) this->ahead_peer = peer;
     this->ahead_revision = std::max(this->ahead_revision, endpoints_revision);
   }
-  if (version <= this->config->version || this->pulling) return;
-  this->StartPull(peer);
+  if (version <= this->config->version) return;
+  if (!this->config_behind_since) this->config_behind_since = LoopNow();
+  if (!this->pulling) this->StartPull(peer);
 }
 
 bool PublishedState::MarkLeaving(const std::vector<LeavingEndpoint>& leaving,
@@ -256,7 +289,9 @@
     }
     return;
   }
+  this->history.OnAdopted(*this->config, next);
   this->config = std::make_shared<const Configuration>(next);
+  this->config_behind_since.reset();
   LogEvent(EventId::kConfigAdopted,
            {{"from", from}, LogField::Of("version", next.version)});
   this->listener.OnConfig(this->config);
@@ -282,26 +317,37 @@
   const json request = json::parse(call.body, nullptr, false);
   std::uint64_t version = 0;
   SourceRevision revision;
+  std::string form;
   try {
     version = request.at("version").get<std::uint64_t>();
     revision = request.at("revision").get<SourceRevision>();
+    form = request.value("config", std::string());
   } catch (const json::exception&) {
     co_return Error::Of(
         ErrorKind::kBadRequest,
-        "malformed state request: expected an unsigned integer in version and "
-        "a revision");
+        "malformed state request: expected an unsigned integer in version, a "
+        "revision and a text, if any, in config");
   }
-  co_return this->StateAfter(version, revision).dump();
+  co_return this->StateAfter(version, revision, ConfigFormOf(form)).dump();
 }
 
 json PublishedState::StateAfter(std::uint64_t version,
-                                const SourceRevision& revision) const {
+                                const SourceRevision& revision,
+                                ConfigForm form) const {
   json answer = {{"version", this->config->version},
                  {"digest", this->config->digest},
                  {"known", this->endpoints_known},
                  {"revision", this->table.Revision()}};
   if (this->config->version > version) {
-    answer["entities"] = EncodeEntityList(EncodeEntities(*this->config));
+    std::optional<ConfigChange> change;
+    if (form != ConfigForm::kWhole) change = this->history.ChangeAfter(version);
+    const bool whole = form != ConfigForm::kChangeOrSmall ||
+                       EntityCount(*this->config) <= kMaxSmallConfigEntities;
+    if (change) {
+      answer["change"] = EncodeChange(*change);
+    } else if (whole) {
+      answer["entities"] = EncodeEntityList(EncodeEntities(*this->config));
+    }
   }
   const EndpointTable::Changes changes = this->table.ChangesAfter(revision);
   answer["announced"] = changes.announced;
@@ -332,7 +378,8 @@
 
 Task<> PublishedState::Pull(std::string peer) {
   const json request = {{"version", this->config->version},
-                        {"revision", this->table.Revision()}};
+                        {"revision", this->table.Revision()},
+                        {"config", NameOf(this->WantedForm())}};
   const TimeMs sent_at = LoopNow();
   const Result<std::string> answer = co_await this->link.Call(
       peer, std::string(kStatePath), request.dump(), sent_at + kPullTimeoutMs);
@@ -347,40 +394,66 @@
   }
 }
 
+ConfigForm PublishedState::WantedForm() const {
+  const bool behind = this->config_behind_since &&
+                      LoopNow() - *this->config_behind_since >= kMaxBehindMs;
+  return behind || !this->reachable ? ConfigForm::kChangeOrWhole
+                                    : ConfigForm::kChangeOrSmall;
+}
+
+bool PublishedState::ApplyPeerConfig(const json& answer,
+                                     const std::string& from) {
+  const bool is_change = answer.contains("change");
+  if (!is_change && !answer.contains("entities")) return true;
+  const auto version = answer.at("version").get<std::uint64_t>();
+  if (version <= this->config->version) return true;
+  Configuration next;
+  Result<ConfigChange> change = ConfigChange{};
+  if (is_change) {
+    next = *this->config;
+    change = DecodeChange(answer.at("change").get<std::string>());
+  } else {
+    auto entities = DecodeEntityList(answer.at("entities").get<std::string>());
+    if (entities) {
+      change.value().upserts = std::move(entities.value());
+    } else {
+      change = entities.error();
+    }
+  }
+  bool valid = change.has_value();
+  if (valid) {
+    valid = std::ranges::all_of(change.value().upserts,
+                                [&next](const Entity& entity) {
+                                  return ApplyEntity(next, entity).has_value();
+                                });
+    std::ranges::for_each(
+        change.value().removals,
+        [&next](const std::string& key) { RemoveEntity(next, key); });
+  }
+  next.version = version;
+  next.digest = answer.at("digest").get<std::string>();
+  if (valid && !next.digest.empty()) {
+    EntityTable entity_table;
+    entity_table.Apply(EncodeEntities(next), {});
+    valid = entity_table.Digest() == next.digest;
+  }
+  if (valid) {
+    this->Adopt(next, from);
+  } else {
+    this->OnUnreadable(
+        "", Error::Of(ErrorKind::kConfigInvalid,
+                      "configuration " + std::to_string(version) +
+                          " from peer " + from +
+                          " cannot be decoded or does not match its digest"));
+  }
+  return valid;
+}
+
 bool PublishedState::ApplyPeerState(const std::string& body,
                                     const std::string& from) {
   try {
     const json answer = json::parse(body);
-    bool valid = true;
-    if (answer.contains("entities")) {
-      Configuration next;
-      const auto entities =
-          DecodeEntityList(answer.at("entities").get<std::string>());
-      valid = entities.has_value();
-      if (valid) {
-        valid = std::ranges::all_of(
-            entities.value(), [&next](const Entity& entity) {
-              return ApplyEntity(next, entity).has_value();
-            });
-      }
-      next.version = answer.at("version").get<std::uint64_t>();
-      next.digest = answer.at("digest").get<std::string>();
-      if (valid && !next.digest.empty()) {
-        EntityTable entity_table;
-        entity_table.Apply(entities.value(), {});
-        valid = entity_table.Digest() == next.digest;
-      }
-      if (valid) {
-        this->Adopt(next, from);
-      } else {
-        this->OnUnreadable(
-            "",
-            Error::Of(ErrorKind::kConfigInvalid,
-                      "configuration " + std::to_string(next.version) +
-                          " from peer " + from +
-                          " cannot be decoded or does not match its digest"));
-      }
-    }
+    const bool valid = this->ApplyPeerConfig(answer, from);
     const auto announced = answer.at("announced").get<AnnouncedRows>();
     const auto gone = answer.at("gone").get<GoneRows>();
     if (answer.at("known").get<bool>()) this->endpoints_known = true;
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -10,7 +10,9 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "limpethaven/config_history.h"
 #include "limpethaven/config_model.h"
 #include "limpethaven/endpoint_table.h"
 #include "node/source.h"
@@ -33,6 +35,20 @@
   virtual void OnListedVms(const std::vector<ListedVm>& vms) = 0;
 };
 
+/// Form in which a peer wants a configuration that is newer than its own.
+enum class ConfigForm {
+  kWhole,  ///< All entities; the only form that earlier programs take.
+  /// What has changed, if that is known, or a small configuration as a whole. A
+  /// large one is left out: the peer reads it from the source.
+  kChangeOrSmall,
+  kChangeOrWhole,  ///< What has changed, if that is known, or all entities.
+};
+
+/// Name of a form in messages.
+[[nodiscard]] std::string_view NameOf(ConfigForm form) noexcept;
+/// Form with a name; `kWhole` for any other text.
+[[nodiscard]] ConfigForm ConfigFormOf(std::string_view name) noexcept;
+
 /// Replica of the configuration and the endpoints in one process. The
 /// configuration version never decreases.
 class PublishedState final : public SourceListener {
@@ -79,9 +95,11 @@
   bool MarkLeaving(const std::vector<LeavingEndpoint>& leaving,
                    const std::string& from);
   /// Encodes what a peer lacks: the configuration, if it is newer than
-  /// `version`, and the changes of endpoints after `revision`.
+  /// `version`, and the changes of endpoints after `revision`. The answer names
+  /// the newer version even if `form` makes it leave the configuration out.
   [[nodiscard]] nlohmann::json StateAfter(std::uint64_t version,
-                                          const SourceRevision& revision) const;
+                                          const SourceRevision& revision,
+                                          ConfigForm form) const;
   /// Whether `StateAfter` has anything that is newer.
   [[nodiscard]] bool HasAfter(std::uint64_t version,
                               const SourceRevision& revision) const;
@@ -111,6 +129,11 @@
 
  private:
   void Adopt(const Configuration& next, const std::string& from);
+  /// Applies the configuration in a peer's answer.
+  /// @returns false when it is malformed or does not match its digest.
+  bool ApplyPeerConfig(const nlohmann::json& answer, const std::string& from);
+  /// Form in which a pull asks for the configuration.
+  [[nodiscard]] ConfigForm WantedForm() const;
   /// Applies an announcement, of the source or a peer.
   void Announce(const EndpointRecord& endpoint, const SourceRevision& revision,
                 EndpointTable::Origin origin);
@@ -132,6 +155,9 @@
   EndpointTable& table;
   StateListener& listener;
   std::shared_ptr<const Configuration> config;
+  ConfigHistory history;
+  /// Since when a peer has had a newer configuration; empty: none has.
+  std::optional<TimeMs> config_behind_since;
   bool endpoints_known = false;
   bool reachable = false;
   bool reachability_reported = false;
--- a/src/node/source_follower.cc
+++ b/src/node/source_follower.cc
@@ -149,6 +149,11 @@
   // What is malformed may hide a change.
   if (!this->state.ApplyPeerState(body, reader)) return false;
   seen = answer.value().state;
+  if (answer.value().known.version > this->state.Config()->version) {
+    // The reader has left a large configuration out.
+    if (!this->reading) this->freshness.RequireOwnRead(now);
+    return false;
+  }
   return this->freshness.OnAnswer(
       reader,
       ReaderAnswer{sent_at, answer.value().waited_ms,
--- a/src/node/state_watch.cc
+++ b/src/node/state_watch.cc
@@ -45,7 +45,8 @@
 std::string EncodeWatchRequest(const StateWatchRequest& request) {
   json body = {{"version", request.known.version},
                {"revision", request.known.revision},
-               {"wait_ms", request.wait_ms}};
+               {"wait_ms", request.wait_ms},
+               {"config", NameOf(request.form)}};
   if (request.seen) body["seen"] = *request.seen;
   return body.dump();
 }
@@ -61,9 +62,13 @@
         "unsigned integers in version and wait_ms and a revision in revision");
   }
   const auto longest = static_cast<std::uint64_t>(kMaxStateWatchMs);
-  return StateWatchRequest{KnownState{*version, *revision},
-                           static_cast<DurationMs>(std::min(*wait_ms, longest)),
-                           UnsignedAt(body, "seen")};
+  const auto form = body.find("config");
+  const bool has_form = form != body.end() && form->is_string();
+  return StateWatchRequest{
+      KnownState{*version, *revision},
+      static_cast<DurationMs>(std::min(*wait_ms, longest)),
+      UnsignedAt(body, "seen"),
+      ConfigFormOf(has_form ? form->get<std::string>() : std::string())};
 }
 
 Result<StateWatchAnswer> DecodeWatchAnswer(std::string_view text) {
@@ -130,7 +135,8 @@
                                received_at + request.value().wait_ms);
   }
   const KnownState& known = request.value().known;
-  json answer = this->state.StateAfter(known.version, known.revision);
+  json answer = this->state.StateAfter(known.version, known.revision,
+                                       request.value().form);
   SourceRevision as_of = this->state.Revision();
   if (this->source != nullptr) {
     as_of = std::max(as_of, this->source->Progress().as_of);
--- a/src/node/state_watch.h
+++ b/src/node/state_watch.h
@@ -29,6 +29,9 @@
   /// `StateWatchAnswer::state` of the last answer of the same reader, whose
   /// changes are not sent again while they are all that there is; empty: none.
   std::optional<std::uint64_t> seen;
+  /// A large configuration is left out by default, because it does not arrive
+  /// in time over the link of a small VM, least of all from several readers.
+  ConfigForm form = ConfigForm::kChangeOrSmall;
 };
 
 /// What the answer to a watch says of the state that it carries; the state has
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -94,10 +94,12 @@
 void PeerLink::Tick(TimeMs now) { this->pool.CloseExpired(now); }
 
 Task<Result<std::string>> PeerLink::Call(std::string ip, std::string path,
-                                         std::string body, TimeMs deadline) {
+                                         std::string body, TimeMs deadline,
+                                         DurationMs stall_ms) {
   SignedCall call = this->Sign(ip, path, body);
   const HttpResponse answer = co_await FetchResponse(
-      this->loop, this->pool, call.address, std::move(call.bytes), deadline);
+      this->loop, this->pool, call.address, std::move(call.bytes), deadline,
+      kMaxFetchedBytes, stall_ms);
   if (answer.fault != CallFault::kNone) {
     co_return CallError(ip, answer.fault, answer.body.size());
   }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -57,8 +57,10 @@
   /// status and a body that is not an error; otherwise it is the error that the
   /// peer sent. When the connection to the peer cannot be made, so that no byte
   /// of the call was sent, the `ran` of the `kEndpointFailed` is `kNo`.
+  /// @param stall_ms See `FetchResponse`.
   Task<Result<std::string>> Call(std::string ip, std::string path,
-                                 std::string body, TimeMs deadline);
+                                 std::string body, TimeMs deadline,
+                                 DurationMs stall_ms = 0);
   /// Calls a handler that was registered by `HandleLong`, with the errors of
   /// `Call`.
   /// @param ack_ms Time within which the peer must acknowledge the call.
--- a/tests/reader_fleet_test.cc
+++ b/tests/reader_fleet_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,11 @@
     ReaderFreshnessSettings{}.max_silence_ms + 400;
 constexpr DurationMs kStartMs = 20'000;
 constexpr DurationMs kTickMs = 100;
+/// What a link of 10 Mbit/s brings from each of two readers at once within the
+/// time that an answer has.
+constexpr std::size_t kMaxAnswerBytes =
+    1250 * ReaderFreshnessSettings{}.max_answer_ms / 2;
+constexpr int kManyRoutes = 4000;
 
 std::string IpOf(std::size_t index) {
   return "127.96.0." + std::to_string(index + 1);
@@ -70,7 +76,8 @@
 class Process final : public GossipListener, public StateListener {
  public:
   Process(std::size_t index, const std::string& store)
-      : gossip(this->loop, IdentityOf(index), SlowMembership(), *this),
+      : ip(IpOf(index)),
+        gossip(this->loop, IdentityOf(index), SlowMembership(), *this),
         link(this->loop, IdentityOf(index)),
         state(this->link, this->gossip, this->table, *this),
         watch(this->link, this->state),
@@ -129,6 +136,7 @@
     return known != nullptr && !known->leaving;
   }
 
+  const std::string ip;
   Loop loop{1};
   EndpointTable table;
   Gossip gossip;
@@ -453,6 +461,35 @@
   loop.EndTasks();
 }
 
+/// Bytes of the answer of a reader to a process that knows `version`.
+std::size_t AnswerBytes(Fleet& fleet, Process& follower,
+                        std::uint64_t version) {
+  const std::string reader = fleet.Readers()[0]->ip;
+  const KnownState known{version, follower.state.Revision()};
+  std::optional<std::size_t> bytes;
+  Spawn(follower.loop, [&]() -> Task<> {
+    const Result<std::string> answer = co_await follower.link.Call(
+        reader, std::string(kStateWatchPath),
+        EncodeWatchRequest(StateWatchRequest{known, 0}), LoopNow() + kBoundMs);
+    bytes = answer ? answer.value().size() : kMaxAnswerBytes + 1;
+  });
+  REQUIRE(fleet.RunUntil([&] { return bytes.has_value(); }, kBoundMs));
+  return *bytes;
+}
+
+TEST_CASE(
+    "reader fleet: an answer with a large configuration is too long for the "
+    "link of a small VM") {
+  Fleet fleet;
+  fleet.WriteLarge(2, kManyRoutes);
+  REQUIRE(fleet.RunUntil([&] { return fleet.AllKnow(2); }, kBoundMs));
+  fleet.WriteLarge(3, kManyRoutes + 1);
+  REQUIRE(fleet.RunUntil([&] { return fleet.AllKnow(3); }, kBoundMs));
+  Process& follower = *fleet.Followers()[0];
+  CHECK(AnswerBytes(fleet, follower, 1) <= kMaxAnswerBytes);
+  CHECK(AnswerBytes(fleet, follower, 2) <= kMaxAnswerBytes);
+}
+
 TEST_CASE(
     "reader fleet: a process that reads the source again is sent each version "
     "of the meantime") {
