--- a/include/limpethaven/limpethaven.h
+++ b/include/limpethaven/limpethaven.h
@@ -32,6 +32,7 @@
 #include "limpethaven/reader_freshness.h"
 #include "limpethaven/reader_role.h"
 #include "limpethaven/rendezvous.h"
+#include "limpethaven/request_fingerprint.h"
 #include "limpethaven/request_pacer.h"
 #include "limpethaven/resume_token.h"
 #include "limpethaven/retry_budget.h"
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "limpethaven/request_fingerprint.h"
 #include "log/event_log.h"
 
 namespace limpethaven {
@@ -117,6 +118,12 @@
   return MakeStopError();
 }
 
+std::string Session::Fingerprint() const {
+  const RequestHead& head = this->exchange.Head();
+  return RequestFingerprint(head.method, head.target, this->admitted.team,
+                            this->exchange.Body());
+}
+
 Task<SendOutcome> Session::Send(Dispatch dispatch) {
   this->SpendRetry();
   dispatch.stream = this->stream.get();
@@ -175,7 +182,8 @@
          LogField::Of("sends", this->record.Sends()),
          LogField::Of("status", status),
          LogField::Of("tokens", this->stream ? this->stream->Produced() : 0),
-         {"parts", PartIds(this->admitted.request)}});
+         {"parts", PartIds(this->admitted.request)},
+         {"content", this->Fingerprint()}});
   }
   co_return outcome;
 }
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -46,6 +46,8 @@
   /// planned stop could cut; empty when it may be sent.
   [[nodiscard]] std::optional<Error> CheckStop() const;
   [[nodiscard]] Dispatch MakeDispatch(const EndpointRecord& endpoint) const;
+  /// See `RequestFingerprint`.
+  [[nodiscard]] std::string Fingerprint() const;
   /// Makes the error for a request that failed. It states whether the request
   /// may have run.
   /// @param last Outcome of the last send.
