Quarantine whole requests that crash endpoints, of plain services too

Callers of a generation whose prompt shared a part with a crashing one were refused for 30 s.

Cause: a poison request whose crashes were attributed to endpoints alone. Of generations only parts that other prompts share were suspected, so these were blamed.

Change: the fingerprint of a request (method, target, team, body, parts of the prompt) counts as its innermost part in the evidence that processes exchange. Three crashes that nothing else explains quarantine it for 10 min. A plain endpoint has crashed when it broke a call and accepts no connection any more, so that lost answers are no evidence. A request that has crashed two endpoints itself is not sent on. The team is part of the fingerprint, so that no caller can have another team's request refused.

Tests, failed before: a plain request that crashes endpoints (60 and 20 calls of it reached endpoints, 6 allowed), a repeated prompt (3 of 12 sound prompts with a common part refused).

--- a/include/limpethaven/prompt_quarantine.h
+++ b/include/limpethaven/prompt_quarantine.h
@@ -1,14 +1,16 @@
 /// @file
-/// Quarantine of prompt parts that crash engines. A request that crashes its
-/// engine fails again at every other engine, so that a failure which is
-/// attributed to engines alone takes one engine after another out of service.
+/// Quarantine of content that crashes endpoints: parts of prompts, and whole
+/// requests. A request that crashes its endpoint fails again at every other
+/// one, so that a failure which is attributed to endpoints alone takes one
+/// endpoint after another out of service.
 ///
-/// The evidence against a part is the set of engines that crashed when they
-/// began to answer a prompt which contains it. A complete answer to a prompt
-/// clears all of its parts. Each crash is explained by one part only: the one
-/// with the most crashes and, among equals, the one deepest in the prompt.
-/// A part whose crashes no other part explains is quarantined, so that parts
-/// which merely occur beside it are not.
+/// The evidence against a part is the set of endpoints that crashed when they
+/// ran a request which contains it. The fingerprint of a request counts as its
+/// innermost part. A complete answer to a request clears all of its parts. Each
+/// crash is explained by one part only: the one with the most crashes and,
+/// among equals, the one deepest in the prompt. A part whose crashes no other
+/// part explains is quarantined, so that parts which merely occur beside it are
+/// not.
 ///
 /// Processes exchange their evidence, see `PartEvidence`. Evidence is merged as
 /// sets, so messages may be lost, repeated or reordered.
@@ -31,6 +33,11 @@
 struct QuarantineSettings {
   /// Engines that a part must have crashed to be quarantined.
   std::size_t min_crashes = 2;
+  /// Endpoints that a request must have crashed to be quarantined. A sound one
+  /// may be under way at several endpoints when these crash.
+  std::size_t min_request_crashes = 3;
+  /// Length of the quarantine of a request, which nothing else is lost by.
+  DurationMs request_ms = 600'000;
   /// Length of a quarantine after `min_crashes` crashes; it doubles with each
   /// further one.
   DurationMs initial_ms = 30'000;
@@ -40,7 +47,7 @@
   /// A complete answer is remembered for this time, so that late reports of
   /// earlier crashes do not count against its parts.
   DurationMs served_retention_ms = 60'000;
-  std::size_t max_parts = 64;  ///< Most parts with evidence.
+  std::size_t max_parts = 128;  ///< Most parts with evidence.
   friend auto operator<=>(const QuarantineSettings&,
                           const QuarantineSettings&) = default;
 };
@@ -55,7 +62,7 @@
 /// Evidence about one part, as processes exchange it.
 struct PartEvidence {
   std::string part;
-  std::int64_t depth = 0;  ///< Number of parts before it in the prompt.
+  std::int64_t depth = 0;  ///< Number of parts before it in the request.
   std::vector<EngineCrash> crashes;
   /// Time since a prompt with this part was answered completely; empty when
   /// none was.
@@ -87,6 +94,8 @@
   /// @param engine Name of one start of the engine.
   void OnCrash(const std::vector<std::string>& parts, std::string_view engine,
                TimeMs now);
+  /// Whether there is evidence against any part.
+  [[nodiscard]] bool HasEvidence() const noexcept;
   /// Records a complete answer to a prompt.
   void OnServed(const std::vector<std::string>& parts, TimeMs now);
   /// First of these parts that is quarantined.
--- a/include/limpethaven/request_fingerprint.h
+++ b/include/limpethaven/request_fingerprint.h
@@ -16,9 +16,10 @@
 /// no caller can produce the fingerprint of another team's request.
 /// @param target Path with the query.
 /// @param team Empty on routes open to all callers.
+/// @param content Body, and what else of the request determines the answer.
 [[nodiscard]] std::string RequestFingerprint(std::string_view method,
                                              std::string_view target,
                                              std::string_view team,
-                                             std::string_view body);
+                                             std::string_view content);
 
 }  // namespace limpethaven
--- a/src/core/requests/prompt_quarantine.cc
+++ b/src/core/requests/prompt_quarantine.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <numeric>
 #include <set>
 #include <tuple>
 
 #include "limpethaven/rendezvous.h"
+#include "limpethaven/request_fingerprint.h"
 
 namespace limpethaven {
 namespace {
@@ -32,6 +34,14 @@
   return now - std::max<DurationMs>(0, age_ms);
 }
 
+/// Time of the last crash; 0 without one.
+TimeMs LastCrashAt(const std::map<std::uint32_t, TimeMs>& crashes) {
+  return std::accumulate(crashes.begin(), crashes.end(), TimeMs{0},
+                         [](TimeMs last, const auto& crash) {
+                           return std::max(last, crash.second);
+                         });
+}
+
 }  // namespace
 
 std::vector<std::string> ShareableParts(const CallerRequest& request) {
@@ -89,6 +99,10 @@
   if (changed) this->Explain();
 }
 
+bool PromptQuarantine::HasEvidence() const noexcept {
+  return !this->rows.empty();
+}
+
 std::optional<QuarantinedPart> PromptQuarantine::Find(
     const std::vector<std::string>& parts, TimeMs now) const {
   if (this->verdicts.empty()) return std::nullopt;
@@ -163,11 +177,13 @@
   const auto found = this->rows.find(part);
   if (found != this->rows.end()) return found->second;
   if (this->rows.size() >= this->settings.max_parts) {
-    // Parts with little evidence make room first, so that many unrelated
-    // failures cannot displace a quarantine.
-    const auto least = std::ranges::min_element(
-        this->rows, {},
-        [](const auto& entry) { return entry.second.crashes.size(); });
+    // Parts with little evidence make room first, and the oldest of these, so
+    // that many unrelated failures cannot displace a quarantine.
+    const auto least =
+        std::ranges::min_element(this->rows, {}, [](const auto& entry) {
+          return std::pair(entry.second.crashes.size(),
+                           LastCrashAt(entry.second.crashes));
+        });
     this->rows.erase(least);
   }
   PartRow& row = this->rows[part];
@@ -224,9 +240,13 @@
       ++count;
       last_at = std::max(last_at, crash.second);
     });
-    if (count < this->settings.min_crashes) return;
-    const std::size_t doublings = count - this->settings.min_crashes;
-    DurationMs length_ms = this->settings.initial_ms;
+    const bool request = entry->first.starts_with(kFingerprintPrefix);
+    const std::size_t min_crashes = request ? this->settings.min_request_crashes
+                                            : this->settings.min_crashes;
+    if (count < min_crashes) return;
+    const std::size_t doublings = count - min_crashes;
+    DurationMs length_ms =
+        request ? this->settings.request_ms : this->settings.initial_ms;
     for (std::size_t step = 0;
          step < doublings && length_ms < this->settings.max_ms; ++step) {
       length_ms *= 2;
--- a/src/router/admission.cc
+++ b/src/router/admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "limpethaven/crypto.h"
+#include "limpethaven/request_fingerprint.h"
 
 namespace limpethaven {
 namespace {
@@ -65,6 +66,26 @@
   return admitted;
 }
 
+std::string FingerprintOf(const AdmittedRequest& admitted,
+                          const Exchange& exchange) {
+  const RequestHead& head = exchange.Head();
+  // A body may stand for a prompt whose parts the caller lists beside it.
+  std::string content = exchange.Body();
+  std::ranges::for_each(admitted.request.prefix,
+                        [&content](const PromptPart& part) {
+                          content.append("\n").append(part.id);
+                        });
+  return RequestFingerprint(head.method, head.target, admitted.team, content);
+}
+
+std::vector<std::string> SuspectParts(const AdmittedRequest& admitted,
+                                      const Exchange& exchange) {
+  std::vector<std::string> parts;
+  if (IsGeneration(admitted)) parts = ShareableParts(admitted.request);
+  parts.push_back(FingerprintOf(admitted, exchange));
+  return parts;
+}
+
 Tokens ChargeOf(const AdmittedRequest& admitted) {
   const CallerRequest& request = admitted.request;
   if (request.resumed_attempt) return 0;
--- a/src/router/admission.h
+++ b/src/router/admission.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "router/router.h"
 
@@ -33,6 +34,14 @@
 [[nodiscard]] Result<AdmittedRequest> Admit(
     RouterCore& core, const Exchange& exchange,
     const std::string* peer_team = nullptr);
+/// See `RequestFingerprint`.
+[[nodiscard]] std::string FingerprintOf(const AdmittedRequest& admitted,
+                                        const Exchange& exchange);
+/// Parts by which the crash of an endpoint under this request can be explained,
+/// outermost first: the parts of its prompt that others may contain too, and
+/// its fingerprint.
+[[nodiscard]] std::vector<std::string> SuspectParts(
+    const AdmittedRequest& admitted, const Exchange& exchange);
 /// Quota tokens that a request's team is charged in advance; 0 for a request
 /// that resumes another one, which was charged already.
 [[nodiscard]] Tokens ChargeOf(const AdmittedRequest& admitted);
--- a/src/router/generation_session.cc
+++ b/src/router/generation_session.cc
@@ -33,7 +33,6 @@
                                      Charge team_charge)
     : Session(router_core, caller_exchange, std::move(admitted_request),
               std::move(team_charge)) {
-  this->parts = ShareableParts(this->admitted.request);
   if (this->admitted.route->streams || !this->admitted.route->model.empty()) {
     this->stream = this->core.parts.endpoints.NewStream(this->admitted.request,
                                                         this->admitted.pool);
@@ -157,7 +156,7 @@
     co_return SendOutcome::kNotSent;
   }
   // Engines may have crashed on a part of the prompt while it waited.
-  if (auto quarantined = this->core.CheckQuarantine(this->parts)) {
+  if (auto quarantined = this->CheckQuarantine()) {
     this->NotifyOwner(placed, CellNoticeKind::kWithdrawn, "", 0, 0);
     co_return std::move(*quarantined);
   }
@@ -218,8 +217,7 @@
                               " does not allow a run after the prefill failed");
     }
   }
-  const std::optional<Error> quarantined =
-      this->core.CheckQuarantine(this->parts);
+  const std::optional<Error> quarantined = this->CheckQuarantine();
   SendOutcome outcome = SendOutcome::kNotSent;
   // The engine may have started to drain during the prefill.
   const bool unusable = this->FindUsable(engine.id) == nullptr;
@@ -347,20 +345,15 @@
 void GenerationSession::NotePromptOutcome(const EndpointRecord& engine,
                                           SendOutcome outcome,
                                           bool broke_at_start) {
-  PromptQuarantine& quarantine = this->core.parts.quarantine;
   if (outcome == SendOutcome::kAnswered) {
-    quarantine.OnServed(this->parts, LoopNow());
+    this->NoteServed();
     return;
   }
   // A reconnection that brought events shows that the engine is alive.
   if (!broke_at_start || this->Progressed() || this->Cancelled()) return;
-  quarantine.OnCrash(this->parts, engine.id + "#" + std::to_string(engine.born),
-                     LoopNow());
-  LogEvent(EventId::kPromptCrashRecorded,
-           {{"request", this->admitted.request.attempt_id},
-            {"endpoint", engine.id},
-            LogField::Of("parts", this->parts.size())});
-  this->core.parts.gossip.AnnounceEvidence();
+  ++this->crashes;
+  this->core.NoteCrash(engine, this->admitted.request.attempt_id,
+                       this->Suspects());
 }
 
 Task<SendOutcome> GenerationSession::Reattach(const CellPlacement& placed,
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -1,14 +1,25 @@
 #include <algorithm>
 
+#include "net/connection.h"
 #include "net/scope_exit.h"
+#include "net/tasks.h"
 #include "router/session.h"
 
 namespace limpethaven {
+namespace {
+
+constexpr DurationMs kCrashProbeTimeoutMs = 300;
+
+}  // namespace
 
 Task<std::optional<Error>> PlainSession::Run() {
   SendOutcome last = SendOutcome::kNotSent;
   while (this->record.MaySend() && !this->Cancelled()) {
     if (auto refused = this->CheckStop()) co_return refused;
+    if (auto refused = this->CheckQuarantine()) {
+      refused->ran = this->record.MayHaveRun();
+      co_return refused;
+    }
     const EndpointRecord* chosen =
         this->core.ChooseEndpoint(*this->admitted.pool, this->tried_endpoints,
                                   this->admitted.request.attempt_id);
@@ -22,7 +33,11 @@
       last = co_await this->Send(this->MakeDispatch(endpoint));
     }
     if (this->Cancelled()) break;
+    if (last == SendOutcome::kBroken) this->SuspectCrash(endpoint);
     this->core.NoteOutcome(endpoint.id, last);
+    if (last == SendOutcome::kAnswered || last == SendOutcome::kFailed) {
+      this->NoteServed();
+    }
     const NextStep step = this->DecideNextStep(last);
     if (step == NextStep::kForward) co_return std::nullopt;
     if (step != NextStep::kSendAgain) break;
@@ -46,6 +61,21 @@
   co_return error;
 }
 
+void PlainSession::SuspectCrash(const EndpointRecord& endpoint) const {
+  Spawn(this->core.parts.loop,
+        [&router = this->core, endpoint, parts = this->Suspects(),
+         id = this->admitted.request.attempt_id]() -> Task<> {
+          const ConnectionPtr connection =
+              co_await Connection::Dial(router.parts.loop, endpoint.address,
+                                        LoopNow() + kCrashProbeTimeoutMs);
+          if (connection) {
+            connection->Close();
+          } else {
+            router.NoteCrash(endpoint, id, parts);
+          }
+        });
+}
+
 void PlainSession::SettleCharge() {
   const bool ran = this->record.MayHaveRun() != Ran::kNo;
   this->charge.Settle(ran ? this->charge.Charged() : 0);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "limpethaven/crypto.h"
+#include "limpethaven/request_fingerprint.h"
 #include "log/event_log.h"
 #include "router/session.h"
 
@@ -286,19 +287,36 @@
 }
 
 std::optional<Error> RouterCore::CheckQuarantine(
-    const std::vector<std::string>& prompt_parts) const {
+    const std::vector<std::string>& request_parts) const {
   const std::optional<QuarantinedPart> found =
-      this->parts.quarantine.Find(prompt_parts, LoopNow());
+      this->parts.quarantine.Find(request_parts, LoopNow());
   if (!found) return std::nullopt;
+  const bool request = found->part.starts_with(kFingerprintPrefix);
   Error error = Error::Of(
       ErrorKind::kPromptQuarantined,
-      "part " + found->part +
-          " of the prompt is quarantined: " + std::to_string(found->crashes) +
-          " engines crashed when they began to answer a prompt with it");
+      (request ? "this request" : "part " + found->part + " of the prompt") +
+          " is quarantined: " + std::to_string(found->crashes) +
+          (request ? " endpoints crashed when they ran it"
+                   : " engines crashed when they began to answer a prompt "
+                     "with it"));
   error.retry_after_ms = found->remaining_ms;
   return error;
 }
 
+void RouterCore::NoteCrash(const EndpointRecord& endpoint,
+                           const std::string& request,
+                           const std::vector<std::string>& request_parts) {
+  this->parts.quarantine.OnCrash(
+      request_parts, endpoint.id + "#" + std::to_string(endpoint.born),
+      LoopNow());
+  LogEvent(EventId::kPromptCrashRecorded,
+           {{"request", request},
+            {"endpoint", endpoint.id},
+            {"content", request_parts.back()},
+            LogField::Of("parts", request_parts.size())});
+  this->parts.gossip.AnnounceEvidence();
+}
+
 double RouterCore::RetriesLeft() {
   const TimeMs now = LoopNow();
   double least = std::numeric_limits<double>::max();
@@ -337,11 +355,14 @@
                           MakeStopError());
     co_return;
   }
-  if (const auto quarantined = this->core.CheckQuarantine(
-          ShareableParts(admitted.value().request))) {
-    co_await this->Refuse(exchange, admitted.value().request.attempt_id,
-                          *quarantined);
-    co_return;
+  if (this->core.parts.quarantine.HasEvidence()) {
+    const auto quarantined =
+        this->core.CheckQuarantine(SuspectParts(admitted.value(), exchange));
+    if (quarantined) {
+      co_await this->Refuse(exchange, admitted.value().request.attempt_id,
+                            *quarantined);
+      co_return;
+    }
   }
   Charge charge;
   const std::string team = admitted.value().team;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -111,10 +111,15 @@
   /// brought no answer, but not of one that the endpoint has refused or that
   /// could not be sent.
   void NoteOutcome(const std::string& endpoint, SendOutcome outcome);
-  /// Refusal of a prompt with a quarantined part; empty for other prompts.
-  /// @param prompt_parts Result of `ShareableParts`.
+  /// Refusal of a request with a quarantined part; empty for other requests.
+  /// @param request_parts Result of `SuspectParts`.
   [[nodiscard]] std::optional<Error> CheckQuarantine(
-      const std::vector<std::string>& prompt_parts) const;
+      const std::vector<std::string>& request_parts) const;
+  /// Records that an endpoint has crashed under a request, and tells the peers.
+  /// @param request Id of the request, for the log.
+  /// @param request_parts Result of `SuspectParts`.
+  void NoteCrash(const EndpointRecord& endpoint, const std::string& request,
+                 const std::vector<std::string>& request_parts);
   /// Records an answer of an endpoint: that it is not silent, its limit on
   /// requests, a pause, that it is leaving.
   void NoteAnswer(const EndpointRecord& endpoint, const AnswerClass& answer);
--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "limpethaven/request_fingerprint.h"
 #include "log/event_log.h"
 
 namespace limpethaven {
@@ -13,6 +12,9 @@
 /// run at most once: the endpoint may have closed them unnoticed, and such a
 /// request cannot be repeated.
 constexpr DurationMs kMaxIdleRunOnceMs = 500;
+/// Endpoints that may crash under one request before it is given up. The
+/// evidence of all requests decides whether its repetitions are refused.
+constexpr std::int64_t kMaxCrashes = 2;
 /// Longest idle time of a connection that is reused for other requests.
 constexpr DurationMs kMaxIdleMs = 3000;
 /// A plain call that may be sent again times out when its response has not
@@ -119,9 +121,26 @@
 }
 
 std::string Session::Fingerprint() const {
-  const RequestHead& head = this->exchange.Head();
-  return RequestFingerprint(head.method, head.target, this->admitted.team,
-                            this->exchange.Body());
+  return FingerprintOf(this->admitted, this->exchange);
+}
+
+std::vector<std::string> Session::Suspects() const {
+  return SuspectParts(this->admitted, this->exchange);
+}
+
+std::optional<Error> Session::CheckQuarantine() const {
+  if (this->crashes >= kMaxCrashes) {
+    return Error::Of(ErrorKind::kPromptQuarantined,
+                     "endpoints crashed when they ran this request");
+  }
+  if (!this->core.parts.quarantine.HasEvidence()) return std::nullopt;
+  return this->core.CheckQuarantine(this->Suspects());
+}
+
+void Session::NoteServed() {
+  PromptQuarantine& quarantine = this->core.parts.quarantine;
+  if (quarantine.HasEvidence())
+    quarantine.OnServed(this->Suspects(), LoopNow());
 }
 
 Task<SendOutcome> Session::Send(Dispatch dispatch) {
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -48,6 +48,13 @@
   [[nodiscard]] Dispatch MakeDispatch(const EndpointRecord& endpoint) const;
   /// See `RequestFingerprint`.
   [[nodiscard]] std::string Fingerprint() const;
+  /// See `SuspectParts`.
+  [[nodiscard]] std::vector<std::string> Suspects() const;
+  /// Refusal of a request that crashes endpoints, by the evidence of all
+  /// requests or because it has crashed several itself; empty for others.
+  [[nodiscard]] std::optional<Error> CheckQuarantine() const;
+  /// Records a complete answer, which clears the request's parts.
+  void NoteServed();
   /// Makes the error for a request that failed. It states whether the request
   /// may have run.
   /// @param last Outcome of the last send.
@@ -82,6 +89,7 @@
   std::vector<std::string> tried_endpoints;
   /// Requested when the caller disconnects or the request is aborted.
   Cancellation cancel;
+  std::int64_t crashes = 0;  ///< Endpoints that crashed under this request.
   /// Why the request was aborted; empty when it was not.
   std::optional<ErrorKind> abort_reason;
   /// Called when the head of a response has been received; may be null.
@@ -159,6 +167,11 @@
  protected:
   Task<std::optional<Error>> Run() override;
   void SettleCharge() override;
+
+ private:
+  /// Records that an endpoint has crashed under this request, if it accepts no
+  /// connection any more. An endpoint that breaks a single call is alive.
+  void SuspectCrash(const EndpointRecord& endpoint) const;
 };
 
 /// Serves a generation: prefill at one engine and decode at another, or both at
@@ -255,8 +268,6 @@
   void NotePromptOutcome(const EndpointRecord& engine, SendOutcome outcome,
                          bool broke_at_start);
 
-  /// Parts of the prompt that other prompts may contain too.
-  std::vector<std::string> parts;
   /// Id by which the cell's owner identifies the current placement of this
   /// request.
   std::string placement_id;
--- a/tests/crashing_part_test.cc
+++ b/tests/crashing_part_test.cc
@@ -76,5 +76,62 @@
   CHECK(fleet.CallsWith("dead:") <= QuarantineSettings{}.min_crashes);
 }
 
+TEST_CASE("a plain request that crashes endpoints reaches one after another") {
+  constexpr std::string_view kDeadly = "/plain/deadly";
+  constexpr std::size_t kCrashes = 3;
+  const RepeatRule repeat =
+      GENERATE(RepeatRule::kOnce, RepeatRule::kRepeatable);
+  PlatformFleetSettings settings;
+  settings.service_endpoints = 3;
+  settings.plain_repeat = repeat;
+  PlatformFleet fleet(settings, [&](const RequestHead& call) {
+    EngineAnswer answer{testing::WholeStream(call, 1)};
+    if (call.target == kDeadly) answer = EngineAnswer{"", "", false, true};
+    return answer;
+  });
+  for (std::size_t number = 0; number < 20; ++number) {
+    const std::size_t entry = number % fleet.entries.size();
+    static_cast<void>(fleet.CallService(entry, kDeadly));
+    fleet.RunFor(fleet.engines.back()->down_ms + 100);
+    if (fleet.CallsTo(kDeadly) == kCrashes) fleet.RunFor(kContactMs);
+    CHECK(fleet.CallService(entry).head.status == 200);
+  }
+  CHECK(fleet.CallsTo(kDeadly) <= kCrashes + kToleratedCalls);
+  const HttpResponse refused = fleet.CallService(0, kDeadly);
+  CHECK(refused.head.status == 503);
+  CHECK(refused.head.headers.Has("Retry-After"));
+}
+
+TEST_CASE(
+    "a repeated prompt that crashes engines makes other prompts refused") {
+  PlatformFleet fleet(PlatformFleetSettings{}, CrashOnPart);
+  for (std::size_t number = 0; number < 12; ++number) {
+    const std::size_t entry = number % fleet.entries.size();
+    static_cast<void>(fleet.Call(entry, "first:80,second:30,dead:9"));
+    if (fleet.CallsWith("dead:") == kToleratedCrashes) fleet.RunFor(kContactMs);
+    const HttpResponse sound = fleet.Call(
+        entry, "first:80,second:30," + OwnPart(static_cast<int>(number)));
+    CHECK(sound.head.status == 200);
+  }
+  CHECK(fleet.CallsWith("dead:") <= kToleratedCrashes + kToleratedCalls);
+}
+
+// Guards against endpoints that break single calls and are alive.
+TEST_CASE("a plain request whose answers are lost is taken for a deadly one") {
+  PlatformFleetSettings settings;
+  settings.service_endpoints = 3;
+  settings.plain_repeat = RepeatRule::kRepeatable;
+  bool breaks = true;
+  PlatformFleet fleet(settings, [&](const RequestHead& call) {
+    if (breaks) return EngineAnswer{"", "", true};
+    return EngineAnswer{testing::WholeStream(call, 1)};
+  });
+  for (std::size_t number = 0; number < 6; ++number) {
+    static_cast<void>(fleet.CallService(number % fleet.entries.size()));
+  }
+  breaks = false;
+  CHECK(fleet.CallService(0).head.status == 200);
+}
+
 }  // namespace
 }  // namespace limpethaven
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <numeric>
 
 #include "net/http_parser.h"
 #include "platform/dialect.h"
@@ -60,7 +61,7 @@
   plain.path = "/plain/";
   plain.pool = service.name;
   plain.streams = false;
-  plain.repeat = RepeatRule::kOnce;
+  plain.repeat = settings.plain_repeat;
   config.routes.emplace(plain.host + plain.path, plain);
   return config;
 }
@@ -306,12 +307,13 @@
   this->Fetch(entry, this->RequestBytes("/generate/1", prefix));
 }
 
-void PlatformFleet::StartService(std::size_t entry) {
-  this->Fetch(entry, this->RequestBytes("/plain/1", ""));
+void PlatformFleet::StartService(std::size_t entry, std::string_view path) {
+  this->Fetch(entry, this->RequestBytes(path, ""));
 }
 
-HttpResponse PlatformFleet::CallService(std::size_t entry) {
-  this->StartService(entry);
+HttpResponse PlatformFleet::CallService(std::size_t entry,
+                                        std::string_view path) {
+  this->StartService(entry, path);
   return this->AwaitResponse();
 }
 
@@ -408,6 +410,15 @@
   static_cast<void>(this->RunUntil([] { return false; }, duration_ms));
 }
 
+std::size_t PlatformFleet::CallsTo(std::string_view path) const {
+  return std::accumulate(
+      this->engines.begin(), this->engines.end(), std::size_t{0},
+      [path](std::size_t sum, const auto& engine) {
+        return sum + static_cast<std::size_t>(std::ranges::count(
+                         engine->calls, path, &RequestHead::target));
+      });
+}
+
 std::size_t PlatformFleet::CallsWith(std::string_view text) const {
   std::size_t count = 0;
   std::ranges::for_each(this->engines, [&](const auto& engine) {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -81,6 +81,7 @@
   std::size_t prefill_engines = 0;    ///< Listed after the decode engines.
   std::size_t service_endpoints = 1;  ///< Listed last.
   RepeatRule repeat = RepeatRule::kOnce;
+  RepeatRule plain_repeat = RepeatRule::kOnce;  ///< Of the plain service.
   std::int64_t max_sends = RouteSpec{}.max_sends;
   /// Time for which callers use an address answer.
   DurationMs address_ttl_ms = NodeSettings{}.address_ttl_ms;
@@ -119,9 +120,10 @@
   /// Starts a generation whose response is added to `responses`.
   void Start(std::size_t entry, std::string_view prefix);
   /// Starts a call of the plain service whose response is added to `responses`.
-  void StartService(std::size_t entry);
+  void StartService(std::size_t entry, std::string_view path = "/plain/1");
   /// Calls the plain service and reads the whole response.
-  [[nodiscard]] HttpResponse CallService(std::size_t entry);
+  [[nodiscard]] HttpResponse CallService(std::size_t entry,
+                                         std::string_view path = "/plain/1");
   /// Opens a connection to an entry; null when it is refused.
   [[nodiscard]] ConnectionPtr Connect(std::size_t entry);
   /// Writes a generation to such a connection.
@@ -147,6 +149,8 @@
   void DrainEntry(std::size_t entry);
   /// Calls that reached any engine with `text` among the prompt's parts.
   [[nodiscard]] std::size_t CallsWith(std::string_view text) const;
+  /// Calls of a path that reached any engine.
+  [[nodiscard]] std::size_t CallsTo(std::string_view path) const;
 
   PlatformFleetSettings settings;
   Loop loop{1};
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include "limpethaven/membership.h"
+#include "limpethaven/request_fingerprint.h"
 
 namespace limpethaven {
 namespace {
@@ -206,5 +207,39 @@
   });
 }
 
+TEST_CASE("quarantine: requests under way beside a deadly one stay free") {
+  const std::string deadly = RequestFingerprint("GET", "/deadly", "team", "");
+  const std::string sound = RequestFingerprint("GET", "/sound", "team", "");
+  PromptQuarantine quarantine;
+  for (const char* endpoint : {"e1", "e2", "e3", "e4"}) {
+    quarantine.OnCrash({deadly}, endpoint, 1000);
+    if (endpoint != std::string_view("e4")) {
+      quarantine.OnCrash({sound}, endpoint, 1000);
+    }
+  }
+  CHECK(quarantine.Find({deadly}, 1001));
+  CHECK_FALSE(quarantine.Find({sound}, 1001));
+}
+
+TEST_CASE("quarantine: a caller cannot have another team's request refused") {
+  CHECK(RequestFingerprint("GET", "/a", "team", "body") !=
+        RequestFingerprint("GET", "/a", "other", "body"));
+  CHECK(RequestFingerprint("GET", "/a", "team", "") !=
+        RequestFingerprint("GET", "/ateam", "", ""));
+}
+
+TEST_CASE("quarantine: a request is released after its time") {
+  const QuarantineSettings settings;
+  const std::string deadly = RequestFingerprint("GET", "/deadly", "team", "");
+  PromptQuarantine quarantine;
+  for (const char* endpoint : {"e1", "e2"}) {
+    quarantine.OnCrash({deadly}, endpoint, 1000);
+  }
+  CHECK_FALSE(quarantine.Find({deadly}, 1001));
+  quarantine.OnCrash({deadly}, "e3", 1000);
+  CHECK(quarantine.Find({deadly}, 1000 + settings.request_ms - 1));
+  CHECK_FALSE(quarantine.Find({deadly}, 1000 + settings.request_ms));
+}
+
 }  // namespace
 }  // namespace limpethaven
