--- a/src/router/session.cc
+++ b/src/router/session.cc
@@ -139,8 +139,8 @@
 
 void Session::NoteServed() {
   PromptQuarantine& quarantine = this->core.parts.quarantine;
-  if (quarantine.HasEvidence())
-    quarantine.OnServed(this->Suspects(), LoopNow());
+  if (!quarantine.HasEvidence()) return;
+  quarantine.OnServed(this->Suspects(), LoopNow());
 }
 
 Task<SendOutcome> Session::Send(Dispatch dispatch) {
--- a/tests/reader_fleet_test.cc
+++ b/tests/reader_fleet_test.cc
@@ -503,6 +503,7 @@
   REQUIRE(fleet.RunUntil([&] { return fleet.AllKnow(21); }, kBoundMs));
   REQUIRE(fleet.Followers().size() == followers.size());
   std::vector<std::size_t> sent;
+  sent.reserve(followers.size());
   for (const Process* process : followers) {
     sent.push_back(fleet.StoreOf(*process).SentBytes());
   }
