Tests: a plain endpoint that comes back announces a new start

Traced: the fixture's endpoints came back under the start that had crashed, so that the second crash of one endpoint was taken for another report of the first, and three crashes were known only when all three endpoints had been drawn.

--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -97,6 +97,12 @@
         this->endpoints.begin() + static_cast<std::ptrdiff_t>(count));
     this->Announce();
   }
+  /// Reports that an endpoint has started anew.
+  void Restart(std::string_view address) {
+    ++std::ranges::find(this->endpoints, address, &EndpointRecord::address)
+          ->born;
+    this->Announce();
+  }
   /// Reports all endpoints to the listeners.
   void Announce() {
     ++this->revision;
@@ -220,6 +226,7 @@
   this->Stop();
   co_await SleepFor(this->loop, this->down_ms);
   this->Listen();
+  if (this->on_restart) this->on_restart();
 }
 
 std::string StreamHeadUntilClose(const RequestHead& call) {
@@ -263,6 +270,10 @@
   for (std::size_t index = 0; index < this->settings.service_endpoints;
        ++index) {
     add("shop", PoolRole::kService);
+    ScriptedEngine& endpoint = *this->engines.back();
+    endpoint.on_restart = [this, &endpoint] {
+      this->source->Restart(endpoint.address);
+    };
   }
   this->source = std::move(fixed);
   Spawn(this->loop, [this]() -> Task<> {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -50,6 +50,8 @@
 
   std::string address;  ///< `IP:port`.
   DurationMs down_ms = 300;
+  /// Called when the engine is back after it ended; may be null.
+  std::function<void()> on_restart;
   std::vector<RequestHead> calls;
   std::vector<std::string> bodies;  ///< Of the calls, in the same order.
   std::vector<TimeMs> call_times;
