Peers: check the digest of a configuration against the entities as published

It is checked against the entities as they were sent, as before, and a configuration with a digest is not sent as a change, since that cannot be checked.

--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -340,7 +340,10 @@
                  {"revision", this->table.Revision()}};
   if (this->config->version > version) {
     std::optional<ConfigChange> change;
-    if (form != ConfigForm::kWhole) change = this->history.ChangeAfter(version);
+    // A digest can be checked for the published entities only, all of them.
+    if (form != ConfigForm::kWhole && this->config->digest.empty()) {
+      change = this->history.ChangeAfter(version);
+    }
     const bool whole = form != ConfigForm::kChangeOrSmall ||
                        EntityCount(*this->config) <= kMaxSmallConfigEntities;
     if (change) {
@@ -381,8 +384,9 @@
                         {"revision", this->table.Revision()},
                         {"config", NameOf(this->WantedForm())}};
   const TimeMs sent_at = LoopNow();
-  const Result<std::string> answer = co_await this->link.Call(
-      peer, std::string(kStatePath), request.dump(), sent_at + kPullTimeoutMs);
+  const Result<std::string> answer =
+      co_await this->link.Call(peer, std::string(kStatePath), request.dump(),
+                               sent_at + kPullTimeoutMs);
   this->pulling = false;
   if (answer) {
     static_cast<void>(this->ApplyPeerState(answer.value(), peer));
@@ -434,8 +438,8 @@
   next.digest = answer.at("digest").get<std::string>();
   if (valid && !next.digest.empty()) {
     EntityTable entity_table;
-    entity_table.Apply(EncodeEntities(next), {});
-    valid = entity_table.Digest() == next.digest;
+    entity_table.Apply(change.value().upserts, {});
+    valid = !is_change && entity_table.Digest() == next.digest;
   }
   if (valid) {
     this->Adopt(next, from);
--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -5,9 +5,11 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "limpethaven/config_codec.h"
 #include "limpethaven/endpoint_table.h"
 #include "peer/gossip.h"
 
@@ -198,5 +200,34 @@
   loop.poll();
 }
 
+TEST_CASE(
+    "published state rejects a peer's configuration with entities of a later "
+    "release") {
+  Loop loop(1);
+  PeerIdentity identity;
+  identity.self = VmId{"127.91.0.1", 301};
+  identity.port = kPort;
+  Process process(loop, identity);
+  Configuration config;
+  config.routes.emplace("/a", RouteSpec{.path = "/a"});
+  std::vector<Entity> entities = EncodeEntities(config);
+  entities.push_back(Entity{"later/x", "{}"});
+  EntityTable table;
+  table.Apply(entities, {});
+  const nlohmann::json answer = {{"version", 2},
+                                 {"digest", table.Digest()},
+                                 {"known", false},
+                                 {"revision", 0},
+                                 {"entities", EncodeEntityList(entities)},
+                                 {"announced", nlohmann::json::array()},
+                                 {"gone", nlohmann::json::array()}};
+  CHECK(process.state.ApplyPeerState(answer.dump(), "127.91.0.2"));
+  CHECK(process.state.Config()->version == 2);
+  process.link.Stop();
+  process.gossip.Stop();
+  CloseAllConnections(loop);
+  loop.poll();
+}
+
 }  // namespace
 }  // namespace limpethaven
