Peers: pull a large configuration for as long as it makes progress

Found by reading: says that such a pull may take longer, but the limit on pauses was never passed to the call, so that the whole of a large configuration still had 400 ms; on a link of 10 Mbit/s it does not arrive in that time. No test: loopback does not slow peers down.

--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -386,7 +386,7 @@
   const TimeMs sent_at = LoopNow();
   const Result<std::string> answer =
       co_await this->link.Call(peer, std::string(kStatePath), request.dump(),
-                               sent_at + kPullTimeoutMs);
+                               sent_at + kPullTimeoutMs, kPullTimeoutMs);
   this->pulling = false;
   if (answer) {
     static_cast<void>(this->ApplyPeerState(answer.value(), peer));
