--- a/include/limpethaven/prompt_quarantine.h
+++ b/include/limpethaven/prompt_quarantine.h
@@ -8,7 +8,7 @@
 /// ran a request which contains it. The fingerprint of a request counts as its
 /// innermost part. A complete answer to a request clears all of its parts. Each
 /// crash is explained by one part only: the one with the most crashes and,
-/// among equals, the one deepest in the prompt. A part whose crashes no other
+/// among equals, the one deepest in the request. A part whose crashes no other
 /// part explains is quarantined, so that parts which merely occur beside it are
 /// not.
 ///
@@ -36,7 +36,7 @@
   /// Endpoints that a request must have crashed to be quarantined. A sound one
   /// may be under way at several endpoints when these crash.
   std::size_t min_request_crashes = 3;
-  /// Length of the quarantine of a request, which nothing else is lost by.
+  /// Length of the quarantine of a request. Other requests are still served.
   DurationMs request_ms = 600'000;
   /// Length of a quarantine after `min_crashes` crashes; it doubles with each
   /// further one.
