Test of large answers: take the follower before the writes

Cause: a process that gets too little of a core hears from no reader in time and reads the source itself, as it should. With 13 programs on one core, all three followers did (ReadsSource 1, IsReader 0) in 2 of 2 runs of the test; with 4 programs in 0 of 4.

Ruled out: that followers became readers (role 0).

Change: the follower is taken when the fixture has settled. What the test asks of the answers is the same, and now each run asks it.

--- a/tests/reader_fleet_test.cc
+++ b/tests/reader_fleet_test.cc
@@ -481,11 +481,11 @@
     "reader fleet: an answer with a large configuration is too long for the "
     "link of a small VM") {
   Fleet fleet;
+  Process& follower = *fleet.Followers()[0];
   fleet.WriteLarge(2, kManyRoutes);
   REQUIRE(fleet.RunUntil([&] { return fleet.AllKnow(2); }, kBoundMs));
   fleet.WriteLarge(3, kManyRoutes + 1);
   REQUIRE(fleet.RunUntil([&] { return fleet.AllKnow(3); }, kBoundMs));
-  Process& follower = *fleet.Followers()[0];
   CHECK(AnswerBytes(fleet, follower, 1) <= kMaxAnswerBytes);
   CHECK(AnswerBytes(fleet, follower, 2) <= kMaxAnswerBytes);
 }
