--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -12,6 +12,7 @@
 #include "limpethaven/config_codec.h"
 #include "limpethaven/endpoint_table.h"
 #include "peer/gossip.h"
+#include "slow_relay.h"
 
 namespace limpethaven {
 namespace {
@@ -200,6 +201,50 @@
   loop.poll();
 }
 
+TEST_CASE(
+    "published state: a large configuration never arrives over a slow link to "
+    "a peer") {
+  constexpr int kRelayPort = 18'189;
+  constexpr std::int64_t kBytesPerS = 300'000;
+  constexpr int kManyRoutes = 4000;
+  Loop loop(1);
+  PeerIdentity identity;
+  identity.self = VmId{"127.91.0.1", 401};
+  identity.port = kPort;
+  Process ahead(loop, identity);
+  Configuration config;
+  config.version = 2;
+  for (int number = 0; number < kManyRoutes; ++number) {
+    const std::string path = "/route" + std::to_string(number);
+    config.routes.emplace(path, RouteSpec{.path = path});
+  }
+  ahead.state.OnConfiguration(config);
+  // A process calls its peers at its own port.
+  identity.self = VmId{"127.91.0.2", 402};
+  identity.port = kRelayPort;
+  Process behind(loop, identity);
+  behind.state.OnSourceReachable(false);
+  testing::SlowRelay relay(loop, "127.91.0.1:" + std::to_string(kRelayPort),
+                           "127.91.0.1:" + std::to_string(kPort), kBytesPerS);
+  const auto needed_ms = static_cast<DurationMs>(
+      EncodeEntityList(EncodeEntities(config)).size() * 1000 / kBytesPerS);
+  REQUIRE(needed_ms > 1000);
+  const TimeMs end = LoopNow() + 2 * needed_ms;
+  while (behind.state.Config()->version != 2 && LoopNow() < end) {
+    behind.state.OnPeerVersions("127.91.0.1", 2, {});
+    loop.run_for(std::chrono::milliseconds(20));
+  }
+  CHECK(behind.state.Config()->version == 2);
+  relay.Stop();
+  for (Process* process : {&ahead, &behind}) {
+    process->link.Stop();
+    process->gossip.Stop();
+  }
+  CloseAllConnections(loop);
+  loop.poll();
+  loop.EndTasks();
+}
+
 TEST_CASE(
     "published state rejects a peer's configuration with entities of a later "
     "release") {
