Native source: read a chunk for as long as it makes progress

Each response had to end within 2 s however much of it had arrived; it was given up and read again from its start.

Ruled out: that the chunks read before are lost with it for another reason; the test has one large chunk, and the platform is never refused or closed.

Change: the limits hold for the head of a response; its body may take longer while it makes progress, as from the other source.

Test, failed before: a chunk of 500 kB at 100 kB/s; version 0 after 10 s. After: adopted, 12 s for this test and that of the peers.

--- a/src/entry/native_source.cc
+++ b/src/entry/native_source.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr DurationMs kReadTimeoutMs = 2000;
+/// Longest pause in the body of a response.
+constexpr DurationMs kStallMs = 1000;
 /// Time for which the platform holds a long poll that finds no newer version.
 constexpr DurationMs kLongPollMs = 5000;
 /// Time that the response to a long poll may take beyond that.
@@ -151,9 +153,9 @@
   RequestHead head{"GET", std::move(target), {}};
   head.headers.Add("Host", this->address);
   std::string bytes = WriteRequest(head, {});
-  const HttpResponse answer =
-      co_await FetchResponse(this->loop, this->pool, this->address,
-                             std::move(bytes), LoopNow() + timeout_ms);
+  const HttpResponse answer = co_await FetchResponse(
+      this->loop, this->pool, this->address, std::move(bytes),
+      LoopNow() + timeout_ms, kMaxFetchedBytes, kStallMs);
   if (answer.fault != CallFault::kNone) {
     co_return Error::Of(ErrorKind::kEndpointFailed,
                         "platform " + this->address + ", GET " + head.target +
--- a/src/entry/native_source.h
+++ b/src/entry/native_source.h
@@ -36,6 +36,8 @@
   Task<> PollVmList();
   /// Sends a GET request to the platform. The answer to a long poll that found
   /// no newer version has status 204 and no body.
+  /// @param timeout_ms Time for the head of the response; its body may take
+  /// longer while it makes progress, see `FetchResponse`.
   /// @param status Receives the status of the response.
   Task<Result<std::string>> Get(std::string target, DurationMs timeout_ms,
                                 int& status);
