Quarantine: only a refused connection shows that a plain endpoint crashed

Cause: after a broken call the endpoint counted as crashed when a connection to it failed for whatever reason, also because its host could not be reached.

Ruled out: ejection of the endpoints; with the fix they are ejected as before, and the same call is answered.

Change: the endpoint counts as crashed if its host refuses the connection, which shows that the host can be reached and the process is gone.

--- a/src/net/connection.cc
+++ b/src/net/connection.cc
@@ -36,6 +36,31 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, settings.keepalive_probes);
 }
 
+using Socket = asio::ip::tcp::socket;
+
+/// Connects a socket to `IP:port`. @returns the reason if this failed, which is
+/// `operation_aborted` when `deadline` has passed.
+Task<error_code> Connect(std::shared_ptr<Socket> socket, std::string address,
+                         TimeMs deadline) {
+  const auto endpoint = ParseAddress(address);
+  if (!endpoint) co_return error_code(asio::error::invalid_argument);
+  error_code fault;
+  socket->open(asio::ip::tcp::v4(), fault);
+  if (fault) co_return fault;
+  asio::steady_timer timer(socket->get_executor());
+  timer.expires_at(TimePointOf(deadline));
+  timer.async_wait([socket](const error_code& cancelled) {
+    error_code ignored;
+    if (!cancelled) socket->close(ignored);
+  });
+  co_await socket->async_connect(
+      *endpoint, asio::redirect_error(asio::use_awaitable, fault));
+  timer.cancel();
+  // The deadline may have passed right after the connection was made.
+  if (!fault && !socket->is_open()) fault = asio::error::operation_aborted;
+  co_return fault;
+}
+
 /// Registry of the connections of one loop.
 class ConnectionRegistry final : public asio::execution_context::service {
  public:
@@ -98,28 +123,21 @@
 
 Task<ConnectionPtr> Connection::Dial(Loop& loop, std::string address,
                                      TimeMs deadline) {
-  const auto endpoint = ParseAddress(address);
-  if (!endpoint) co_return nullptr;
-  auto socket = std::make_shared<asio::ip::tcp::socket>(loop);
-  error_code fault;
-  socket->open(asio::ip::tcp::v4(), fault);
-  if (fault) co_return nullptr;
-  asio::steady_timer timer(loop);
-  timer.expires_at(TimePointOf(deadline));
-  timer.async_wait([socket](const error_code& cancelled) {
-    error_code ignored;
-    if (!cancelled) socket->close(ignored);
-  });
-  co_await socket->async_connect(
-      *endpoint, asio::redirect_error(asio::use_awaitable, fault));
-  timer.cancel();
-  if (fault || !socket->is_open()) co_return nullptr;
+  auto socket = std::make_shared<Socket>(loop);
+  if (co_await Connect(socket, address, deadline)) co_return nullptr;
   auto connection = std::make_shared<Connection>(loop, std::move(*socket),
                                                  std::move(address));
   connection->Start();
   co_return connection;
 }
 
+Task<bool> Connection::IsRefused(Loop& loop, std::string address,
+                                 TimeMs deadline) {
+  const auto socket = std::make_shared<Socket>(loop);
+  const error_code fault = co_await Connect(socket, address, deadline);
+  co_return fault == asio::error::connection_refused;
+}
+
 Connection::Connection(Loop& event_loop, asio::ip::tcp::socket tcp_socket,
                        std::string peer_address)
     : loop(event_loop),
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -47,6 +47,9 @@
   /// connection fails or `deadline` passes.
   static Task<std::shared_ptr<Connection>> Dial(Loop& loop, std::string address,
                                                 TimeMs deadline);
+  /// Whether the host of `IP:port` refuses connections, so that no process
+  /// listens there. A host that is down or cut off does not refuse them.
+  static Task<bool> IsRefused(Loop& loop, std::string address, TimeMs deadline);
 
   Connection(Loop& event_loop, asio::ip::tcp::socket tcp_socket,
              std::string peer);
--- a/src/router/plain_session.cc
+++ b/src/router/plain_session.cc
@@ -65,14 +65,10 @@
   Spawn(this->core.parts.loop,
         [&router = this->core, endpoint, parts = this->Suspects(),
          id = this->admitted.request.attempt_id]() -> Task<> {
-          const ConnectionPtr connection =
-              co_await Connection::Dial(router.parts.loop, endpoint.address,
-                                        LoopNow() + kCrashProbeTimeoutMs);
-          if (connection) {
-            connection->Close();
-          } else {
-            router.NoteCrash(endpoint, id, parts);
-          }
+          const bool refused = co_await Connection::IsRefused(
+              router.parts.loop, endpoint.address,
+              LoopNow() + kCrashProbeTimeoutMs);
+          if (refused) router.NoteCrash(endpoint, id, parts);
         });
 }
 
--- a/src/router/session.h
+++ b/src/router/session.h
@@ -169,8 +169,9 @@
   void SettleCharge() override;
 
  private:
-  /// Records that an endpoint has crashed under this request, if it accepts no
-  /// connection any more. An endpoint that breaks a single call is alive.
+  /// Records that an endpoint has crashed under this request, if its host
+  /// refuses connections. An endpoint that breaks a single call is alive, and
+  /// one that cannot be reached may be cut off from this VM.
   void SuspectCrash(const EndpointRecord& endpoint) const;
 };
 
--- a/tests/crashing_part_test.cc
+++ b/tests/crashing_part_test.cc
@@ -120,6 +120,26 @@
   CHECK(fleet.CallsWith("dead:") <= kToleratedCrashes + kToleratedCalls);
 }
 
+TEST_CASE(
+    "a plain request that was under way when its VM was cut off is taken for a "
+    "deadly one") {
+  PlatformFleetSettings settings;
+  settings.service_endpoints = 3;
+  settings.plain_repeat = RepeatRule::kRepeatable;
+  bool cut_off = true;
+  PlatformFleet fleet(settings, [&](const RequestHead& call) {
+    if (cut_off) return EngineAnswer{"", "", false, true};
+    return EngineAnswer{testing::WholeStream(call, 1)};
+  });
+  for (const auto& engine : fleet.engines) engine->cut_off_when_down = true;
+  for (std::size_t number = 0; number < 6; ++number) {
+    static_cast<void>(fleet.CallService(number % fleet.entries.size()));
+    fleet.RunFor(fleet.engines.back()->down_ms + 100);
+  }
+  cut_off = false;
+  CHECK(fleet.CallService(0).head.status == 200);
+}
+
 // Guards against endpoints that break single calls and are alive.
 TEST_CASE("a plain request whose answers are lost is taken for a deadly one") {
   PlatformFleetSettings settings;
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -3,7 +3,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <list>
 #include <numeric>
+#include <optional>
 
 #include "net/http_parser.h"
 #include "platform/dialect.h"
@@ -127,6 +129,28 @@
   std::vector<SourceListener*> listeners;
 };
 
+/// A listener whose queue is full: the kernel drops the packets of further
+/// connections.
+class FullListener {
+ public:
+  FullListener(Loop& loop, const std::string& address) : acceptor(loop) {
+    const asio::ip::tcp::endpoint endpoint = *ParseAddress(address);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen(0);
+    constexpr std::size_t kQueued = 2;
+    for (std::size_t number = 0; number < kQueued; ++number) {
+      this->queued.emplace_back(loop);
+      this->queued.back().async_connect(endpoint, [](const error_code&) {});
+    }
+  }
+
+ private:
+  asio::ip::tcp::acceptor acceptor;
+  std::list<asio::ip::tcp::socket> queued;
+};
+
 std::string PrefillAnswer(const RequestHead& call) {
   ResponseHead head = AnswerHeadOf(call);
   return WriteResponse(head, R"({"handle":"h1","tokens":120,"version":1})");
@@ -224,7 +248,10 @@
 
 Task<> ScriptedEngine::Restart() {
   this->Stop();
+  std::optional<FullListener> cut_off;
+  if (this->cut_off_when_down) cut_off.emplace(this->loop, this->address);
   co_await SleepFor(this->loop, this->down_ms);
+  cut_off.reset();
   this->Listen();
   if (this->on_restart) this->on_restart();
 }
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -50,6 +50,9 @@
 
   std::string address;  ///< `IP:port`.
   DurationMs down_ms = 300;
+  /// Whether an engine that ends is cut off: connections are neither accepted
+  /// nor refused.
+  bool cut_off_when_down = false;
   /// Called when the engine is back after it ended; may be null.
   std::function<void()> on_restart;
   std::vector<RequestHead> calls;
