Shares: return a loan that arrives too late for its request

Cause: the call to the lender ended with the request's wait for loans. The lender had taken the tokens from its share, and nobody confirmed or returned them before the transfer expired.

Ruled out: the slots of the two processes; with the fix the same fleet holds what it held before.

Change: the request waits for 40 ms as before; an answer is read for up to 150 ms, and a loan that comes after the wait is returned, within the 250 ms for which the lender keeps the transfer.

--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -14,8 +14,11 @@
 
 using nlohmann::json;
 
-/// A lender that does not answer within this time is skipped.
+/// A request does not wait longer than this for the answers of lenders.
 constexpr DurationMs kLendTimeoutMs = 40;
+/// A loan that arrives within this time, too late for its request, is returned.
+/// The rest of the transfer's lifetime is left for that call.
+constexpr DurationMs kLateLoanMs = 150;
 /// Most lenders that are called at the same time. In a large fleet a share is a
 /// small part of what a request needs.
 constexpr std::size_t kLendersPerRound = 24;
@@ -284,6 +287,7 @@
     explicit Round(Loop& loop) : answered(loop) {}
     Notifier answered;
     std::size_t pending = 0;
+    bool ended = false;
     std::vector<Loan> loans;
   };
   Loop& loop = this->link.GetLoop();
@@ -297,7 +301,11 @@
     Spawn(loop,
           [this, round, team, wanted, address = lender.address]() -> Task<> {
             Loan loan = co_await this->BorrowFrom(address, team, wanted);
-            if (loan.transfer.tokens > 0) round->loans.push_back(loan);
+            if (loan.transfer.tokens > 0 && round->ended) {
+              this->EndTransfers({loan}, kReturnPath);
+            } else if (loan.transfer.tokens > 0) {
+              round->loans.push_back(loan);
+            }
             --round->pending;
             round->answered.Notify();
           });
@@ -306,6 +314,7 @@
   while (round->pending > 0 && LoopNow() < deadline) {
     co_await round->answered.WaitUntil(deadline);
   }
+  round->ended = true;
   co_return std::exchange(round->loans, {});
 }
 
@@ -322,7 +331,7 @@
       {"team", team}, {"transfer", loan.transfer.id}, {"wanted", wanted}};
   const Result<std::string> answer =
       co_await this->link.Call(lender, std::string(kLendPath), request.dump(),
-                               requested_at + kLendTimeoutMs);
+                               requested_at + kLateLoanMs);
   if (!answer) co_return loan;
   loan.transfer.tokens = TokensField(answer.value(), "tokens");
   this->lender_balances[team].insert_or_assign(
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -100,7 +100,7 @@
   /// Calls lenders, the fullest ones first, until they have lent `missing`
   /// tokens. May return less, or more.
   Task<std::vector<Loan>> Borrow(std::string team, Tokens missing);
-  /// Calls lenders at the same time.
+  /// Calls lenders at the same time. Loans that arrive too late are returned.
   Task<std::vector<Loan>> CallLenders(std::string team, Tokens missing,
                                       std::vector<Lender> called);
   /// Borrows from one lender; the loan holds no tokens if it lends none.
--- a/tests/share_exchange_test.cc
+++ b/tests/share_exchange_test.cc
@@ -12,6 +12,7 @@
 
 #include "peer/gossip.h"
 #include "peer/peer_link.h"
+#include "slow_relay.h"
 
 namespace limpethaven {
 namespace {
@@ -154,6 +155,51 @@
   REQUIRE_FALSE(fleet.Charge(0, "r3", kRequest));
 }
 
+TEST_CASE(
+    "share exchange: tokens are lost when their lender answers too late") {
+  constexpr int kLenderPort = kPort - 1;
+  constexpr std::int64_t kBytesPerS = 1500;
+  constexpr Tokens kHeld = 400;
+  const Configuration config = OneTeam(200, 1000);
+  Fleet fleet(1, Configuration{}, LimitTolerance{});
+  PeerIdentity identity;
+  identity.self = VmId{"127.90.0.2", 102};
+  identity.data_centre = "a";
+  identity.cpu_millicores = 1000;
+  identity.port = kPort;
+  IgnoringListener listener;
+  Gossip gossip(fleet.loop, identity, MembershipSettings{}, listener);
+  REQUIRE(gossip.Start({"127.90.0.1"}));
+  gossip.SetServing(true);
+  // Peers call the lender at the port of the relay.
+  identity.port = kLenderPort;
+  PeerLink link(fleet.loop, identity);
+  REQUIRE(link.Start());
+  testing::SlowRelay relay(fleet.loop, "127.90.0.2:" + std::to_string(kPort),
+                           "127.90.0.2:" + std::to_string(kLenderPort),
+                           kBytesPerS);
+  ShareExchange lender(link, gossip, "a", LimitTolerance{}, 0);
+  ShareExchange& borrower = fleet.processes[0]->shares;
+  const Gossip& known = fleet.processes[0]->gossip;
+  fleet.RunUntil([&] { return known.Members().ServingMembers().size() == 2; });
+  for (ShareExchange* shares : {&borrower, &lender}) {
+    shares->Configure(config);
+  }
+  const auto held = [&] {
+    return borrower.View("north").available + lender.View("north").available;
+  };
+  fleet.RunUntil([&] { return held() >= kHeld; });
+  REQUIRE_FALSE(fleet.Charge(0, "r1", kHeld));
+  CHECK(lender.View("north").available < kHeld / 4);
+  fleet.loop.run_for(std::chrono::milliseconds(400));
+  CHECK(held() >= kHeld);
+  relay.Stop();
+  link.Stop();
+  gossip.Stop();
+  CloseAllConnections(fleet.loop);
+  fleet.loop.poll();
+}
+
 TEST_CASE("ledger burst uses the whole tolerance of the bound and no more") {
   const TeamSpec team{"north", 1000, 4000, 1};
   REQUIRE(LedgerBurst(team, LimitTolerance{}) == 4000);
