--- a/tests/native_source_test.cc
+++ b/tests/native_source_test.cc
@@ -47,7 +47,7 @@
 /// A platform that publishes one configuration.
 class PublishedPlatform {
  public:
-  PublishedPlatform(Loop& event_loop, std::vector<Entity> entities)
+  PublishedPlatform(Loop& event_loop, const std::vector<Entity>& entities)
       : server(
             event_loop,
             [this](Exchange& exchange) { return this->Answer(exchange); },
@@ -88,7 +88,7 @@
   // Kinds that the process does not know are ignored.
   entities.push_back(
       Entity{"unknown/large", '"' + std::string(kChunkBytes, 'x') + '"'});
-  PublishedPlatform platform(loop, std::move(entities));
+  PublishedPlatform platform(loop, entities);
   SlowRelay relay(loop, std::string(kRelayAddress),
                   std::string(kPlatformAddress), kBytesPerS);
   VersionListener listener;
