Let the terms of role orders outlive the processes

Cause: the term was one above the highest term heard, and known from the memory of processes alone. A class of fault: a number that must not fall, kept where it can be lost.

Change: a term is a revision of the source (era, number) and a step. A claim needs a majority of members that have started below that revision, or so long ago that each order sent before would have changed it. Members tell their start in answers to contact calls. The state no_new_revision and the fields remembering and revision of event 514 show what a claim waits for.

Role tests publish a change after the start, so that they need not wait for the time of an order.

--- a/include/limpethaven/order_lease.h
+++ b/include/limpethaven/order_lease.h
@@ -11,14 +11,24 @@
 /// a majority of the members has been told. Two majorities have a member in
 /// common, so a later holder hears the term also when the earlier one dies
 /// right after its first order.
+///
+/// A member that restarts forgets the terms that it was told. A term therefore
+/// begins with a revision of the source, which outlives all processes, and a
+/// claim needs a majority of members that have started before that revision:
+/// such a member either remembers an earlier term, or was told of it before it
+/// started, when the source had a lower revision. Where the source does not
+/// change, it is enough that they have started long ago: an order that an
+/// engine carries out changes the source.
 #pragma once
 
 #include <cstdint>
 #include <deque>
+#include <iosfwd>
 #include <optional>
 #include <string_view>
 
 #include "limpethaven/clock.h"
+#include "limpethaven/source_revision.h"
 
 namespace limpethaven {
 
@@ -50,6 +60,11 @@
   /// Members, this process included, that have answered a call which was sent
   /// within `OrderLeaseSettings::contact_ttl_ms`.
   std::size_t reached_members = 0;
+  /// Those of `reached_members` that remember all terms with `revision` whose
+  /// orders an engine may still carry out.
+  std::size_t remembering_members = 0;
+  /// Revision of the source that this process knows.
+  SourceRevision revision;
 };
 
 /// Why a lease is not held.
@@ -59,26 +74,53 @@
   kNoMajority,  ///< Half of the members or fewer are reached.
   kPaused,      ///< `Update` was not called for too long.
   kWaiting,     ///< Earlier holders may still send orders.
+  /// Half of the members or more may have forgotten earlier terms: a term can
+  /// be claimed after the next change of the source, or when they have run for
+  /// long enough.
+  kNoNewRevision,
 };
 
-/// Name of a state: `held`, `not_owner`, `no_majority`, `paused` or `waiting`.
+/// Name of a state: `held`, `not_owner`, `no_majority`, `paused`, `waiting` or
+/// `no_new_revision`.
 [[nodiscard]] std::string_view NameOf(OrderLeaseState state) noexcept;
 
-/// Parts of a fencing token, from the high bits: 25 bits of term, 16 bits of
-/// counter and 12 bits of the holder's hash.
+/// Order of the claims of a cell's lease. The default value stands for none.
+struct OrderTerm {
+  static constexpr unsigned kEraBits = 8;
+  static constexpr unsigned kNumberBits = 31;
+  static constexpr unsigned kStepBits = 3;
+  static constexpr std::uint32_t kMaxStep = (1U << kStepBits) - 1;
+
+  /// Revision of the source when the first term with it was claimed.
+  SourceRevision revision;
+  /// Number of the claim among those with this revision. `kMaxStep` is never
+  /// claimed; it follows two claims of the same term.
+  std::uint32_t step = 0;
+  friend auto operator<=>(const OrderTerm&, const OrderTerm&) = default;
+};
+
+/// Writes `revision/step`.
+std::ostream& operator<<(std::ostream& out, const OrderTerm& term);
+
+/// Parts of a fencing token, from the high bits: a bit that is always set, 42
+/// bits of term, 4 bits of counter and 6 bits of the holder's hash. The bit
+/// puts the tokens above those of earlier versions, which had other parts.
 struct OrderToken {
-  static constexpr unsigned kHolderBits = 12;
-  static constexpr unsigned kCounterBits = 16;
-  static constexpr unsigned kTermBits = 25;
+  static constexpr unsigned kHolderBits = 6;
+  static constexpr unsigned kCounterBits = 4;
+  static constexpr unsigned kTermBits =
+      OrderTerm::kEraBits + OrderTerm::kNumberBits + OrderTerm::kStepBits;
 
-  std::uint32_t term = 0;
+  OrderTerm term;
   std::uint32_t counter = 0;
   std::uint32_t holder = 0;
+  /// A number below 2^53.
   [[nodiscard]] std::uint64_t Value() const noexcept;
   friend auto operator<=>(const OrderToken&, const OrderToken&) = default;
 };
 
-/// Hash of a process for its tokens, from its address and incarnation; not 0.
+/// Hash of a process for its claims and tokens, from its address and
+/// incarnation; 12 bits, not 0.
 [[nodiscard]] std::uint32_t OrderHolderHash(std::string_view address,
                                             std::uint64_t incarnation);
 
@@ -99,20 +141,20 @@
   /// Takes note of a term that a holder of this cell has used. A term above its
   /// own shows that another process has held the lease, which starts the wait
   /// anew.
-  void HearTerm(std::uint32_t term, TimeMs now);
+  void HearTerm(const OrderTerm& term, TimeMs now);
   /// Takes note of a term that was used in another cell of the pool, whose
   /// engines may move to this one. Later tokens are above it.
-  void HearOtherTerm(std::uint32_t term);
+  void HearOtherTerm(const OrderTerm& term);
   /// State as of `now`, which may be later than the last `Update`. Check it
   /// again directly before an order is sent.
   [[nodiscard]] OrderLeaseState State(TimeMs now) const;
   /// Token of the next order; empty when the lease is not held.
   [[nodiscard]] std::optional<OrderToken> NextToken(TimeMs now);
-  /// Term that this process claimed last; 0 before the first.
-  [[nodiscard]] std::uint32_t OwnTerm() const noexcept;
+  /// Term that this process claimed last.
+  [[nodiscard]] const OrderTerm& OwnTerm() const noexcept;
   /// Highest term that is known: claimed by this process, or heard from another
-  /// one. 0 before the first.
-  [[nodiscard]] std::uint32_t HighestTerm() const noexcept;
+  /// one.
+  [[nodiscard]] OrderTerm HighestTerm() const noexcept;
 
  private:
   struct KnownMembers {
@@ -120,6 +162,10 @@
     std::size_t count = 0;
   };
 
+  /// Term above all known ones that can be claimed at a revision; empty if
+  /// there is none.
+  [[nodiscard]] std::optional<OrderTerm> NextTerm(
+      const SourceRevision& revision) const;
   /// Whether the claimed term can be used for a further token.
   [[nodiscard]] bool HasTerm() const noexcept;
   /// Records the present number of members. @returns the largest of the
@@ -134,9 +180,11 @@
   std::optional<TimeMs> held_since;
   std::optional<TimeMs> updated_at;
   OrderLeaseState reason = OrderLeaseState::kNotOwner;
-  std::uint32_t heard_term = 0;
-  std::uint32_t other_term = 0;
-  std::uint32_t own_term = 0;  ///< 0 before the first claim.
+  OrderTerm heard_term;
+  OrderTerm other_term;
+  OrderTerm own_term;
+  /// Whether a claim is due and needs a change of the source.
+  bool needs_revision = false;
   /// `held_since` when `own_term` was claimed. Each wait needs a new claim.
   std::optional<TimeMs> claimed_for;
   TimeMs claimed_at = 0;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -166,6 +166,7 @@
   const std::vector<std::string> gone =
       this->table.Replace(endpoints, revision, retained_until, now);
   this->endpoints_known = true;
+  if (!this->first_read) this->first_read = {revision, now};
   this->NotifyGone(gone);
   std::ranges::for_each(
       this->table.Retained(now), [&](const RetainedEndpoint& endpoint) {
@@ -369,6 +370,11 @@
   return this->table.Revision();
 }
 
+std::optional<ProcessStart> PublishedState::Start(TimeMs now) const {
+  if (!this->first_read) return std::nullopt;
+  return ProcessStart{this->first_read->first, now - this->first_read->second};
+}
+
 void PublishedState::SetInformedByPeers(bool informed) {
   this->informed_by_peers = informed;
 }
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -11,11 +11,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "limpethaven/config_history.h"
 #include "limpethaven/config_model.h"
 #include "limpethaven/endpoint_table.h"
 #include "node/source.h"
+#include "peer/cell_messages.h"
 #include "peer/peer_link.h"
 
 namespace limpethaven {
@@ -126,6 +128,9 @@
   [[nodiscard]] std::optional<DurationMs> SourceSilentMs(TimeMs now) const;
   /// Revision up to which no update of an endpoint is missing.
   [[nodiscard]] SourceRevision Revision() const;
+  /// Start of this process; empty before it has read a list of endpoints from
+  /// the source itself.
+  [[nodiscard]] std::optional<ProcessStart> Start(TimeMs now) const;
 
  private:
   void Adopt(const Configuration& next, const std::string& from);
@@ -159,6 +164,8 @@
   /// Since when a peer has had a newer configuration; empty: none has.
   std::optional<TimeMs> config_behind_since;
   bool endpoints_known = false;
+  /// Revision and time of the first list of endpoints from the source.
+  std::optional<std::pair<SourceRevision, TimeMs>> first_read;
   bool reachable = false;
   bool reachability_reported = false;
   /// Last answers of the source, by `SourcePart`.
--- a/src/node/role_balancer.cc
+++ b/src/node/role_balancer.cc
@@ -30,9 +30,10 @@
 /// Without an answer of the source for this time the announced roles may be
 /// outdated, and no order is sent.
 constexpr DurationMs kMaxSourceSilenceMs = 5000;
-/// An engine that refuses a token as too low does not tell its own. The term is
-/// raised by this much, so that few refusals lead above it.
-constexpr std::uint32_t kTermStep = 16;
+
+/// Most time for which an engine runs what it had begun before it carries out
+/// an order.
+constexpr DurationMs kMaxRunMs = 10'000;
 
 /// Waits for the head of the response. @returns its status, or 0.
 Task<int> ReadStatus(ConnectionPtr connection, TimeMs deadline) {
@@ -170,26 +171,36 @@
 }
 
 void RoleBalancer::UpdateLease(const CellSpec& cell, CellRow& row, TimeMs now) {
-  const OrderLeaseInput input{row.owned,
-                              this->parts.gossip.Members().Members().size() + 1,
-                              this->ReachedMembers(now)};
+  const OrderLeaseInput input = this->LeaseInput(row, now);
   row.lease.Update(input, now);
   const OrderLeaseState state = row.lease.State(now);
-  const bool held = state == OrderLeaseState::kHeld;
-  if (held == row.held) return;
-  row.held = held;
+  const OrderLeaseState before = std::exchange(row.lease_state, state);
+  const bool reported = state == OrderLeaseState::kHeld ||
+                        before == OrderLeaseState::kHeld ||
+                        state == OrderLeaseState::kNoNewRevision;
+  if (state == before || !reported) return;
   LogEvent(EventId::kRoleLeaseChanged,
            {{"cell", cell.name},
             {"state", std::string(NameOf(state))},
             LogField::Of("members", input.known_members),
             LogField::Of("reached", input.reached_members),
+            LogField::Of("remembering", input.remembering_members),
+            LogField::Of("revision", input.revision),
             LogField::Of("term", row.lease.HighestTerm())});
 }
 
+OrderLeaseInput RoleBalancer::LeaseInput(const CellRow& row, TimeMs now) const {
+  return OrderLeaseInput{row.owned,
+                         this->parts.gossip.Members().Members().size() + 1,
+                         this->ReachedMembers(now),
+                         this->RememberingMembers(row.role_change_ms, now),
+                         this->parts.state.Revision()};
+}
+
 void RoleBalancer::HearTerms(const CellSpec& cell, CellRow& row, TimeMs now) {
   const OrderMark mark = this->parts.cells.Marks().Of(cell.name);
   row.lease.HearTerm(mark.term, now);
-  if (mark.term > 0) {
+  if (mark.term != OrderTerm{}) {
     row.planner.SetInitialPrefillPermille(mark.prefill_permille);
   }
   std::ranges::for_each(
@@ -202,7 +213,7 @@
 void RoleBalancer::CallMembers(TimeMs now) {
   const DurationMs ttl = OrderLeaseSettings{}.contact_ttl_ms;
   std::erase_if(this->contacts, [now, ttl](const auto& contact) {
-    return now - contact.second > ttl;
+    return now - contact.second.sent_at > ttl;
   });
   const bool wanted = std::ranges::any_of(this->rows, [now](const auto& row) {
     return row.second.owned && now < row.second.lease_wanted_until;
@@ -235,9 +246,9 @@
       address, std::string(kContactPath), std::move(text),
       sent_at + kContactTimeoutMs);
   if (!answer) co_return;
+  CellReport heard;
   try {
-    const CellReport heard =
-        json::parse(answer.value(), nullptr, false).get<CellReport>();
+    heard = json::parse(answer.value(), nullptr, false).get<CellReport>();
     std::ranges::for_each(heard.marks, [this](const auto& row) {
       this->parts.cells.Marks().Note(row.first, row.second);
     });
@@ -245,8 +256,10 @@
     // A member that does not answer with its marks is not reached.
     co_return;
   }
-  TimeMs& contact = this->contacts[address];
-  contact = std::max(contact, sent_at);
+  Contact& contact = this->contacts[address];
+  if (sent_at >= contact.sent_at) {
+    contact = Contact{sent_at, heard.start};
+  }
 }
 
 Task<Result<std::string>> RoleBalancer::AnswerContact(PeerCall& call) {
@@ -263,6 +276,7 @@
     this->parts.cells.Marks().Note(row.first, row.second);
     row.second = this->parts.cells.Marks().Of(row.first);
   });
+  report.start = this->parts.state.Start(LoopNow());
   const json body = report;
   co_return body.dump();
 }
@@ -271,10 +285,27 @@
   const DurationMs ttl = OrderLeaseSettings{}.contact_ttl_ms;
   return 1 + static_cast<std::size_t>(std::ranges::count_if(
                  this->contacts, [now, ttl](const auto& contact) {
-                   return now - contact.second <= ttl;
+                   return now - contact.second.sent_at <= ttl;
                  }));
 }
 
+std::size_t RoleBalancer::RememberingMembers(DurationMs role_change_ms,
+                                             TimeMs now) const {
+  const DurationMs ttl = OrderLeaseSettings{}.contact_ttl_ms;
+  const SourceRevision revision = this->parts.state.Revision();
+  const DurationMs order_ms = kMaxRunMs + 2 * role_change_ms;
+  const auto remembers = [&](const std::optional<ProcessStart>& start) {
+    return start && (start->revision < revision || start->age_ms > order_ms);
+  };
+  const auto reached =
+      std::ranges::count_if(this->contacts, [&](const auto& contact) {
+        return now - contact.second.sent_at <= ttl &&
+               remembers(contact.second.start);
+      });
+  const bool remembers_self = remembers(this->parts.state.Start(now));
+  return static_cast<std::size_t>(reached) + (remembers_self ? 1 : 0);
+}
+
 std::string RoleBalancer::Obstacle(const CellRow& row, TimeMs now) const {
   const OrderLeaseState state = row.lease.State(now);
   if (state != OrderLeaseState::kHeld) return std::string(NameOf(state));
@@ -376,7 +407,9 @@
   if (result.outcome == RoleOrderOutcome::kOutdated) {
     // Another process has sent an order with a higher token.
     row->second.lease.Interrupt(now);
-    row->second.lease.HearOtherTerm(pending.token.term + kTermStep);
+    // It has been claimed at this revision or an earlier one.
+    row->second.lease.HearOtherTerm(
+        OrderTerm{this->parts.state.Revision(), OrderTerm::kMaxStep});
   }
   CellScheduler* scheduler = this->parts.cells.SchedulerOf(pending.cell);
   if (result.outcome != RoleOrderOutcome::kAccepted || scheduler == nullptr) {
--- a/src/node/role_balancer.h
+++ b/src/node/role_balancer.h
@@ -60,11 +60,17 @@
     RolePlanner planner;
     DurationMs role_change_ms = 0;
     bool owned = false;
-    bool held = false;  ///< Whether the lease was held at the last tick.
+    /// State of the lease at the last tick.
+    OrderLeaseState lease_state = OrderLeaseState::kNotOwner;
     TimeMs next_plan_at = 0;
     /// Until then the members are called to hold the lease.
     TimeMs lease_wanted_until = 0;
   };
+  /// A member's answer to a call.
+  struct Contact {
+    TimeMs sent_at = 0;                 ///< When the call was sent.
+    std::optional<ProcessStart> start;  ///< Of the member.
+  };
   /// An order and its token, decided at `decided_at`.
   struct PendingOrder {
     std::string cell;
@@ -97,6 +103,13 @@
   /// Members that answered a call which was sent within the life of a contact,
   /// and this process.
   [[nodiscard]] std::size_t ReachedMembers(TimeMs now) const;
+  /// Those of the reached members, this process included, that remember every
+  /// term which may equal the present revision: they have started at a lower
+  /// one, or so long ago that each order sent before would have changed it.
+  [[nodiscard]] std::size_t RememberingMembers(DurationMs role_change_ms,
+                                               TimeMs now) const;
+  [[nodiscard]] OrderLeaseInput LeaseInput(const CellRow& row,
+                                           TimeMs now) const;
   /// Why no order may be sent to an engine of the cell now; empty if one may.
   [[nodiscard]] std::string Obstacle(const CellRow& row, TimeMs now) const;
   Task<> CarryOut(PendingOrder pending);
@@ -109,8 +122,8 @@
   RoleBalancerParts parts;
   std::uint32_t holder;
   std::map<std::string, CellRow, std::less<>> rows;  ///< Keyed by cell.
-  /// When the last answered call to a member was sent, keyed by address.
-  std::unordered_map<std::string, TimeMs> contacts;
+  /// Last answered calls to members, keyed by address.
+  std::unordered_map<std::string, Contact> contacts;
   std::size_t call_slice = 0;  ///< Part of the members to call next.
   /// When the cells are checked next that this process does not own.
   TimeMs next_owner_check = 0;
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -494,7 +494,7 @@
       if (other_owners.empty()) return;
       CellReport& report = this->outbox.For(other_owners.front());
       report.loads.emplace_back(cell->name, load);
-      if (mark.term > 0) report.marks.emplace_back(cell->name, mark);
+      if (mark.term != OrderTerm{}) report.marks.emplace_back(cell->name, mark);
     });
   });
 }
--- a/src/peer/cell_messages.cc
+++ b/src/peer/cell_messages.cc
@@ -18,6 +18,12 @@
 constexpr std::size_t kAnswerMarkIndex = 10;
 /// Index of the order marks in a report.
 constexpr std::size_t kReportMarksIndex = 3;
+/// Index of the process's start in a report.
+constexpr std::size_t kReportStartIndex = 4;
+/// Indexes of the term in an order mark. Earlier versions have terms of another
+/// kind at index 0, where 0 stands for none.
+constexpr std::size_t kMarkRevisionIndex = 3;
+constexpr std::size_t kMarkStepIndex = 4;
 /// Index of the limit in a notice.
 constexpr std::size_t kNoticeLimitIndex = 7;
 /// Stands for a missing limit.
@@ -29,13 +35,25 @@
   return tokens ? json(*tokens) : json(nullptr);
 }
 
+json RevisionToJson(const SourceRevision& revision) {
+  return json::array({revision.era, revision.number});
+}
+
+SourceRevision RevisionFromJson(const json& in) {
+  return SourceRevision{in.at(0).get<std::uint64_t>(),
+                        in.at(1).get<std::uint64_t>()};
+}
+
 json MarkToJson(const OrderMark& mark) {
-  return json::array({mark.term, mark.holder, mark.prefill_permille});
+  return json::array({0, mark.holder, mark.prefill_permille,
+                      RevisionToJson(mark.term.revision), mark.term.step});
 }
 
 OrderMark MarkFromJson(const json& in) {
-  return OrderMark{in.at(0).get<std::uint32_t>(), in.at(1).get<std::uint32_t>(),
-                   in.at(2).get<std::int64_t>()};
+  if (in.size() <= kMarkStepIndex) return {};
+  return OrderMark{OrderTerm{RevisionFromJson(in.at(kMarkRevisionIndex)),
+                             in.at(kMarkStepIndex).get<std::uint32_t>()},
+                   in.at(1).get<std::uint32_t>(), in.at(2).get<std::int64_t>()};
 }
 
 }  // namespace
@@ -149,6 +167,10 @@
   });
   out = json::array({std::move(notices), std::move(renewals), std::move(loads),
                      std::move(marks)});
+  if (report.start) {
+    out.push_back(json::array(
+        {RevisionToJson(report.start->revision), report.start->age_ms}));
+  }
 }
 
 void from_json(const json& in, CellReport& report) {
@@ -193,6 +215,11 @@
     report.marks.emplace_back(row.at(0).get<std::string>(),
                               MarkFromJson(row.at(1)));
   });
+  if (in.size() > kReportStartIndex) {
+    const json& start = in.at(kReportStartIndex);
+    report.start = ProcessStart{RevisionFromJson(start.at(0)),
+                                start.at(1).get<DurationMs>()};
+  }
 }
 
 }  // namespace limpethaven
--- a/src/peer/cell_messages.h
+++ b/src/peer/cell_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "limpethaven/cell_scheduler.h"
+#include "limpethaven/order_lease.h"
 
 namespace limpethaven {
 
@@ -20,7 +21,7 @@
 /// What processes pass on about the role orders to a cell's engines, so that a
 /// later owner of the cell knows it.
 struct OrderMark {
-  std::uint32_t term = 0;  ///< Highest term that was claimed; 0: none.
+  OrderTerm term;  ///< Highest term that was claimed.
   /// Hash of the process that claimed it, see `OrderHolderHash`; 0 when two
   /// have claimed the term before.
   std::uint32_t holder = 0;
@@ -30,6 +31,15 @@
   friend auto operator<=>(const OrderMark&, const OrderMark&) = default;
 };
 
+/// Start of a process, before which it remembers nothing.
+struct ProcessStart {
+  /// Revision at which it first read the source itself. No revision that the
+  /// source had before the start is higher.
+  SourceRevision revision;
+  DurationMs age_ms = 0;  ///< Time since that read.
+  friend auto operator<=>(const ProcessStart&, const ProcessStart&) = default;
+};
+
 /// Body of a call that asks the owner of a cell to place a request.
 struct CellPlacementRequest {
   std::string cell;
@@ -99,6 +109,7 @@
   std::vector<std::pair<std::string, Renewal>> renewals;
   std::vector<std::pair<std::string, CellLoad>> loads;
   std::vector<std::pair<std::string, OrderMark>> marks;
+  std::optional<ProcessStart> start;  ///< Only in answers to contact calls.
 };
 
 void to_json(nlohmann::json& out, const CellPlacementRequest& message);
--- a/src/peer/order_marks.cc
+++ b/src/peer/order_marks.cc
@@ -1,9 +1,11 @@
 #include "peer/order_marks.h"
 
+#include <algorithm>
+
 namespace limpethaven {
 
 void OrderMarks::Note(const std::string& cell, const OrderMark& mark) {
-  if (mark.term == 0) return;
+  if (mark.term == OrderTerm{}) return;
   OrderMark& known = this->rows[cell];
   if (mark.term > known.term) {
     known = mark;
@@ -18,7 +20,7 @@
   const bool claimed_twice = mark.holder != 0 && known.holder != 0;
   if (!claimed_twice) return;
   known.holder = 0;
-  ++known.term;
+  known.term.step = std::min(known.term.step + 1, OrderTerm::kMaxStep);
 }
 
 OrderMark OrderMarks::Of(const std::string& cell) const {
--- a/src/peer/order_marks.h
+++ b/src/peer/order_marks.h
@@ -14,7 +14,7 @@
 class OrderMarks {
  public:
   /// Takes note of a cell's mark; the one with the higher term is kept. Where
-  /// two processes have claimed the same term, the next term without a holder
+  /// two processes have claimed the same term, the next step without a holder
   /// is kept, which stops both of them.
   void Note(const std::string& cell, const OrderMark& mark);
   /// Mark of a cell; without a term when none is known.
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -409,6 +409,8 @@
   this->source->Announce();
 }
 
+void PlatformFleet::PublishChange() { this->source->Announce(); }
+
 void PlatformFleet::SilenceSource(bool silent) { this->source_silent = silent; }
 
 void PlatformFleet::KillEntry(std::size_t entry) {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -141,6 +141,8 @@
   void RunFor(DurationMs duration_ms);
   /// Announces to all entries that the first `count` engines are gone.
   void RemoveEngines(std::size_t count);
+  /// Publishes a change that concerns no engine, as a new revision.
+  void PublishChange();
   /// Announces the role of an engine to all entries.
   void AnnounceRole(std::size_t engine, PoolRole role);
   /// Makes the source silent, or lets it answer again. The entries keep what
@@ -148,6 +150,8 @@
   void SilenceSource(bool silent);
   /// Ends an entry without a drain.
   void KillEntry(std::size_t entry);
+  /// Starts an entry that was killed, at its address.
+  void StartEntry(std::size_t entry);
   /// Index of the entry with this IP number.
   [[nodiscard]] std::size_t EntryAt(std::string_view ip) const;
   /// Starts the graceful stop of an entry.
@@ -166,7 +170,6 @@
   std::vector<DurationMs> response_times;
 
  private:
-  void StartEntry(std::size_t index);
   void Fetch(std::size_t entry, std::string bytes);
   /// Waits for all responses. @returns the one that came last.
   [[nodiscard]] HttpResponse AwaitResponse();
--- a/tests/role_balancer_test.cc
+++ b/tests/role_balancer_test.cc
@@ -113,6 +113,7 @@
     "an engine is ordered to change its role and serves it when announced",
     "[fleet]") {
   PlatformFleet fleet(FleetSettings(), EngineScript(StatusAnswer(202)));
+  fleet.PublishChange();
   const TimeMs started_at = LoopNow();
   REQUIRE(LoadUntil(
       fleet, [&] { return !OrdersOf(fleet).empty(); }, 25'000));
@@ -159,6 +160,7 @@
   // Without the wait, two holders could order one engine within the lease, or
   // the successor could repeat the term that only the dead owner knew.
   PlatformFleet fleet(FleetSettings(), EngineScript(StatusAnswer(202)));
+  fleet.PublishChange();
   REQUIRE(LoadUntil(
       fleet, [&] { return !OrdersOf(fleet).empty(); }, 25'000));
   const std::string dead = OrdersOf(fleet).front().holder;
@@ -180,8 +182,32 @@
   CHECK(next->fence >> kTermShift > last.fence >> kTermShift);
 }
 
+TEST_CASE("tokens rise after all processes were killed at once", "[fleet]") {
+  // The term of the last order was in the memory of the processes alone, so
+  // that the first order after their start had a lower token.
+  PlatformFleet fleet(FleetSettings(), EngineScript(StatusAnswer(202)));
+  fleet.PublishChange();
+  REQUIRE(LoadUntil(
+      fleet, [&] { return OrdersOf(fleet).size() >= 2; }, 25'000));
+  for (std::size_t entry = 0; entry < fleet.entries.size(); ++entry) {
+    fleet.KillEntry(entry);
+  }
+  const std::size_t before = OrdersOf(fleet).size();
+  for (std::size_t entry = 0; entry < fleet.entries.size(); ++entry) {
+    fleet.StartEntry(entry);
+  }
+  const auto ordered_again = [&] { return OrdersOf(fleet).size() > before; };
+  // The revision may be that of the last order.
+  CHECK_FALSE(LoadUntil(fleet, ordered_again, 8000));
+  fleet.PublishChange();
+  REQUIRE(LoadUntil(fleet, ordered_again, 25'000));
+  const std::vector<SeenOrder> orders = OrdersOf(fleet);
+  CHECK(orders[before].fence > orders[before - 1].fence);
+}
+
 TEST_CASE("engines that never answer an order keep their role", "[fleet]") {
   PlatformFleet fleet(FleetSettings(), EngineScript(""));
+  fleet.PublishChange();
   REQUIRE(LoadUntil(
       fleet, [&] { return !OrdersOf(fleet).empty(); }, 25'000));
   const SeenOrder order = OrdersOf(fleet).front();
@@ -204,6 +230,7 @@
 TEST_CASE("no order is sent while the source is silent", "[fleet]") {
   // The announced roles may be outdated then.
   PlatformFleet fleet(FleetSettings(), EngineScript(StatusAnswer(202)));
+  fleet.PublishChange();
   fleet.SilenceSource(true);
   CHECK_FALSE(LoadUntil(
       fleet, [&] { return !OrdersOf(fleet).empty(); }, 10'000));
--- a/tests/role_orders_test.cc
+++ b/tests/role_orders_test.cc
@@ -122,7 +122,7 @@
 
 TEST_CASE("order marks travel with placements, and may be missing") {
   // Processes of an earlier version neither send nor read them.
-  const OrderMark mark{7, 0xABC, 357};
+  const OrderMark mark{OrderTerm{{2, 7}, 3}, 0xABC, 357};
   CellPlacementRequest request;
   request.cell = "scribe/0";
   request.mark = mark;
@@ -140,8 +140,23 @@
   report.marks.emplace_back("scribe/0", mark);
   body = report;
   CHECK(body.get<CellReport>().marks == report.marks);
+  report.start = ProcessStart{{2, 5}, 700};
+  body = report;
+  CHECK(body.get<CellReport>().start == report.start);
+  body.erase(body.size() - 1);
+  CHECK_FALSE(body.get<CellReport>().start);
+  CHECK(body.get<CellReport>().marks == report.marks);
   body.erase(body.size() - 1);
   CHECK(body.get<CellReport>().marks.empty());
 }
 
+TEST_CASE("an order mark of an earlier version counts as none") {
+  // Such a mark has a term of another kind, and three fields.
+  json body = CellReport{};
+  body[3] = json::array({json::array({"scribe/0", json::array({7, 9, 357})})});
+  const CellReport report = body.get<CellReport>();
+  REQUIRE(report.marks.size() == 1);
+  CHECK(report.marks.front().second.term == OrderTerm{});
+}
+
 }  // namespace limpethaven
