Give a starting process no tokens before it knows the fleet

Cause: a starting process granted itself a part of a quarter of the slack, at each start anew; it divided that part, its rate and its burst by the processes that it knew, at first the seeds. A class of fault: a right that a process gives itself before it knows the others. Ruled out: the burst alone (LedgerBurst allows for one start of the whole fleet, with the right divisor).

Change: processes start without tokens. For a second they hold none of their own and can only borrow; then they divide by the number of processes that they or a member know (members tell theirs by gossip), and what accrued since the start is added. The quarter of the slack is left for members that do not know a joining process yet. Event 442 says the divisor.

--- a/include/limpethaven/event.h
+++ b/include/limpethaven/event.h
@@ -60,6 +60,7 @@
   kRunEnded = 433,
   kTokensBorrowed = 440,
   kTokensLent = 441,
+  kShareSlotsChanged = 442,
   kTicketMinted = 450,
   kTicketRun = 451,
   kKeyWithdrawnMidStream = 460,
--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -98,6 +98,8 @@
   TimeMs state_since = 0;
   /// Configuration version in the member's last message.
   std::uint64_t config_version = 0;
+  /// Size of the member's own table in its last message; 0: not reported.
+  std::size_t known_processes = 0;
   /// The latest 8 incarnations that were replaced, oldest first. Messages from
   /// them are refused.
   std::vector<std::uint64_t> replaced_incarnations;
@@ -136,6 +138,9 @@
   /// Latest revision of the endpoints at the configuration source that the
   /// sender has received.
   SourceRevision endpoints_revision;
+  /// Processes that the sender knows, itself included; 0 in messages of earlier
+  /// versions.
+  std::size_t known_processes = 0;
   std::vector<MemberUpdate> updates;
   /// Evidence against parts of prompts; `Membership` neither reads nor sets it.
   std::vector<PartEvidence> evidence;
@@ -227,6 +232,10 @@
   [[nodiscard]] std::vector<std::string> ServingAddresses() const;
   /// Latest updates of the members that `ServingAddresses` returns.
   [[nodiscard]] std::vector<MemberUpdate> ServingMembers() const;
+  /// Number of processes that may be alive, this one included: those that it
+  /// knows, or those that a member knows, whichever is more. A process that has
+  /// just started knows few of them itself.
+  [[nodiscard]] std::size_t FleetSize() const;
   /// Data centre of a member; empty when the member is not known.
   [[nodiscard]] std::string DataCentreOf(std::string_view address) const;
   [[nodiscard]] const VmId& Self() const noexcept;
--- a/include/limpethaven/share_ledger.h
+++ b/include/limpethaven/share_ledger.h
@@ -11,8 +11,10 @@
 /// expires. Unused tokens of a finished request are refunded, except those that
 /// would have overflowed the bucket if only the true cost had been charged.
 ///
-/// With `ShareSettings::initial_tokens` 0, these rules guarantee for every time
-/// window of W seconds: tokens spent by the fleet <= rate * W + burst.
+/// These rules guarantee for every time window of W seconds: tokens spent by
+/// the fleet <= rate * W + burst. A process that does not know how many others
+/// there are has no slots yet: it holds nothing, and what has accrued since its
+/// start is added when it knows them.
 #pragma once
 
 #include <compare>
@@ -34,11 +36,6 @@
   /// lender counts the transfer against its cap for this time after lending,
   /// which ends later, because the request comes first.
   DurationMs transfer_ttl_ms = 1000;
-  /// Tokens of a team when it is first configured, over all slots together. A
-  /// restarted process holds its part anew, although the earlier process on
-  /// its slot may have spent it. A value above 0 therefore needs a fleet-wide
-  /// limit that allows for these extra tokens.
-  Tokens initial_tokens = 0;
 };
 
 /// Tokens lent by one process to another.
@@ -82,9 +79,10 @@
  public:
   explicit ShareLedger(ShareSettings settings = {});
 
-  /// Sets the rates and bursts of all teams, divided by `slots`. Teams that are
-  /// not in `teams` are removed. A new team starts with `initial_tokens` /
-  /// `slots` tokens and accrues nothing for `transfer_ttl_ms`.
+  /// Sets the rates and bursts of all teams, divided by `slots`; with 0 slots
+  /// the buckets hold nothing, and accrual is deferred until there are some.
+  /// Teams that are not in `teams` are removed. A new team starts empty and
+  /// accrues nothing for `transfer_ttl_ms`.
   void Configure(const NamedTable<TeamSpec>& teams, std::int64_t slots,
                  TimeMs now);
   /// Sets teams and slots from a configuration.
@@ -178,7 +176,7 @@
   void ExpireTransfers(TimeMs now);
 
   ShareSettings settings;
-  std::int64_t slots = 1;
+  std::int64_t slots = 0;  ///< 0: not known.
   /// Share of each team, keyed by its name.
   std::unordered_map<std::string, TeamShare> shares;
   /// Charges that are not settled, keyed by request id.
--- a/src/core/base/event.cc
+++ b/src/core/base/event.cc
@@ -57,6 +57,7 @@
     EventRow{EventId::kRunEnded, "run_ended"},
     EventRow{EventId::kTokensBorrowed, "tokens_borrowed"},
     EventRow{EventId::kTokensLent, "tokens_lent"},
+    EventRow{EventId::kShareSlotsChanged, "share_slots_changed"},
     EventRow{EventId::kTicketMinted, "ticket_minted"},
     EventRow{EventId::kTicketRun, "ticket_run"},
     EventRow{EventId::kKeyWithdrawnMidStream, "key_withdrawn_mid_stream"},
--- a/src/core/membership/gossip_codec.cc
+++ b/src/core/membership/gossip_codec.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kLoadIndex = kMessageFieldCount + 2;
 /// Place of the era in the array of versions, which earlier versions leave out.
 constexpr std::size_t kEraIndex = 3;
+/// Place of the number of known processes in the array of versions.
+constexpr std::size_t kKnownProcessesIndex = 4;
 /// Elements of the CBOR array of a leaving endpoint.
 constexpr std::size_t kLeavingFieldCount = 2;
 /// Elements of the CBOR array of an update.
@@ -117,6 +119,9 @@
 }
 
 /// Reads a number; throws when it is not in 0 to `max`.
+/// More processes than a fleet can have; a larger number is malformed.
+constexpr std::int64_t kMaxKnownProcesses = 1'000'000;
+
 std::int64_t NumberFrom(const json& in, std::int64_t max) {
   const auto value = in.get<std::int64_t>();
   if (!in.is_number_integer() || value < 0 || value > max) {
@@ -166,6 +171,10 @@
     message.endpoints_revision.era =
         versions.at(kEraIndex).get<std::uint64_t>();
   }
+  if (versions.size() > kKnownProcessesIndex) {
+    message.known_processes = static_cast<std::size_t>(
+        NumberFrom(versions.at(kKnownProcessesIndex), kMaxKnownProcesses));
+  }
   message.from_serving = in.at(11).get<bool>();
   message.from_cpu_millicores = in.at(12).get<std::int64_t>();
   std::ranges::transform(in.at(10), std::back_inserter(message.updates),
@@ -191,15 +200,15 @@
   std::ranges::transform(
       message.updates, std::back_inserter(updates),
       [](const MemberUpdate& update) { return ToJson(update); });
-  json fields =
-      json::array({static_cast<int>(message.kind), message.from.address,
-                   message.from.incarnation, message.from_data_centre,
-                   message.from_refutation, message.from_leaving,
-                   message.to_incarnation, message.sequence, message.target,
-                   json::array({message.config_version, message.config_digest,
-                                message.endpoints_revision.number,
-                                message.endpoints_revision.era}),
-                   updates, message.from_serving, message.from_cpu_millicores});
+  json fields = json::array(
+      {static_cast<int>(message.kind), message.from.address,
+       message.from.incarnation, message.from_data_centre,
+       message.from_refutation, message.from_leaving, message.to_incarnation,
+       message.sequence, message.target,
+       json::array({message.config_version, message.config_digest,
+                    message.endpoints_revision.number,
+                    message.endpoints_revision.era, message.known_processes}),
+       updates, message.from_serving, message.from_cpu_millicores});
   // Left out when empty, so that processes of an earlier version can read the
   // message.
   const bool has_leaving = !message.leaving_endpoints.empty();
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <ostream>
 
 #include "core/membership/member_state.h"
@@ -292,6 +293,16 @@
   return rows;
 }
 
+std::size_t Membership::FleetSize() const {
+  return std::accumulate(
+      this->members.begin(), this->members.end(), this->members.size() + 1,
+      [](std::size_t largest, const auto& row) {
+        return IsUsable(row.second)
+                   ? std::max(largest, row.second.known_processes)
+                   : largest;
+      });
+}
+
 std::string Membership::DataCentreOf(std::string_view address) const {
   if (address == this->self.address) return this->data_centre;
   const auto row = this->members.find(address);
@@ -314,6 +325,7 @@
   message.config_version = this->config_version;
   message.config_digest = this->config_digest;
   message.endpoints_revision = this->endpoints_revision;
+  message.known_processes = this->members.size() + 1;
   const auto row = this->members.find(to);
   if (row != this->members.end()) {
     message.to_incarnation = row->second.latest.incarnation;
@@ -471,7 +483,9 @@
       message.from_serving,
       message.from_cpu_millicores};
   this->Merge(update, now);
-  this->members[message.from.address].config_version = message.config_version;
+  Member& sender = this->members[message.from.address];
+  sender.config_version = message.config_version;
+  sender.known_processes = message.known_processes;
 }
 
 OutgoingGossip Membership::MakeAck(const GossipMessage& message,
--- a/src/core/shares/share_ledger.cc
+++ b/src/core/shares/share_ledger.cc
@@ -27,9 +27,7 @@
   // Accrue at the old rates first, so that the new ones apply from `now` on.
   std::ranges::for_each(this->shares,
                         [&](auto& share) { this->Accrue(share.second, now); });
-  this->slots = std::max<std::int64_t>(1, slot_count);
-  const MilliTokens initial_level =
-      this->settings.initial_tokens * kMilliTokensPerToken / this->slots;
+  this->slots = std::max<std::int64_t>(0, slot_count);
   std::erase_if(this->shares, [&](const auto& share) {
     return !teams.contains(share.first);
   });
@@ -40,12 +38,11 @@
     const TimeMs first_accrual = now + this->settings.transfer_ttl_ms;
     TeamShare& share =
         this->shares
-            .try_emplace(team.name, TeamShare{.level = initial_level,
-                                              .accrued_at = first_accrual})
+            .try_emplace(team.name, TeamShare{.accrued_at = first_accrual})
             .first->second;
     share.rate_per_s = team.rate_tokens_per_s;
     share.burst = team.burst_tokens * kMilliTokensPerToken;
-    share.cap = share.burst / this->slots;
+    share.cap = this->slots == 0 ? 0 : share.burst / this->slots;
     share.level = std::min(
         share.level, std::max<MilliTokens>(0, share.cap - share.in_flight));
   });
@@ -170,6 +167,7 @@
 }
 
 void ShareLedger::Accrue(TeamShare& share, TimeMs now) const {
+  if (this->slots == 0) return;
   const DurationMs elapsed = std::max<DurationMs>(0, now - share.accrued_at);
   share.accrued_at = std::max(share.accrued_at, now);
   // Tokens per second times milliseconds gives thousandths of tokens, here of
--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -37,8 +37,15 @@
 constexpr DurationMs kBorrowCooldownMs = 150;
 /// Lifetime of a transfer; several times the time-out of a lender.
 constexpr DurationMs kTransferTtlMs = 250;
-/// Part of the slack tokens, 0 to 1, that all processes together start with.
-constexpr double kInitialSlackRatio = 0.25;
+/// Part of the slack tokens, 0 to 1, that is left for processes that divide by
+/// too few slots, because they have not learned of others: one that joins the
+/// fleet is unknown to some members for a moment, and one that starts while it
+/// is cut off knows only the seeds.
+constexpr double kReservedSlackRatio = 0.25;
+/// A process holds no tokens of its own for this time after its start, in which
+/// it learns how many others there are. When all start at once, each knows only
+/// the seeds at first.
+constexpr DurationMs kDiscoveryMs = 1000;
 /// Interval at which a waiting request tries again to get tokens.
 constexpr DurationMs kChargeRetryPeriodMs = 20;
 constexpr std::string_view kLendPath = "/peer/v1/lend";
@@ -61,14 +68,14 @@
   const auto burst = static_cast<double>(team.burst_tokens);
   const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
   const double slack =
-      static_cast<double>(tolerance.slack_tokens) * (1.0 - kInitialSlackRatio);
+      static_cast<double>(tolerance.slack_tokens) * (1.0 - kReservedSlackRatio);
   const double bound =
       (rate * window_s + burst) * (1.0 + tolerance.excess_ratio) + slack;
-  // Apart from the slack tokens that processes start with, the ledger charges
-  // at most its burst and what accrues in a window, so the burst may be the
-  // bound less what accrues. The bound counts requests that are both sent and
-  // run in the window. Each is charged in between, so requests that were sent
-  // earlier and still wait do not add to the window's spending.
+  // The ledger charges at most its burst and what accrues in a window, so the
+  // burst may be the bound less what accrues. The bound counts requests that
+  // are both sent and run in the window. Each is charged in between, so
+  // requests that were sent earlier and still wait do not add to the window's
+  // spending.
   const auto headroom = static_cast<Tokens>(bound - rate * window_s);
   return std::max(team.burst_tokens, headroom);
 }
@@ -81,11 +88,8 @@
       data_centre(std::move(local_data_centre)),
       tolerance(limit_tolerance),
       max_wait_ms(wait_ms),
-      ledger(
-          ShareSettings{kTransferTtlMs,
-                        static_cast<Tokens>(
-                            static_cast<double>(limit_tolerance.slack_tokens) *
-                            kInitialSlackRatio)}) {
+      discovers_until(LoopNow() + kDiscoveryMs),
+      ledger(ShareSettings{kTransferTtlMs}) {
   this->link.Handle(std::string(kLendPath),
                     [this](PeerCall& call) { return this->AnswerLend(call); });
   this->link.Handle(std::string(kConfirmPath), [this](PeerCall& call) {
@@ -102,21 +106,31 @@
     row.second.burst_tokens = LedgerBurst(row.second, this->tolerance);
   });
   this->configured_slots = config.fleet.share_slots;
-  this->slots = std::max(this->slots, this->SlotCount());
+  this->UpdateSlots();
   this->ledger.Configure(this->teams, this->slots, LoopNow());
 }
 
 std::int64_t ShareExchange::SlotCount() const {
   if (this->configured_slots > 0) return this->configured_slots;
+  if (LoopNow() < this->discovers_until) return 0;
   // A process that does not answer may still spend tokens, so it keeps its slot
   // as long as it may be alive.
-  return static_cast<std::int64_t>(this->gossip.Members().Members().size()) + 1;
+  return static_cast<std::int64_t>(this->gossip.Members().FleetSize());
 }
 
-void ShareExchange::Tick() {
+bool ShareExchange::UpdateSlots() {
   const std::int64_t next_slots = this->SlotCount();
-  if (next_slots <= this->slots || this->teams.empty()) return;
+  if (next_slots <= this->slots) return false;
+  LogEvent(
+      EventId::kShareSlotsChanged,
+      {LogField::Of("slots", next_slots), LogField::Of("before", this->slots),
+       LogField::Of("members", this->gossip.Members().Members().size())});
   this->slots = next_slots;
+  return true;
+}
+
+void ShareExchange::Tick() {
+  if (this->teams.empty() || !this->UpdateSlots()) return;
   this->ledger.Configure(this->teams, this->slots, LoopNow());
 }
 
@@ -378,7 +392,7 @@
       spec == this->teams.end()
           ? 0
           : static_cast<double>(spec->second.rate_tokens_per_s) / kMsPerS /
-                static_cast<double>(this->slots);
+                static_cast<double>(std::max<std::int64_t>(1, this->slots));
   const auto cap = static_cast<double>(local_share.cap);
   std::vector<Lender> lenders;
   std::ranges::for_each(
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -29,8 +29,8 @@
 };
 
 /// The burst that a team's ledger may use: the team's burst, plus
-/// `excess_ratio` of rate * window + burst, plus the slack tokens that
-/// processes do not start with. It is the team's burst when `window_ms` is 0.
+/// `excess_ratio` of rate * window + burst, plus three quarters of the slack
+/// tokens. It is the team's burst when `window_ms` is 0.
 [[nodiscard]] Tokens LedgerBurst(const TeamSpec& team,
                                  const LimitTolerance& tolerance);
 
@@ -41,7 +41,9 @@
                 std::string local_data_centre, LimitTolerance limit_tolerance,
                 DurationMs wait_ms);
 
-  /// Sets the teams and the number of slots.
+  /// Sets the teams and the number of slots. Without a configured number, the
+  /// process has no tokens of its own until it has had time to learn of the
+  /// others; it can borrow from them.
   void Configure(const Configuration& config);
   /// Counts the processes that may be alive, and divides rates and bursts by
   /// more slots when there are more than before. The number of slots never
@@ -95,8 +97,11 @@
   /// the request.
   Task<ChargeOutcome> ChargeWithLoans(std::string team, std::string request_id,
                                       Tokens tokens, Tokens missing);
-  /// Number of slots that rates and bursts are divided into.
+  /// Number of slots that rates and bursts are divided into; 0 while it is not
+  /// known.
   [[nodiscard]] std::int64_t SlotCount() const;
+  /// Raises the number of slots in use. @returns whether it has changed.
+  bool UpdateSlots();
   /// Calls lenders, the fullest ones first, until they have lent `missing`
   /// tokens. May return less, or more.
   Task<std::vector<Loan>> Borrow(std::string team, Tokens missing);
@@ -121,14 +126,14 @@
   LimitTolerance tolerance;
   /// Longest wait for tokens before a request is refused.
   DurationMs max_wait_ms;
+  TimeMs discovers_until;  ///< Until then other processes may be unknown.
   ShareLedger ledger;
   /// Teams with the bursts that the ledger uses.
   NamedTable<TeamSpec> teams;
   /// Slots in the configuration; 0: one for each other known member and one for
   /// this process.
   std::int64_t configured_slots = 0;
-  /// Slots in use.
-  std::int64_t slots = 1;
+  std::int64_t slots = 0;  ///< Slots in use; 0 while none are known.
   std::unordered_map<std::string, BorrowCooldown>
       borrow_cooldowns;  ///< By team.
   /// Keyed by team, then by the lender's address.
--- a/tests/share_exchange_test.cc
+++ b/tests/share_exchange_test.cc
@@ -42,9 +42,13 @@
   ShareExchange shares;
 };
 
+/// Whether the processes have learned of each other before a test begins.
+enum class Discovery { kAwaited, kNotAwaited };
+
 struct Fleet {
   Fleet(std::size_t count, const Configuration& config,
-        const LimitTolerance& tolerance) {
+        const LimitTolerance& tolerance,
+        Discovery discovery = Discovery::kAwaited) {
     for (std::size_t index = 0; index < count; ++index) {
       PeerIdentity identity;
       identity.self =
@@ -59,6 +63,7 @@
       REQUIRE(process.gossip.Start({"127.90.0.1", "127.90.0.2"}));
       process.gossip.SetServing(true);
     }
+    if (discovery == Discovery::kNotAwaited) return;
     this->RunUntil([this, count] {
       return std::ranges::all_of(this->processes, [count](const auto& each) {
         return each->gossip.Members().ServingMembers().size() == count;
@@ -82,6 +87,8 @@
     const TimeMs deadline = LoopNow() + kLimitMs;
     while (!condition() && LoopNow() < deadline) {
       this->loop.run_for(std::chrono::milliseconds(5));
+      std::ranges::for_each(this->processes,
+                            [](const auto& each) { each->shares.Tick(); });
     }
     REQUIRE(condition());
   }
@@ -187,6 +194,7 @@
     shares->Configure(config);
   }
   const auto held = [&] {
+    lender.Tick();
     return borrower.View("north").available + lender.View("north").available;
   };
   fleet.RunUntil([&] { return held() >= kHeld; });
@@ -207,13 +215,44 @@
   fleet.loop.poll();
 }
 
+TEST_CASE(
+    "processes that start at once get no more tokens than the rate brings") {
+  // Each knew only the seeds at first, divided by these, and granted itself a
+  // part of the tolerated slack.
+  constexpr std::size_t kProcesses = 7;
+  constexpr std::int64_t kRate = 20'000;
+  const Configuration config = OneTeam(kRate, 20'000);
+  const LimitTolerance tolerance{8000, 0.25, 190'000};
+  const TimeMs started_at = LoopNow();
+  Fleet fleet(kProcesses, Configuration{}, tolerance, Discovery::kNotAwaited);
+  std::ranges::for_each(fleet.processes, [&](const auto& each) {
+    each->shares.Configure(config);
+  });
+  Tokens held = 0;
+  const auto within_rate = [&] {
+    held = 0;
+    std::ranges::for_each(fleet.processes, [&held](const auto& each) {
+      each->shares.Tick();
+      held += each->shares.View("north").available;
+    });
+    return held <= kRate * (LoopNow() - started_at) / 1000;
+  };
+  const TimeMs until = started_at + 4000;
+  while (LoopNow() < until) {
+    fleet.loop.run_for(std::chrono::milliseconds(20));
+    REQUIRE(within_rate());
+  }
+  // What has accrued since the start is not lost.
+  CHECK(held > kRate * 3);
+}
+
 TEST_CASE("ledger burst uses the whole tolerance of the bound and no more") {
   const TeamSpec team{"north", 1000, 4000, 1};
   REQUIRE(LedgerBurst(team, LimitTolerance{}) == 4000);
   const LimitTolerance tolerance{8000, 0.25, 1000};
-  // In a window, a team can spend three amounts: the quarter of the slack
-  // tokens that processes start with, the ledger's full burst, and what accrues
-  // in the window.
+  // In a window, a team can spend the ledger's full burst and what accrues in
+  // the window. A quarter of the slack tokens is left for processes that do not
+  // know all others yet.
   const Tokens window = 8 * 1000;
   const Tokens bound = (window + 4000) * 5 / 4 + 1000;
   REQUIRE(LedgerBurst(team, tolerance) + window + 1000 / 4 <= bound);
