Take the time that has passed off a request that is handed on

Cause: CellExchange took the time that had passed off budget_ms, not off patience_ms, up to which the next queue keeps a request; after a redirection likewise. Ruled out: keep-alives that hide a dead owner (its loss is seen within 360 ms).

Change: both paths hand a request on by AfterWait, which takes it off both. A request whose time is over is refused at once.

--- a/src/peer/cell_call.cc
+++ b/src/peer/cell_call.cc
@@ -12,6 +12,20 @@
 
 }  // namespace
 
+std::optional<PlacementRequest> AfterWait(PlacementRequest request,
+                                          DurationMs elapsed_ms) {
+  const bool may_be_late = request.patience_ms > 0;
+  request.budget_ms -= elapsed_ms;
+  if (!may_be_late) return request;
+  request.patience_ms -= elapsed_ms;
+  if (std::max(request.patience_ms, request.budget_ms) <= 0) {
+    return std::nullopt;
+  }
+  // 0 stands for a request that may not be late.
+  request.patience_ms = std::max<DurationMs>(1, request.patience_ms);
+  return request;
+}
+
 TimeMs PlacementDeadline(const PlacementRequest& request, TimeMs now) {
   /// Time that a placement may take beyond the larger of `patience_ms` and
   /// `budget_ms` of its request.
--- a/src/peer/cell_call.h
+++ b/src/peer/cell_call.h
@@ -2,6 +2,7 @@
 /// Calls of an entry process to the owner of a cell.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,10 @@
 
 inline constexpr std::string_view kCellPlacePath = "/peer/v1/place";
 
+/// The request after a part of its time has passed, to be handed to another
+/// owner; empty when its caller no longer waits.
+[[nodiscard]] std::optional<PlacementRequest> AfterWait(
+    PlacementRequest request, DurationMs elapsed_ms);
 /// Time until which the placement of a request may take.
 [[nodiscard]] TimeMs PlacementDeadline(const PlacementRequest& request,
                                        TimeMs now);
--- a/src/peer/cell_exchange.cc
+++ b/src/peer/cell_exchange.cc
@@ -21,6 +21,12 @@
   return json::parse(text, nullptr, false);
 }
 
+Error NoLongerAwaited(const PlacementRequest& request) {
+  return Error::Of(ErrorKind::kDeadline,
+                   "the time of request " + request.request_id +
+                       " ended while processes handed it on");
+}
+
 }  // namespace
 
 CellExchange::CellExchange(PeerLink& peer_link, const Gossip& peer_gossip,
@@ -101,10 +107,11 @@
     }
     if (found == nullptr) break;
     const CellSpec cell = *found;
-    PlacementRequest remaining = request;
-    remaining.budget_ms -= LoopNow() - started_at;
+    std::optional<PlacementRequest> remaining =
+        AfterWait(request, LoopNow() - started_at);
+    if (!remaining) co_return NoLongerAwaited(request);
     const Result<OwnerAnswer> placed = co_await this->PlaceInCell(
-        cell, std::move(remaining), may_redirect, cancel);
+        cell, std::move(*remaining), may_redirect, cancel);
     if (!placed) co_return placed.error();
     const OwnerAnswer& answer = placed.value();
     if (answer.cell_answer.redirect_to.empty()) {
@@ -129,10 +136,12 @@
   const TimeMs started_at = LoopNow();
   for (const std::string& owner : this->directory.OwnersOf(cell)) {
     if (owner == self) break;
-    CellPlacementRequest message{cell.name, request, may_redirect,
+    std::optional<PlacementRequest> remaining =
+        AfterWait(request, LoopNow() - started_at);
+    if (!remaining) co_return NoLongerAwaited(request);
+    CellPlacementRequest message{cell.name, std::move(*remaining), may_redirect,
                                  this->named_limits.Of(cell.name, LoopNow()),
                                  this->marks.Of(cell.name)};
-    message.request.budget_ms -= LoopNow() - started_at;
     const Result<CellPlacementAnswer> answer =
         co_await CallCellOwner(this->link, owner, std::move(message), cancel);
     if (answer) {
@@ -157,10 +166,12 @@
     notice.request_id = request.request_id;
     this->QueueNotice(owner, std::move(notice));
   }
-  CellPlacementRequest message{cell.name, std::move(request), may_redirect,
+  std::optional<PlacementRequest> remaining =
+      AfterWait(request, LoopNow() - started_at);
+  if (!remaining) co_return NoLongerAwaited(request);
+  CellPlacementRequest message{cell.name, std::move(*remaining), may_redirect,
                                this->named_limits.Of(cell.name, LoopNow()),
                                this->marks.Of(cell.name)};
-  message.request.budget_ms -= LoopNow() - started_at;
   const Result<CellPlacementAnswer> answer =
       co_await this->PlaceLocally(cell, std::move(message), cancel, nullptr);
   if (!answer) co_return answer.error();
