Refuse answers whose status is none of HTTP

Cause: the parser took any three digits. HttpCall::ReadHead skips interim responses, told by a status below 200, and waited without a pause for the end of one that ends with its connection.

Change: a status outside 100 to 599 is malformed, for all calls of the process: endpoints, health checks, the source, peers, role orders. 101 ends a call, as no request asks for another protocol. An interim response to a role order is no answer to it.

Ruled out: the early 200 that is reset while the upload is written gives 502 in all variants; its tests are in answer_end_test.cc and cut_answer_test.cc.

Evidence: "a status outside HTTP neither reaches a caller nor stops the process" crosses 000 to 999 with three framings and two ends of the connection on whole calls, beside another caller.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -20,6 +20,7 @@
 constexpr DurationMs kKeepAliveMarginMs = 500;
 constexpr DurationMs kMsPerS = 1000;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
 /// Most interim responses that are skipped before a final one.
 constexpr int kMaxInterimResponses = 8;
 
@@ -150,6 +151,11 @@
   while (!this->parser->HeadDone() ||
          this->parser->Response().status < kFirstFinalStatus) {
     if (this->parser->Done()) {
+      // No request asks for another protocol.
+      if (this->parser->Response().status == kSwitchingProtocols) {
+        this->Cancel();
+        co_return CallFault::kMalformed;
+      }
       if (++interim_responses > kMaxInterimResponses) {
         this->Cancel();
         co_return CallFault::kTooLarge;
--- a/src/net/http_parser.cc
+++ b/src/net/http_parser.cc
@@ -52,6 +52,10 @@
 
 namespace detail {
 
+/// Range of status codes of HTTP.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+
 /// Whether the end of the message is unambiguous: the head has either the
 /// single encoding `chunked`, or a single length, or neither. Beast does not
 /// ensure this: it treats some unknown transfer encodings as if there were
@@ -103,8 +107,11 @@
     this->request.method = ViewOf(method);
     this->request.target = ViewOf(target);
   }
-  void on_response_impl(int status, Text, int, error_code&) override {
+  void on_response_impl(int status, Text, int, error_code& code) override {
     this->response.status = status;
+    if (status < kFirstStatus || status > kLastStatus) {
+      code = http::error::bad_status;
+    }
   }
   void on_field_impl(http::field, Text name, Text value, error_code&) override {
     // Trailer fields are ignored: they must not change headers.
--- a/src/node/role_balancer.cc
+++ b/src/node/role_balancer.cc
@@ -34,6 +34,7 @@
 /// Most time for which an engine runs what it had begun before it carries out
 /// an order.
 constexpr DurationMs kMaxRunMs = 10'000;
+constexpr int kFirstFinalStatus = 200;
 
 /// Waits for the head of the response. @returns its status, or 0.
 Task<int> ReadStatus(ConnectionPtr connection, TimeMs deadline) {
@@ -47,7 +48,9 @@
     if (ended) co_return 0;
     co_await connection->WaitInput(connection->Input().size(), deadline);
   }
-  co_return parser.Response().status;
+  const int status = parser.Response().status;
+  // An interim response says nothing about the order.
+  co_return status < kFirstFinalStatus ? 0 : status;
 }
 
 }  // namespace
--- a/tests/platform_fleet.cc
+++ b/tests/platform_fleet.cc
@@ -342,11 +342,11 @@
 }
 
 void PlatformFleet::Start(std::size_t entry, std::string_view prefix) {
-  this->Fetch(entry, this->RequestBytes("/generate/1", prefix));
+  this->Fetch(entry, "/generate/1", prefix);
 }
 
 void PlatformFleet::StartService(std::size_t entry, std::string_view path) {
-  this->Fetch(entry, this->RequestBytes(path, ""));
+  this->Fetch(entry, path, "");
 }
 
 HttpResponse PlatformFleet::CallService(std::size_t entry,
@@ -355,17 +355,19 @@
   return this->AwaitResponse();
 }
 
-void PlatformFleet::Fetch(std::size_t entry, std::string bytes) {
+void PlatformFleet::Fetch(std::size_t entry, std::string_view path,
+                          std::string_view prefix) {
   ++this->started_calls;
   const std::string address =
       this->addresses[entry] + ":" + std::to_string(kCallerPort);
   Spawn(this->loop,
-        [this, address, started_at = LoopNow(),
-         text = std::move(bytes)]() mutable -> Task<> {
+        [this, address, started_at = LoopNow(), path = std::string(path),
+         text = this->RequestBytes(path, prefix)]() mutable -> Task<> {
           HttpResponse response = co_await FetchResponse(
               this->loop, this->pool, address, std::move(text),
               LoopNow() + kCallTimeoutMs);
           this->responses.push_back(std::move(response));
+          this->response_paths.push_back(path);
           this->response_times.push_back(LoopNow() - started_at);
         });
 }
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -165,12 +165,13 @@
   Loop loop{1};
   std::vector<std::unique_ptr<ScriptedEngine>> engines;
   std::vector<std::unique_ptr<EntryNode>> entries;  ///< Null once killed.
-  std::vector<HttpResponse> responses;  ///< Responses to calls of `Start`.
+  std::vector<HttpResponse> responses;      ///< Responses to calls of `Start`.
+  std::vector<std::string> response_paths;  ///< Paths of their calls.
   /// Times at which `responses` came, after the start of their calls.
   std::vector<DurationMs> response_times;
 
  private:
-  void Fetch(std::size_t entry, std::string bytes);
+  void Fetch(std::size_t entry, std::string_view path, std::string_view prefix);
   /// Waits for all responses. @returns the one that came last.
   [[nodiscard]] HttpResponse AwaitResponse();
   [[nodiscard]] std::string RequestBytes(std::string_view path,
