Let a starting process accrue faster in place of tokens at its start

Requests were refused until the process knew the fleet, and the tokens at its start were missing after it.

Change: requests wait until the process knows the fleet, 0.7 s after its start in place of 1 s, and processes accrue at 1.5 times the rate for 4 s. LedgerBurst allows for 1.5 times the rate in each window where the tolerance has room for it, so the bound holds however often processes start.

--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -45,14 +45,45 @@
 /// A process holds no tokens of its own for this time after its start, in which
 /// it learns how many others there are. When all start at once, each knows only
 /// the seeds at first.
-constexpr DurationMs kDiscoveryMs = 1000;
+constexpr DurationMs kDiscoveryMs = 700;
+/// A request that waits for that time is refused this long after it.
+constexpr DurationMs kDiscoveryMarginMs = 150;
 /// Interval at which a waiting request tries again to get tokens.
 constexpr DurationMs kChargeRetryPeriodMs = 20;
+/// A process accrues at its rate and this part more for `kWarmUpMs` after its
+/// start, since the tokens of the process before it are lost. The ledger's
+/// burst allows for it at all times, so that it does not matter how often
+/// processes start.
+constexpr double kWarmUpRatio = 0.5;
+constexpr DurationMs kWarmUpMs = 4000;
 constexpr std::string_view kLendPath = "/peer/v1/lend";
 constexpr std::string_view kConfirmPath = "/peer/v1/confirm";
 constexpr std::string_view kReturnPath = "/peer/v1/return";
 constexpr double kMsPerS = 1000.0;
 
+/// Most tokens that a ledger may hold so that they stay within the tolerance
+/// together with what accrues in a window. The tolerance counts requests that
+/// are both sent and run in the window. Each is charged in between, so requests
+/// that were sent earlier and still wait do not add to the window's spending.
+/// @param warm_up_ratio Part of the rate that may accrue in addition.
+Tokens Headroom(const TeamSpec& team, const LimitTolerance& tolerance,
+                double warm_up_ratio) {
+  const auto rate = static_cast<double>(team.rate_tokens_per_s);
+  const auto burst = static_cast<double>(team.burst_tokens);
+  const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
+  const double slack =
+      static_cast<double>(tolerance.slack_tokens) * (1.0 - kReservedSlackRatio);
+  const double bound =
+      (rate * window_s + burst) * (1.0 + tolerance.excess_ratio) + slack;
+  return static_cast<Tokens>(bound - rate * (1.0 + warm_up_ratio) * window_s);
+}
+
+/// Whether the tolerance has room for the warm-up beside the team's burst.
+bool WarmsUp(const TeamSpec& team, const LimitTolerance& tolerance) {
+  return tolerance.window_ms > 0 &&
+         Headroom(team, tolerance, kWarmUpRatio) >= team.burst_tokens;
+}
+
 Tokens TokensField(const std::string& body, const char* field) {
   const json answer = json::parse(body, nullptr, false);
   const bool valid = answer.is_object() && answer.contains(field) &&
@@ -63,21 +94,18 @@
 }  // namespace
 
 Tokens LedgerBurst(const TeamSpec& team, const LimitTolerance& tolerance) {
-  if (tolerance.window_ms == 0) return team.burst_tokens;
-  const auto rate = static_cast<double>(team.rate_tokens_per_s);
-  const auto burst = static_cast<double>(team.burst_tokens);
-  const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
-  const double slack =
-      static_cast<double>(tolerance.slack_tokens) * (1.0 - kReservedSlackRatio);
-  const double bound =
-      (rate * window_s + burst) * (1.0 + tolerance.excess_ratio) + slack;
-  // The ledger charges at most its burst and what accrues in a window, so the
-  // burst may be the bound less what accrues. The bound counts requests that
-  // are both sent and run in the window. Each is charged in between, so
-  // requests that were sent earlier and still wait do not add to the window's
-  // spending.
-  const auto headroom = static_cast<Tokens>(bound - rate * window_s);
-  return std::max(team.burst_tokens, headroom);
+  if (WarmsUp(team, tolerance)) return Headroom(team, tolerance, kWarmUpRatio);
+  return std::max(team.burst_tokens, Headroom(team, tolerance, 0));
+}
+
+TeamSpec WarmUpSpec(TeamSpec team, const LimitTolerance& tolerance) {
+  const Tokens burst = LedgerBurst(team, tolerance);
+  if (WarmsUp(team, tolerance)) {
+    team.rate_tokens_per_s = static_cast<std::int64_t>(
+        static_cast<double>(team.rate_tokens_per_s) * (1.0 + kWarmUpRatio));
+  }
+  team.burst_tokens = burst;
+  return team;
 }
 
 ShareExchange::ShareExchange(PeerLink& peer_link, const Gossip& peer_gossip,
@@ -89,6 +117,7 @@
       tolerance(limit_tolerance),
       max_wait_ms(wait_ms),
       discovers_until(LoopNow() + kDiscoveryMs),
+      warms_up_until(LoopNow() + kWarmUpMs),
       ledger(ShareSettings{kTransferTtlMs}) {
   this->link.Handle(std::string(kLendPath),
                     [this](PeerCall& call) { return this->AnswerLend(call); });
@@ -102,12 +131,22 @@
 
 void ShareExchange::Configure(const Configuration& config) {
   this->teams = config.teams;
+  this->warm_up_teams = config.teams;
   std::ranges::for_each(this->teams, [this](auto& row) {
     row.second.burst_tokens = LedgerBurst(row.second, this->tolerance);
   });
+  std::ranges::for_each(this->warm_up_teams, [this](auto& row) {
+    row.second = WarmUpSpec(row.second, this->tolerance);
+  });
   this->configured_slots = config.fleet.share_slots;
   this->UpdateSlots();
-  this->ledger.Configure(this->teams, this->slots, LoopNow());
+  this->ConfigureLedger();
+}
+
+void ShareExchange::ConfigureLedger() {
+  this->warms_up = LoopNow() < this->warms_up_until;
+  this->ledger.Configure(this->warms_up ? this->warm_up_teams : this->teams,
+                         this->slots, LoopNow());
 }
 
 std::int64_t ShareExchange::SlotCount() const {
@@ -130,8 +169,9 @@
 }
 
 void ShareExchange::Tick() {
-  if (this->teams.empty() || !this->UpdateSlots()) return;
-  this->ledger.Configure(this->teams, this->slots, LoopNow());
+  if (this->teams.empty()) return;
+  const bool warmed_up = this->warms_up && LoopNow() >= this->warms_up_until;
+  if (this->UpdateSlots() || warmed_up) this->ConfigureLedger();
 }
 
 Task<Result<void>> ShareExchange::Charge(std::string team,
@@ -150,7 +190,11 @@
                             " can be charged at most " + std::to_string(burst) +
                             " tokens at once");
   }
-  const TimeMs deadline = LoopNow() + this->max_wait_ms;
+  // What accrues until this process knows the fleet is worth a short wait.
+  TimeMs deadline = LoopNow() + this->max_wait_ms;
+  if (this->slots == 0) {
+    deadline = std::max(deadline, this->discovers_until + kDiscoveryMarginMs);
+  }
   ChargeOutcome outcome =
       this->ledger.TryCharge(team, request_id, tokens, {}, LoopNow());
   while (!outcome.charged) {
@@ -386,14 +430,18 @@
   std::erase_if(balances, [now](const auto& row) {
     return now - row.second.received_at > kBalanceTtlMs;
   });
-  const ShareView local_share = this->ledger.View(team, now);
   const auto spec = this->teams.find(team);
+  if (spec == this->teams.end()) return {};
+  // Lenders have known the number of slots for longer than this process.
+  const auto lender_slots = static_cast<double>(
+      this->slots > 0
+          ? this->slots
+          : static_cast<std::int64_t>(this->gossip.Members().FleetSize()));
   const double accrued_per_ms =
-      spec == this->teams.end()
-          ? 0
-          : static_cast<double>(spec->second.rate_tokens_per_s) / kMsPerS /
-                static_cast<double>(std::max<std::int64_t>(1, this->slots));
-  const auto cap = static_cast<double>(local_share.cap);
+      static_cast<double>(spec->second.rate_tokens_per_s) / kMsPerS /
+      lender_slots;
+  const double cap =
+      static_cast<double>(spec->second.burst_tokens) / lender_slots;
   std::vector<Lender> lenders;
   std::ranges::for_each(
       this->gossip.Members().ServingMembers(), [&](const MemberUpdate& member) {
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -30,10 +30,16 @@
 
 /// The burst that a team's ledger may use: the team's burst, plus
 /// `excess_ratio` of rate * window + burst, plus three quarters of the slack
-/// tokens. It is the team's burst when `window_ms` is 0.
+/// tokens, less what accrues in a window beyond the rate while processes warm
+/// up. It is the team's burst when that is larger, or `window_ms` is 0.
 [[nodiscard]] Tokens LedgerBurst(const TeamSpec& team,
                                  const LimitTolerance& tolerance);
 
+/// The team as its ledger has it while a process warms up: with `LedgerBurst`,
+/// and with a higher rate where the tolerance allows for it.
+[[nodiscard]] TeamSpec WarmUpSpec(TeamSpec team,
+                                  const LimitTolerance& tolerance);
+
 /// Share ledger of one process, with borrowing from its peers.
 class ShareExchange {
  public:
@@ -43,7 +49,7 @@
 
   /// Sets the teams and the number of slots. Without a configured number, the
   /// process has no tokens of its own until it has had time to learn of the
-  /// others; it can borrow from them.
+  /// others; it can borrow from them, and requests wait for that time.
   void Configure(const Configuration& config);
   /// Counts the processes that may be alive, and divides rates and bursts by
   /// more slots when there are more than before. The number of slots never
@@ -100,6 +106,8 @@
   /// Number of slots that rates and bursts are divided into; 0 while it is not
   /// known.
   [[nodiscard]] std::int64_t SlotCount() const;
+  /// Sets the ledger's teams and slots, as of now.
+  void ConfigureLedger();
   /// Raises the number of slots in use. @returns whether it has changed.
   bool UpdateSlots();
   /// Calls lenders, the fullest ones first, until they have lent `missing`
@@ -127,9 +135,13 @@
   /// Longest wait for tokens before a request is refused.
   DurationMs max_wait_ms;
   TimeMs discovers_until;  ///< Until then other processes may be unknown.
+  TimeMs warms_up_until;
+  bool warms_up = true;  ///< Whether the ledger has the teams of the warm-up.
   ShareLedger ledger;
   /// Teams with the bursts that the ledger uses.
   NamedTable<TeamSpec> teams;
+  /// The same with `WarmUpSpec`.
+  NamedTable<TeamSpec> warm_up_teams;
   /// Slots in the configuration; 0: one for each other known member and one for
   /// this process.
   std::int64_t configured_slots = 0;
