Take the warm-up of processes out of the reserved slack

Seen: took it out of the ledger's burst.

Change: the burst is again that of three quarters of the slack; the warm-up has 15% of the slack in each window, and at most half of the rate.

--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -37,11 +37,13 @@
 constexpr DurationMs kBorrowCooldownMs = 150;
 /// Lifetime of a transfer; several times the time-out of a lender.
 constexpr DurationMs kTransferTtlMs = 250;
-/// Part of the slack tokens, 0 to 1, that is left for processes that divide by
-/// too few slots, because they have not learned of others: one that joins the
-/// fleet is unknown to some members for a moment, and one that starts while it
-/// is cut off knows only the seeds.
+/// Part of the slack tokens, 0 to 1, that the ledger's burst does not use. Most
+/// of it is for processes that warm up, the rest for those that divide by too
+/// few slots, because they have not learned of others: one that joins the fleet
+/// is unknown to some members for a moment, and one that starts while it is cut
+/// off knows only the seeds.
 constexpr double kReservedSlackRatio = 0.25;
+constexpr double kWarmUpSlackRatio = 0.15;
 /// A process holds no tokens of its own for this time after its start, in which
 /// it learns how many others there are. When all start at once, each knows only
 /// the seeds at first.
@@ -50,40 +52,17 @@
 constexpr DurationMs kDiscoveryMarginMs = 150;
 /// Interval at which a waiting request tries again to get tokens.
 constexpr DurationMs kChargeRetryPeriodMs = 20;
-/// A process accrues at its rate and this part more for `kWarmUpMs` after its
-/// start, since the tokens of the process before it are lost. The ledger's
-/// burst allows for it at all times, so that it does not matter how often
-/// processes start.
-constexpr double kWarmUpRatio = 0.5;
+/// A process accrues faster for this time after its start, since the tokens of
+/// the process before it are lost: at most by `kMaxWarmUpRatio` of the rate.
+/// The slack tokens allow for it in each window, so that it does not matter how
+/// often processes start.
 constexpr DurationMs kWarmUpMs = 4000;
+constexpr double kMaxWarmUpRatio = 0.5;
 constexpr std::string_view kLendPath = "/peer/v1/lend";
 constexpr std::string_view kConfirmPath = "/peer/v1/confirm";
 constexpr std::string_view kReturnPath = "/peer/v1/return";
 constexpr double kMsPerS = 1000.0;
 
-/// Most tokens that a ledger may hold so that they stay within the tolerance
-/// together with what accrues in a window. The tolerance counts requests that
-/// are both sent and run in the window. Each is charged in between, so requests
-/// that were sent earlier and still wait do not add to the window's spending.
-/// @param warm_up_ratio Part of the rate that may accrue in addition.
-Tokens Headroom(const TeamSpec& team, const LimitTolerance& tolerance,
-                double warm_up_ratio) {
-  const auto rate = static_cast<double>(team.rate_tokens_per_s);
-  const auto burst = static_cast<double>(team.burst_tokens);
-  const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
-  const double slack =
-      static_cast<double>(tolerance.slack_tokens) * (1.0 - kReservedSlackRatio);
-  const double bound =
-      (rate * window_s + burst) * (1.0 + tolerance.excess_ratio) + slack;
-  return static_cast<Tokens>(bound - rate * (1.0 + warm_up_ratio) * window_s);
-}
-
-/// Whether the tolerance has room for the warm-up beside the team's burst.
-bool WarmsUp(const TeamSpec& team, const LimitTolerance& tolerance) {
-  return tolerance.window_ms > 0 &&
-         Headroom(team, tolerance, kWarmUpRatio) >= team.burst_tokens;
-}
-
 Tokens TokensField(const std::string& body, const char* field) {
   const json answer = json::parse(body, nullptr, false);
   const bool valid = answer.is_object() && answer.contains(field) &&
@@ -94,17 +73,33 @@
 }  // namespace
 
 Tokens LedgerBurst(const TeamSpec& team, const LimitTolerance& tolerance) {
-  if (WarmsUp(team, tolerance)) return Headroom(team, tolerance, kWarmUpRatio);
-  return std::max(team.burst_tokens, Headroom(team, tolerance, 0));
+  if (tolerance.window_ms == 0) return team.burst_tokens;
+  const auto rate = static_cast<double>(team.rate_tokens_per_s);
+  const auto burst = static_cast<double>(team.burst_tokens);
+  const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
+  const double slack =
+      static_cast<double>(tolerance.slack_tokens) * (1.0 - kReservedSlackRatio);
+  const double bound =
+      (rate * window_s + burst) * (1.0 + tolerance.excess_ratio) + slack;
+  // Apart from the warm-up, the ledger charges at most its burst and what
+  // accrues in a window, so the burst may be the bound less what accrues. The
+  // bound counts requests that are both sent and run in the window. Each is
+  // charged in between, so requests that were sent earlier and still wait do
+  // not add to the window's spending.
+  const auto headroom = static_cast<Tokens>(bound - rate * window_s);
+  return std::max(team.burst_tokens, headroom);
 }
 
 TeamSpec WarmUpSpec(TeamSpec team, const LimitTolerance& tolerance) {
-  const Tokens burst = LedgerBurst(team, tolerance);
-  if (WarmsUp(team, tolerance)) {
-    team.rate_tokens_per_s = static_cast<std::int64_t>(
-        static_cast<double>(team.rate_tokens_per_s) * (1.0 + kWarmUpRatio));
-  }
-  team.burst_tokens = burst;
+  team.burst_tokens = LedgerBurst(team, tolerance);
+  if (tolerance.window_ms == 0) return team;
+  const double window_s = static_cast<double>(tolerance.window_ms) / kMsPerS;
+  const double slack_per_s = static_cast<double>(tolerance.slack_tokens) *
+                             kWarmUpSlackRatio / window_s;
+  const double most_per_s =
+      static_cast<double>(team.rate_tokens_per_s) * kMaxWarmUpRatio;
+  team.rate_tokens_per_s +=
+      static_cast<std::int64_t>(std::min(slack_per_s, most_per_s));
   return team;
 }
 
--- a/src/peer/share_exchange.h
+++ b/src/peer/share_exchange.h
@@ -30,13 +30,12 @@
 
 /// The burst that a team's ledger may use: the team's burst, plus
 /// `excess_ratio` of rate * window + burst, plus three quarters of the slack
-/// tokens, less what accrues in a window beyond the rate while processes warm
-/// up. It is the team's burst when that is larger, or `window_ms` is 0.
+/// tokens. It is the team's burst when `window_ms` is 0.
 [[nodiscard]] Tokens LedgerBurst(const TeamSpec& team,
                                  const LimitTolerance& tolerance);
 
 /// The team as its ledger has it while a process warms up: with `LedgerBurst`,
-/// and with a higher rate where the tolerance allows for it.
+/// and with a higher rate where the tolerance has slack tokens.
 [[nodiscard]] TeamSpec WarmUpSpec(TeamSpec team,
                                   const LimitTolerance& tolerance);
 
