Rank what peers announce below the source's list of endpoints

Cause: a process that retains a missing endpoint pulls the changes after its revision before the list. A peer that had read a list in between, and retains the endpoint itself, announces it with a revision between the two. Put took that for news and replaced the row, and with it the time of removal. The peer's removal has the revision of the list, which the process has passed.

Change: an announcement of a peer is ignored when the endpoint is unknown, removed or only retained here and the announcement is not newer than the last revision applied.

--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -60,7 +60,8 @@
   /// How an announcement was received.
   enum class Origin {
     kChange,  ///< The source reported that it was written.
-    kState,   ///< Part of the state of the source, or of a peer.
+    kList,    ///< Part of the source's full list.
+    kPeer,    ///< Part of the state of a peer.
   };
 
   /// @param grace_ms For this time after the source was restored, what is known
@@ -71,7 +72,9 @@
       : restored_grace_ms(grace_ms) {}
 
   /// Adds or replaces an endpoint that was announced at `revision`. That an
-  /// endpoint is leaving holds for its incarnation across eras.
+  /// endpoint is leaving holds for its incarnation across eras. An announcement
+  /// of a peer ranks below the source's list: it is ignored when the endpoint
+  /// was absent at its revision or later, by the updates applied here.
   /// @returns true when the endpoint is new or differs from the earlier one.
   bool Put(const EndpointRecord& endpoint, const SourceRevision& revision,
            TimeMs now, Origin origin);
@@ -135,6 +138,11 @@
     SourceRevision missing_as_of;
   };
 
+  /// Whether the updates applied here show that an endpoint was absent at
+  /// `revision` or later. One that is only retained counts as absent.
+  [[nodiscard]] bool AbsentAt(std::string_view id,
+                              const SourceRevision& revision) const;
+
   /// Whether what is known of an endpoint holds against the state of a restored
   /// source that lists it.
   [[nodiscard]] bool HoldsAgainst(const Row& row, const EndpointRecord& listed,
--- a/src/core/endpoints/endpoint_table.cc
+++ b/src/core/endpoints/endpoint_table.cc
@@ -23,9 +23,12 @@
                         const SourceRevision& revision, TimeMs now,
                         Origin origin) {
   this->NoteEra(revision, now);
+  if (origin == Origin::kPeer && this->AbsentAt(endpoint.id, revision)) {
+    return false;
+  }
   Row& row = this->rows[endpoint.id];
   if (revision < row.revision) return false;
-  if (origin == Origin::kState &&
+  if (origin != Origin::kChange &&
       this->HoldsAgainst(row, endpoint, revision, now)) {
     return false;
   }
@@ -43,6 +46,15 @@
   return !unchanged;
 }
 
+bool EndpointTable::AbsentAt(std::string_view id,
+                             const SourceRevision& revision) const {
+  const auto row = this->rows.find(id);
+  if (row == this->rows.end()) return revision <= this->applied_revision;
+  const bool absent = row->second.removed || row->second.remove_at != 0;
+  return absent &&
+         revision <= std::max(this->applied_revision, row->second.revision);
+}
+
 bool EndpointTable::HoldsAgainst(const Row& row, const EndpointRecord& listed,
                                  const SourceRevision& revision,
                                  TimeMs now) const {
@@ -106,7 +118,7 @@
         this->HoldsAgainst(row->second, endpoint, revision, now);
     if (outdated) return;
     listed.insert(endpoint.id);
-    this->Put(endpoint, revision, now, Origin::kState);
+    this->Put(endpoint, revision, now, Origin::kList);
   });
   std::ranges::for_each(this->rows, [&](auto& entry) {
     Row& row = entry.second;
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -468,7 +468,7 @@
     const auto gone = answer.at("gone").get<GoneRows>();
     if (answer.at("known").get<bool>()) this->endpoints_known = true;
     std::ranges::for_each(announced, [this](const auto& row) {
-      this->Announce(row.first, row.second, EndpointTable::Origin::kState);
+      this->Announce(row.first, row.second, EndpointTable::Origin::kPeer);
     });
     std::ranges::for_each(gone, [this](const auto& row) {
       this->Withdraw(row.first, row.second);
