Send a peer all endpoints when it may have missed removals

A process that follows peers keeps an endpoint that has left for good, and its callers' requests go there, when the peer does not know the removal.

Cause: an answer to a pull has the changes after a revision, and so only the removals that the peer has recorded. It lacks those of endpoints that came and went while the peer had no watch or had not started, those that it was told of an endpoint it did not know or had removed before, and those whose tombstones were dropped.

Change: a table knows the revision after which it has all removals. It announces everything to a peer that asks from an earlier one and says so; that peer removes the rest, after the usual time if the source was restored. Tombstones are written and raised for endpoints that are unknown or removed. Peers of an earlier version ignore the new field.

--- a/include/limpethaven/endpoint_table.h
+++ b/include/limpethaven/endpoint_table.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <iosfwd>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,10 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& endpoint);
 
+/// Endpoints, each with the revision of its last update.
+using AnnouncedEndpoints =
+    std::vector<std::pair<EndpointRecord, SourceRevision>>;
+
 /// An endpoint that is missing from the source's list and not removed yet.
 struct RetainedEndpoint {
   std::string id;
@@ -48,11 +53,10 @@
 /// is older than the last one applied to its endpoint is ignored, so that
 /// updates from the source and from peers may arrive in any order. `Revision()`
 /// says up to which revision no update is missing: peers ask each other for the
-/// updates after it. For the order of updates, a
-/// removed endpoint is retained as a tombstone with the revision of its
-/// removal. The order matters in two cases: a removal of an unknown id leaves
-/// no tombstone, and of more than 4096 tombstones the oldest is dropped. An
-/// older announcement that arrives afterwards adds the endpoint.
+/// updates after it. For the order of updates, a removed endpoint is retained
+/// as a tombstone with the revision of its removal; of more than 4096 the
+/// oldest is dropped. A table that lacks tombstones after a peer's revision
+/// sends the peer all endpoints (`Changes::whole`).
 class EndpointTable {
  public:
   static constexpr DurationMs kRestoredGraceMs = 5000;
@@ -93,6 +97,13 @@
   std::vector<std::string> Replace(const std::vector<EndpointRecord>& endpoints,
                                    const SourceRevision& revision,
                                    TimeMs retain_missing_until, TimeMs now);
+  /// Applies that a peer's whole state as of `revision` has no endpoints but
+  /// those `announced`. Like `Replace`, but for the revisions of these.
+  /// @returns ids of the endpoints removed by this call.
+  std::vector<std::string> RemoveOthers(const AnnouncedEndpoints& announced,
+                                        const SourceRevision& revision,
+                                        TimeMs retain_missing_until,
+                                        TimeMs now);
   /// Removes the endpoints whose time of removal, set by `Replace`, has come.
   /// @returns ids of the endpoints removed.
   std::vector<std::string> Expire(TimeMs now);
@@ -119,8 +130,12 @@
   /// Endpoints that were announced and ids of endpoints that were removed, each
   /// with the revision of its last update.
   struct Changes {
-    std::vector<std::pair<EndpointRecord, SourceRevision>> announced;
+    AnnouncedEndpoints announced;
     std::vector<std::pair<std::string, SourceRevision>> gone;
+    /// Whether all endpoints are announced, because this table does not know
+    /// all removals after the revision asked for: it has read a complete list
+    /// since, or has dropped tombstones.
+    bool whole = false;
   };
   /// Endpoints and tombstones whose last update is after `revision`.
   [[nodiscard]] Changes ChangesAfter(const SourceRevision& revision) const;
@@ -149,6 +164,11 @@
                                   const SourceRevision& revision,
                                   TimeMs now) const;
 
+  /// Schedules the removal of the endpoints that are absent from a complete
+  /// list as of `revision`, unless they have a newer update.
+  void RetainOthers(const std::set<std::string_view>& listed,
+                    const SourceRevision& revision, TimeMs until);
+
   /// Records the start of a new era.
   void NoteEra(const SourceRevision& revision, TimeMs now) noexcept;
 
@@ -159,6 +179,8 @@
   LeavingEndpoints said_leaving;
   NamedTable<Row> rows;  ///< Keyed by endpoint id; includes tombstones.
   SourceRevision applied_revision;
+  /// Revision after which this table knows all removals.
+  SourceRevision removals_known_after;
   /// `Revision()` while endpoints are retained.
   SourceRevision revision_before_retention;
 };
--- a/src/core/endpoints/endpoint_table.cc
+++ b/src/core/endpoints/endpoint_table.cc
@@ -86,13 +86,13 @@
 
 bool EndpointTable::Remove(std::string_view id,
                            const SourceRevision& revision) {
-  const auto row = this->rows.find(id);
-  if (row == this->rows.end() || row->second.removed ||
-      revision < row->second.revision) {
-    return false;
-  }
-  row->second.removed = true;
-  row->second.revision = revision;
+  Row& row = this->rows.try_emplace(std::string(id)).first->second;
+  if (revision < row.revision) return false;
+  // A tombstone of an endpoint that is unknown or removed here informs peers
+  // that still have it.
+  const bool present = row.known && !row.removed;
+  row.removed = true;
+  row.revision = revision;
   const auto tombstone_count = static_cast<std::size_t>(std::ranges::count_if(
       this->rows, [](const auto& entry) { return entry.second.removed; }));
   if (tombstone_count > kMaxTombstoneCount) {
@@ -100,9 +100,11 @@
         std::ranges::min_element(this->rows, {}, [](const auto& entry) {
           return std::pair(!entry.second.removed, entry.second.revision);
         });
+    this->removals_known_after =
+        std::max(this->removals_known_after, oldest->second.revision);
     this->rows.erase(oldest);
   }
-  return true;
+  return present;
 }
 
 std::vector<std::string> EndpointTable::Replace(
@@ -120,18 +122,38 @@
     listed.insert(endpoint.id);
     this->Put(endpoint, revision, now, Origin::kList);
   });
+  this->RetainOthers(listed, revision, std::max(retain_missing_until, now));
+  std::vector<std::string> expired = this->Expire(now);
+  this->revision_before_retention = revision_before;
+  this->AdvanceTo(revision, now);
+  return expired;
+}
+
+std::vector<std::string> EndpointTable::RemoveOthers(
+    const AnnouncedEndpoints& announced, const SourceRevision& revision,
+    TimeMs retain_missing_until, TimeMs now) {
+  const SourceRevision revision_before = this->Revision();
+  std::set<std::string_view> listed;
+  std::ranges::for_each(announced,
+                        [&](const auto& row) { listed.insert(row.first.id); });
+  this->RetainOthers(listed, revision, std::max(retain_missing_until, now));
+  std::vector<std::string> expired = this->Expire(now);
+  this->revision_before_retention = revision_before;
+  return expired;
+}
+
+void EndpointTable::RetainOthers(const std::set<std::string_view>& listed,
+                                 const SourceRevision& revision, TimeMs until) {
   std::ranges::for_each(this->rows, [&](auto& entry) {
     Row& row = entry.second;
     const bool missing = !row.removed && !listed.contains(entry.first) &&
                          row.revision <= revision;
     if (!missing) return;
-    if (row.remove_at == 0) row.remove_at = std::max(retain_missing_until, now);
-    row.missing_as_of = revision;
+    if (row.remove_at == 0) row.remove_at = until;
+    row.missing_as_of = std::max(row.missing_as_of, revision);
   });
-  std::vector<std::string> expired = this->Expire(now);
-  this->revision_before_retention = revision_before;
-  this->AdvanceTo(revision, now);
-  return expired;
+  // Endpoints may have come and gone since the last update.
+  this->removals_known_after = std::max(this->removals_known_after, revision);
 }
 
 std::vector<std::string> EndpointTable::Expire(TimeMs now) {
@@ -161,9 +183,11 @@
 EndpointTable::Changes EndpointTable::ChangesAfter(
     const SourceRevision& revision) const {
   Changes changes;
+  changes.whole =
+      revision < std::min(this->removals_known_after, this->Revision());
   std::ranges::for_each(this->rows, [&](const auto& entry) {
     const Row& row = entry.second;
-    if (row.revision <= revision) return;
+    if (row.revision <= revision && !changes.whole) return;
     if (row.removed) {
       changes.gone.emplace_back(entry.first, row.revision);
     } else {
--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -56,12 +56,11 @@
          config.routes.size() + config.links.size() + config.goals.size();
 }
 
-using AnnouncedRows = std::vector<std::pair<EndpointRecord, SourceRevision>>;
 using GoneRows = std::vector<std::pair<std::string, SourceRevision>>;
 
 /// Revision to which the answer of a peer of an earlier version reaches, which
 /// does not say it.
-SourceRevision HighestRevision(const AnnouncedRows& announced,
+SourceRevision HighestRevision(const AnnouncedEndpoints& announced,
                                const GoneRows& gone) {
   SourceRevision highest;
   const auto raise = [&highest](const auto& row) {
@@ -314,6 +313,17 @@
   this->listener.OnEndpoints();
 }
 
+void PublishedState::RemoveOthers(const AnnouncedEndpoints& announced,
+                                  const SourceRevision& revision) {
+  const TimeMs now = LoopNow();
+  // The peer may have read a restored source, which lacks endpoints that are
+  // alive until they announce themselves again.
+  const bool restored = revision.era > this->table.Revision().era;
+  this->NotifyGone(this->table.RemoveOthers(
+      announced, revision, restored ? now + this->missing_retention_ms : now,
+      now));
+}
+
 Task<Result<std::string>> PublishedState::AnswerState(PeerCall& call) {
   const json request = json::parse(call.body, nullptr, false);
   std::uint64_t version = 0;
@@ -356,6 +366,7 @@
   const EndpointTable::Changes changes = this->table.ChangesAfter(revision);
   answer["announced"] = changes.announced;
   answer["gone"] = changes.gone;
+  answer["whole"] = changes.whole;
   return answer;
 }
 
@@ -363,7 +374,7 @@
                               const SourceRevision& revision) const {
   if (this->config->version > version) return true;
   const EndpointTable::Changes changes = this->table.ChangesAfter(revision);
-  return !changes.announced.empty() || !changes.gone.empty();
+  return changes.whole || !changes.announced.empty() || !changes.gone.empty();
 }
 
 SourceRevision PublishedState::Revision() const {
@@ -464,7 +475,7 @@
   try {
     const json answer = json::parse(body);
     const bool valid = this->ApplyPeerConfig(answer, from);
-    const auto announced = answer.at("announced").get<AnnouncedRows>();
+    const auto announced = answer.at("announced").get<AnnouncedEndpoints>();
     const auto gone = answer.at("gone").get<GoneRows>();
     if (answer.at("known").get<bool>()) this->endpoints_known = true;
     std::ranges::for_each(announced, [this](const auto& row) {
@@ -473,9 +484,12 @@
     std::ranges::for_each(gone, [this](const auto& row) {
       this->Withdraw(row.first, row.second);
     });
-    this->AdvanceTo(answer.contains("revision")
-                        ? answer.at("revision").get<SourceRevision>()
-                        : HighestRevision(announced, gone));
+    const SourceRevision revision =
+        answer.contains("revision")
+            ? answer.at("revision").get<SourceRevision>()
+            : HighestRevision(announced, gone);
+    if (answer.value("whole", false)) this->RemoveOthers(announced, revision);
+    this->AdvanceTo(revision);
     return valid;
   } catch (const json::exception& fault) {
     this->OnUnreadable("state from peer " + from,
--- a/src/node/published_state.h
+++ b/src/node/published_state.h
@@ -144,6 +144,9 @@
                 EndpointTable::Origin origin);
   /// Applies a removal, of the source or a peer.
   void Withdraw(const std::string& id, const SourceRevision& revision);
+  /// Removes the endpoints that a peer's whole state does not have.
+  void RemoveOthers(const AnnouncedEndpoints& announced,
+                    const SourceRevision& revision);
   /// Records that all updates up to a revision were applied, and notifies the
   /// listener of it.
   void AdvanceTo(const SourceRevision& revision);
--- a/tests/endpoint_rank_test.cc
+++ b/tests/endpoint_rank_test.cc
@@ -35,6 +35,9 @@
   std::ranges::for_each(changes.gone, [&](const auto& row) {
     table.Remove(row.first, row.second);
   });
+  if (changes.whole) {
+    table.RemoveOthers(changes.announced, peer.Revision(), now, now);
+  }
   table.AdvanceTo(peer.Revision(), now);
 }
 
@@ -76,7 +79,7 @@
   void Step() {
     this->now += this->Random(400);
     Follower& follower = this->followers[this->Random(this->followers.size())];
-    switch (this->Random(6)) {
+    switch (this->Random(7)) {
       case 0:
         this->ChangeSource();
         return;
@@ -89,16 +92,18 @@
       case 3:
         follower.table.Expire(this->now);
         return;
+      case 4:
+        if (this->Random(4) == 0) this->Restart(follower);
+        return;
       default:
         this->Exchange(follower);
     }
   }
 
-  /// Ends all disruptions, and lets each process read the source once more.
+  /// Ends all disruptions. One process reads the source again, and the others
+  /// follow their peers.
   void Settle() {
-    std::ranges::for_each(this->followers, [this](Follower& follower) {
-      if (follower.watch_cut) this->List(follower, true);
-    });
+    this->List(this->followers.front(), true);
     for (int round = 0; round < 20; ++round) {
       this->now += kRetentionMs / 4;
       std::ranges::for_each(this->followers, [this](Follower& follower) {
@@ -138,6 +143,17 @@
                            returned ? this->now + kRetentionMs : 0, this->now);
   }
 
+  /// Starts a process that reads the source first, or a peer.
+  void Restart(Follower& follower) {
+    follower = Follower{};
+    if (this->Random(2) == 0) {
+      this->List(follower, false);
+    } else {
+      follower.watch_cut = true;
+      this->Exchange(follower);
+    }
+  }
+
   void ChangeSource() {
     const std::size_t index = this->Random(this->present.size());
     this->present[index] = !this->present[index];
@@ -168,6 +184,18 @@
   std::array<Follower, 4> followers;
 };
 
+// The peer has started after the removal and knows nothing of the endpoint.
+TEST_CASE("an endpoint stays in a table that follows a restarted peer") {
+  EndpointTable behind;
+  behind.Replace({EndpointOf("e1"), EndpointOf("e2")}, {0, 3}, 0, 0);
+  EndpointTable restarted;
+  restarted.Replace({EndpointOf("e2")}, {0, 5}, 0, 0);
+  Pull(behind, restarted, 10);
+  CHECK(behind.Find("e1") == nullptr);
+  CHECK(behind.Find("e2") != nullptr);
+  CHECK_FALSE(restarted.ChangesAfter({0, 5}).whole);
+}
+
 TEST_CASE("an endpoint that has left stays in a table after cut watches") {
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     Followers followers(seed);
