Apply a peer's change only to the configuration that it begins at

A route may keep a value that no version in force has, without an end (CONFIG).

Cause: a peer answers with the change from the version that the call named. The process applied it to the version that it had when the answer came. When its own source had brought one in between, what that one changed and the later one takes back is not in the change and stays.

Change: the answer names the version that its change begins at, and a change from another one is left out. The next gossip message starts another pull; a follower reads the source.

--- a/src/node/published_state.cc
+++ b/src/node/published_state.cc
@@ -359,6 +359,7 @@
                        EntityCount(*this->config) <= kMaxSmallConfigEntities;
     if (change) {
       answer["change"] = EncodeChange(*change);
+      answer["change_from"] = version;
     } else if (whole) {
       answer["entities"] = EncodeEntityList(EncodeEntities(*this->config));
     }
@@ -428,6 +429,9 @@
   if (!is_change && !answer.contains("entities")) return true;
   const auto version = answer.at("version").get<std::uint64_t>();
   if (version <= this->config->version) return true;
+  // The source may have brought another version since the call was sent.
+  const auto base = answer.value("change_from", this->config->version);
+  if (is_change && base != this->config->version) return true;
   Configuration next;
   Result<ConfigChange> change = ConfigChange{};
   if (is_change) {
--- a/tests/published_state_test.cc
+++ b/tests/published_state_test.cc
@@ -201,6 +201,46 @@
   loop.poll();
 }
 
+// A change that the later version takes back is not in the peer's change.
+TEST_CASE(
+    "published state applies a peer's change to another version than the one "
+    "that it begins at") {
+  Loop loop(1);
+  PeerIdentity identity;
+  identity.port = kPort;
+  identity.self = VmId{"127.91.0.1", 501};
+  Process peer(loop, identity);
+  identity.self = VmId{"127.91.0.2", 502};
+  Process behind(loop, identity);
+  const auto config_of = [](std::uint64_t version, const std::string& pool) {
+    Configuration config;
+    config.version = version;
+    config.routes.emplace("/a", RouteSpec{.path = "/a", .pool = pool});
+    config.routes.emplace(
+        "/b", RouteSpec{.path = "/b", .pool = "v" + std::to_string(version)});
+    return config;
+  };
+  peer.state.OnConfiguration(config_of(1, "old"));
+  peer.state.OnConfiguration(config_of(3, "old"));
+  behind.state.OnConfiguration(config_of(1, "old"));
+  const std::string answer =
+      peer.state.StateAfter(1, {}, ConfigForm::kChangeOrWhole).dump();
+  behind.state.OnConfiguration(config_of(2, "new"));
+  CHECK(behind.state.ApplyPeerState(answer, "127.91.0.1"));
+  CHECK(behind.state.ConfigVersion() == 2);
+  CHECK(behind.state.ApplyPeerState(
+      peer.state.StateAfter(2, {}, ConfigForm::kChangeOrWhole).dump(),
+      "127.91.0.1"));
+  CHECK(behind.state.ConfigVersion() == 3);
+  CHECK(behind.state.Config()->routes == config_of(3, "old").routes);
+  for (Process* process : {&peer, &behind}) {
+    process->link.Stop();
+    process->gossip.Stop();
+  }
+  CloseAllConnections(loop);
+  loop.poll();
+}
+
 TEST_CASE(
     "published state: a large configuration never arrives over a slow link to "
     "a peer") {
