Count the majority for orders from the known size of the fleet

Cause, that of review/14: the majority was one of the members that the process itself knew. Two seeds that had just started behind a cut were two of three, while the holder on the other side reached five of seven.

Change: the majority is one of the processes that may be alive, by what members have told. As long as this number is not known, the lease is not held.

--- a/include/limpethaven/membership.h
+++ b/include/limpethaven/membership.h
@@ -272,6 +272,9 @@
   /// started, alone or with others, cannot tell a small fleet from one that it
   /// is cut off from. Once true it stays so.
   [[nodiscard]] bool KnowsFleet() const noexcept;
+  /// Number of processes that may be alive, this one included; 0 while this
+  /// process cannot rely on it.
+  [[nodiscard]] std::size_t KnownFleetSize() const;
   /// How this process has learned of the size of the fleet.
   [[nodiscard]] FleetKnowledge Knowledge() const noexcept;
   /// Listed members that this process has not heard from, ascending.
--- a/include/limpethaven/order_lease.h
+++ b/include/limpethaven/order_lease.h
@@ -54,8 +54,8 @@
 struct OrderLeaseInput {
   /// Whether this process is the first owner of the cell.
   bool first_owner = false;
-  /// Members that this process knows, itself included, whether they can be
-  /// reached or not.
+  /// Processes that may be alive, this one included, whether they can be
+  /// reached or not; 0 while their number is not known.
   std::size_t known_members = 0;
   /// Members, this process included, that have answered a call which was sent
   /// within `OrderLeaseSettings::contact_ttl_ms`.
@@ -71,7 +71,8 @@
 enum class OrderLeaseState {
   kHeld,
   kNotOwner,    ///< Another process is the first owner.
-  kNoMajority,  ///< Half of the members or fewer are reached.
+  /// Half of the members or fewer are reached, or their number is not known.
+  kNoMajority,
   kPaused,      ///< `Update` was not called for too long.
   kWaiting,     ///< Earlier holders may still send orders.
   /// Half of the members or more may have forgotten earlier terms: a term can
--- a/src/core/membership/fleet_knowledge.cc
+++ b/src/core/membership/fleet_knowledge.cc
@@ -32,6 +32,10 @@
   return this->knowledge != FleetKnowledge::kNone;
 }
 
+std::size_t Membership::KnownFleetSize() const {
+  return this->KnowsFleet() ? this->FleetSize() : 0;
+}
+
 FleetKnowledge Membership::Knowledge() const noexcept {
   return this->knowledge;
 }
--- a/src/core/scheduling/order_lease.cc
+++ b/src/core/scheduling/order_lease.cc
@@ -73,7 +73,8 @@
   this->updated_at = now;
   this->needs_revision = false;
   const std::size_t largest = this->LargestKnown(input.known_members, now);
-  const bool majority = 2 * input.reached_members > largest;
+  const bool majority =
+      input.known_members > 0 && 2 * input.reached_members > largest;
   if (paused) this->held_since.reset();
   if (!input.first_owner || !majority) {
     this->reason = input.first_owner ? OrderLeaseState::kNoMajority
--- a/src/node/role_balancer.cc
+++ b/src/node/role_balancer.cc
@@ -194,7 +194,7 @@
 
 OrderLeaseInput RoleBalancer::LeaseInput(const CellRow& row, TimeMs now) const {
   return OrderLeaseInput{row.owned,
-                         this->parts.gossip.Members().Members().size() + 1,
+                         this->parts.gossip.Members().KnownFleetSize(),
                          this->ReachedMembers(now),
                          this->RememberingMembers(row.role_change_ms, now),
                          this->parts.state.Revision()};
--- a/src/peer/share_exchange.cc
+++ b/src/peer/share_exchange.cc
@@ -142,10 +142,9 @@
 
 std::int64_t ShareExchange::SlotCount() const {
   if (this->configured_slots > 0) return this->configured_slots;
-  if (!this->gossip.Members().KnowsFleet()) return 0;
   // A process that does not answer may still spend tokens, so it keeps its slot
   // as long as it may be alive.
-  return static_cast<std::int64_t>(this->gossip.Members().FleetSize());
+  return static_cast<std::int64_t>(this->gossip.Members().KnownFleetSize());
 }
 
 bool ShareExchange::UpdateSlots() {
--- a/tests/fleet_knowledge_test.cc
+++ b/tests/fleet_knowledge_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "limpethaven/membership.h"
+#include "limpethaven/order_lease.h"
 #include "membership_fleet.h"
 
 namespace limpethaven {
@@ -31,6 +32,9 @@
   [[nodiscard]] bool Knows(std::size_t index) const {
     return this->fleet.TableOf(index).KnowsFleet();
   }
+  [[nodiscard]] std::size_t KnownSize(std::size_t index) const {
+    return this->fleet.TableOf(index).KnownFleetSize();
+  }
 
   /// Cuts the processes of `side` off from the others.
   void Cut(const std::set<std::size_t>& side) {
@@ -107,6 +111,35 @@
   CHECK(fleet.AllKnow());
 }
 
+// review/11: two seeds behind a cut were a majority of the members that each
+// knew, while the holder on the other side had a majority of all.
+TEST_CASE("both sides of a cut hold the lease on orders after restarts") {
+  constexpr std::size_t kSize = 7;
+  const std::set<std::size_t> cut =
+      GENERATE(std::set<std::size_t>{0, 1}, std::set<std::size_t>{1, 2},
+               std::set<std::size_t>{0}, std::set<std::size_t>{0, 1, 5});
+  CAPTURE(cut);
+  DividedFleet fleet(kSize, 5);
+  fleet.Cut(cut);
+  std::ranges::for_each(cut, [&](std::size_t index) { fleet.Restart(index); });
+  OrderLease behind(1);
+  OrderLease other(2);
+  const auto update = [&](OrderLease& lease, std::size_t index,
+                          std::size_t reached, TimeMs now) {
+    lease.Update(OrderLeaseInput{true, fleet.KnownSize(index), reached, reached,
+                                 SourceRevision{0, 9}},
+                 now);
+  };
+  constexpr TimeMs kEnd = 12'000;
+  for (TimeMs now = 0; now <= kEnd; now += 100) {
+    fleet.RunFor(100);
+    update(behind, *cut.begin(), cut.size(), now);
+    update(other, kSize - 1, kSize - cut.size(), now);
+  }
+  CHECK(other.State(kEnd) == OrderLeaseState::kHeld);
+  CHECK(behind.State(kEnd) == OrderLeaseState::kNoMajority);
+}
+
 // A mend of review/14 must not withhold the tokens of callers for long.
 TEST_CASE("processes that restart without a cut wait for their part") {
   const std::size_t size = GENERATE(1, 2, 3, 7, 30);
