--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -205,6 +205,18 @@
   CHECK(budget.RetriesLeft(11'000) > 8.0);
 }
 
+// The number of processes that share the extra retries is not known yet.
+TEST_CASE("a process that starts cut off takes extra retries for few") {
+  RetryBudget budget(RetrySettings{0.2, 20, 10'000});
+  budget.SetProcessCount(0);
+  CHECK(budget.RetriesLeft(0) < 1.0);
+  for (int request = 0; request < 10; ++request) budget.OnRequest(100);
+  CHECK(budget.RetriesLeft(100) >= 1.0);
+  CHECK(budget.RetriesLeft(100) < 2.0);
+  budget.SetProcessCount(4);
+  CHECK(budget.RetriesLeft(20'000) >= 4.0);
+}
+
 TEST_CASE("retries of requests that a silent endpoint holds pile up") {
   // The endpoint stands still for several windows, then reads all of them.
   RetryBudget budget(RetrySettings{0, 20, 10'000});
