--- a/include/limpethaven/order_lease.h
+++ b/include/limpethaven/order_lease.h
@@ -70,11 +70,11 @@
 /// Why a lease is not held.
 enum class OrderLeaseState {
   kHeld,
-  kNotOwner,    ///< Another process is the first owner.
+  kNotOwner,  ///< Another process is the first owner.
   /// Half of the members or fewer are reached, or their number is not known.
   kNoMajority,
-  kPaused,      ///< `Update` was not called for too long.
-  kWaiting,     ///< Earlier holders may still send orders.
+  kPaused,   ///< `Update` was not called for too long.
+  kWaiting,  ///< Earlier holders may still send orders.
   /// Half of the members or more may have forgotten earlier terms: a term can
   /// be claimed after the next change of the source, or when they have run for
   /// long enough.
--- a/tests/endpoint_rank_test.cc
+++ b/tests/endpoint_rank_test.cc
@@ -121,7 +121,7 @@
 
  private:
   struct Follower {
-    EndpointTable table;
+    EndpointTable table = EndpointTable();
     bool watch_cut = false;
   };
 
