Take back the withheld extra retries of starting processes

Where the settings name no initial time, the first requests of a process could not be sent again, and a stream that stalls was not resumed: the time limit of an event depends on whether a retry is allowed when it begins.

--- a/include/limpethaven/retry_budget.h
+++ b/include/limpethaven/retry_budget.h
@@ -37,9 +37,9 @@
                        TimeMs process_started_at = 0) noexcept;
 
   void Configure(const RetrySettings& next) noexcept;
-  /// Sets the number of processes that share the extra retries; 0: it is not
-  /// known, and this process has no part. The largest number in the window
-  /// counts, since processes that have left it made retries too.
+  /// Sets the number of processes that share the extra retries. The largest
+  /// number in the window counts, since processes that have left it made
+  /// retries too.
   void SetProcessCount(std::int64_t count) noexcept;
   /// Counts a request to the pool, but not its retries.
   void OnRequest(TimeMs now) noexcept;
--- a/src/core/requests/retry_budget.cc
+++ b/src/core/requests/retry_budget.cc
@@ -23,7 +23,7 @@
 }
 
 void RetryBudget::SetProcessCount(std::int64_t count) noexcept {
-  this->processes = std::max<std::int64_t>(0, count);
+  this->processes = std::max<std::int64_t>(1, count);
 }
 
 void RetryBudget::OnRequest(TimeMs now) noexcept {
@@ -82,10 +82,9 @@
   const auto requests =
       static_cast<double>(sum.requests - this->slots[oldest].requests);
   const bool initial = now - this->started_at < this->settings.initial_ms;
-  const bool has_part = !initial && this->processes > 0;
-  const double extra = has_part ? this->settings.extra_retries /
-                                      static_cast<double>(sum.processes)
-                                : 0.0;
+  const double extra = initial ? 0.0
+                               : this->settings.extra_retries /
+                                     static_cast<double>(sum.processes);
   const double allowed = this->settings.ratio * requests + extra;
   return kUsableRatio * allowed -
          static_cast<double>(sum.retries + this->reserved + this->silent_sum);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -158,8 +158,8 @@
                        .try_emplace(pool, RetryBudget(this->settings.retries,
                                                       this->started_at))
                        .first;
-  row->second.SetProcessCount(
-      static_cast<std::int64_t>(this->parts.gossip.Members().KnownFleetSize()));
+  const auto members = this->parts.gossip.Members().Members().size();
+  row->second.SetProcessCount(static_cast<std::int64_t>(members) + 1);
   return row->second;
 }
 
